Thin whole path as separate processes, with the slices' interfaces

What is in: base, HTTP (cpprestsdk), JSON-RPC (libjsonrpccpp behind a C++14 facade), platform and upstream interfaces with HTTP clients, configuration document with validation and a compare-and-set head, membership by full exchange (a baseline), entry look-up with authenticated tickets, the home's request service with the witness grant, baselines for routing and admission, lease keeper; ivypier-node, ivypierctl, three stand-ins; a scenario runner in Lua on real processes.

The HTTP library re-sends a request by itself when a reused connection breaks, so a call that may not be repeated gets a connection of its own.

--- /dev/null
+++ b/libraries/admission/open_admission.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "admission/admission_policy.h"
+
+namespace ivypier::admission {
+
+/// Takes everything. A baseline.
+class open_admission final : public admission_policy
+{
+public:
+    std::optional<refusal> admit(const admission_request &request) override;
+    void finished(const admission_request &request) override;
+};
+
+} // namespace ivypier::admission
--- /dev/null
+++ b/libraries/base/event_loop.cpp
@@ -0,0 +1,88 @@
+#include "base/event_loop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <unordered_map>
+
+namespace ivypier {
+
+struct event_loop::state
+{
+    boost::asio::io_context context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{context.get_executor()};
+    boost::asio::signal_set signals{context};
+    std::unordered_map<timer_id, std::unique_ptr<boost::asio::steady_timer>> timers;
+    timer_id nextTimer = 1;
+};
+
+event_loop::event_loop()
+    : m_state(std::make_unique<state>())
+{
+}
+
+event_loop::~event_loop() = default;
+
+time_point event_loop::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t event_loop::wallMilliseconds() const
+{
+    return milliseconds(std::chrono::system_clock::now().time_since_epoch());
+}
+
+void event_loop::post(task work)
+{
+    boost::asio::post(m_state->context, std::move(work));
+}
+
+timer_id event_loop::after(duration delay, task work)
+{
+    const timer_id id = m_state->nextTimer++;
+    auto timer = std::make_unique<boost::asio::steady_timer>(m_state->context, delay);
+    timer->async_wait([this, id, work = std::move(work)](const boost::system::error_code &failure) {
+        if (failure || m_state->timers.erase(id) == 0)
+            return;
+        work();
+    });
+    m_state->timers.emplace(id, std::move(timer));
+    return id;
+}
+
+void event_loop::cancel(timer_id timer)
+{
+    m_state->timers.erase(timer);
+}
+
+void event_loop::run()
+{
+    m_state->context.run();
+}
+
+void event_loop::stop()
+{
+    m_state->context.stop();
+}
+
+void event_loop::onTerminate(task handler)
+{
+    m_state->signals.add(SIGTERM);
+    m_state->signals.add(SIGINT);
+    m_state->signals.async_wait(
+        [handler = std::move(handler)](const boost::system::error_code &failure, int) {
+            if (!failure)
+                handler();
+        });
+}
+
+void *event_loop::nativeContext()
+{
+    return &m_state->context;
+}
+
+} // namespace ivypier
--- /dev/null
+++ b/libraries/base/hash.cpp
@@ -0,0 +1,37 @@
+#include "base/hash.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace ivypier {
+
+std::uint64_t hash64(std::string_view text, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate)
+{
+    return hash64(candidate, hash64(key));
+}
+
+std::string toHex(std::uint64_t value)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
+    return text.data();
+}
+
+std::uint64_t fromHex(std::string_view text)
+{
+    constexpr std::size_t digits = 16;
+    std::uint64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+    const bool whole = text.size() == digits && failure == std::errc{} && end == text.data() + text.size();
+    return whole ? value : 0;
+}
+
+} // namespace ivypier
--- /dev/null
+++ b/libraries/base/log_event.cpp
@@ -0,0 +1,117 @@
+#include "base/log_event.h"
+
+#include <easylogging++.h>
+
+#include <array>
+#include <cstdio>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace ivypier {
+
+namespace {
+
+bool needsQuotes(std::string_view value)
+{
+    if (value.empty())
+        return true;
+    for (const char character : value) {
+        if (character <= ' ' || character == '"' || character == '=' || character == '\\'
+            || character == 0x7f)
+            return true;
+    }
+    return false;
+}
+
+std::string quoted(std::string_view value)
+{
+    std::string result = "\"";
+    for (const char character : value) {
+        if (character == '"' || character == '\\') {
+            result += '\\';
+            result += character;
+            continue;
+        }
+        if (static_cast<unsigned char>(character) >= 0x20 && character != 0x7f) {
+            result += character;
+            continue;
+        }
+        std::array<char, 8> escape{};
+        std::snprintf(escape.data(), escape.size(), "\\x%02x", static_cast<unsigned char>(character));
+        result += escape.data();
+    }
+    return result + '"';
+}
+
+} // namespace
+
+log_event::log_event(log_level level, std::string_view event)
+    : m_level(level)
+{
+    with("event", event);
+}
+
+log_event &log_event::with(std::string_view key, std::string_view value)
+{
+    if (!m_text.empty())
+        m_text += ' ';
+    m_text += key;
+    m_text += '=';
+    m_text += needsQuotes(value) ? quoted(value) : std::string(value);
+    return *this;
+}
+
+log_event &log_event::with(std::string_view key, std::int64_t value)
+{
+    return with(key, std::string_view(std::to_string(value)));
+}
+
+log_event &log_event::with(std::string_view key, double value)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.6g", value);
+    return with(key, std::string_view(text.data()));
+}
+
+void log_event::write() const
+{
+    switch (m_level) {
+    case log_level::debug:
+        LOG(DEBUG) << m_text;
+        return;
+    case log_level::info:
+        LOG(INFO) << m_text;
+        return;
+    case log_level::warning:
+        LOG(WARNING) << m_text;
+        return;
+    case log_level::error:
+        LOG(ERROR) << m_text;
+        return;
+    }
+}
+
+const std::string &log_event::text() const
+{
+    return m_text;
+}
+
+void configureLog(std::string_view program, log_level least)
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(
+        el::ConfigurationType::Format,
+        "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level program=" + std::string(program) + " %msg");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    const auto switchOff = [&](el::Level level, log_level own) {
+        configuration.set(level, el::ConfigurationType::Enabled, own < least ? "false" : "true");
+    };
+    switchOff(el::Level::Debug, log_level::debug);
+    switchOff(el::Level::Info, log_level::info);
+    switchOff(el::Level::Warning, log_level::warning);
+    el::Loggers::reconfigureLogger("default", configuration);
+}
+
+} // namespace ivypier
--- /dev/null
+++ b/libraries/gateway/answer_writer.cpp
@@ -0,0 +1,155 @@
+#include "gateway/answer_writer.h"
+
+#include "base/json.h"
+
+#include <cmath>
+#include <utility>
+
+namespace ivypier::gateway {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_see_other = 303;
+
+std::string retryAfterText(duration wait)
+{
+    return std::to_string(static_cast<std::int64_t>(std::ceil(seconds(wait))));
+}
+
+Json::Value usageJson(const upstream::token_usage &usage)
+{
+    Json::Value json(Json::objectValue);
+    json["prompt_tokens"] = Json::UInt64{usage.promptTokens};
+    json["cached_tokens"] = Json::UInt64{usage.cachedTokens};
+    json["completion_tokens"] = Json::UInt64{usage.generatedTokens};
+    return json;
+}
+
+Json::Value outcomeJson(const std::string &requestId, const requests::final_answer &answer)
+{
+    Json::Value json(Json::objectValue);
+    json["id"] = requestId;
+    json["outcome"] = std::string(requests::name(answer.outcome));
+    if (!answer.cause.empty())
+        json["cause"] = answer.cause;
+    if (answer.retryAfter > duration::zero())
+        json["retry_after_ms"] = Json::Int64{milliseconds(answer.retryAfter)};
+    return json;
+}
+
+} // namespace
+
+http::response outcomeResponse(const std::string &requestId, const requests::final_answer &answer)
+{
+    http::response result = http::jsonResponse(answer.status, writeJson(outcomeJson(requestId, answer)));
+    result.headers["Ivypier-Request"] = requestId;
+    result.headers["Ivypier-Outcome"] = requests::name(answer.outcome);
+    if (answer.outcome == requests::request_outcome::not_run)
+        result.headers["Retry-After"] = retryAfterText(answer.retryAfter);
+    return result;
+}
+
+answer_writer::answer_writer(answer_form form, std::string requestId, std::shared_ptr<http::responder> caller)
+    : m_form(form)
+    , m_requestId(std::move(requestId))
+    , m_caller(std::move(caller))
+{
+}
+
+void answer_writer::onPiece(std::uint64_t offset, const std::string &text)
+{
+    if (m_form != answer_form::event_stream) {
+        m_text += text;
+        return;
+    }
+    beginStream();
+    Json::Value json(Json::objectValue);
+    json["choices"][0]["index"] = 0;
+    json["choices"][0]["delta"]["content"] = text;
+    m_caller->write("id: " + std::to_string(offset) + "\ndata: " + writeJson(json) + "\n\n");
+}
+
+void answer_writer::onFinal(const requests::final_answer &answer)
+{
+    if (m_form == answer_form::event_stream
+        && (m_begun || answer.outcome == requests::request_outcome::answered) && answer.status == status_ok) {
+        finishStream(answer);
+        return;
+    }
+    if (m_begun) {
+        finishStream(answer);
+        return;
+    }
+    if (answer.outcome != requests::request_outcome::answered || !answer.cause.empty()) {
+        m_caller->respond(outcomeResponse(m_requestId, answer));
+        return;
+    }
+    m_caller->respond(wholeResponse(answer));
+}
+
+void answer_writer::onMoved(const std::string &address)
+{
+    const std::string location = "http://" + address + "/v1/requests/" + m_requestId;
+    if (m_begun) {
+        Json::Value json(Json::objectValue);
+        json["location"] = location;
+        m_caller->write("event: moved\ndata: " + writeJson(json) + "\n\n");
+        m_caller->finish();
+        return;
+    }
+    http::response answer = http::jsonResponse(status_see_other, R"({"outcome":"moved"})");
+    answer.headers["Location"] = location;
+    answer.headers["Ivypier-Request"] = m_requestId;
+    m_caller->respond(std::move(answer));
+}
+
+void answer_writer::beginStream()
+{
+    if (std::exchange(m_begun, true))
+        return;
+    m_caller->begin(status_ok,
+                    {{"Content-Type", "text/event-stream"},
+                     {"Cache-Control", "no-store"},
+                     {"Ivypier-Request", m_requestId}});
+}
+
+void answer_writer::finishStream(const requests::final_answer &answer)
+{
+    beginStream();
+    if (answer.outcome == requests::request_outcome::answered) {
+        Json::Value json(Json::objectValue);
+        json["choices"][0]["index"] = 0;
+        json["choices"][0]["delta"] = Json::Value(Json::objectValue);
+        json["choices"][0]["finish_reason"] = "stop";
+        json["usage"] = usageJson(answer.usage);
+        m_caller->write("data: " + writeJson(json) + "\n\n");
+    }
+    m_caller->write("event: outcome\ndata: " + writeJson(outcomeJson(m_requestId, answer)) + "\n\n");
+    m_caller->write("data: [DONE]\n\n");
+    m_caller->finish();
+}
+
+http::response answer_writer::wholeResponse(const requests::final_answer &answer) const
+{
+    http::response result{answer.status, {}, answer.body};
+    if (m_form == answer_form::whole_completion) {
+        Json::Value json(Json::objectValue);
+        json["id"] = m_requestId;
+        json["outcome"] = std::string(requests::name(answer.outcome));
+        json["choices"][0]["index"] = 0;
+        json["choices"][0]["message"]["role"] = "assistant";
+        json["choices"][0]["message"]["content"] = m_text;
+        json["choices"][0]["finish_reason"] = "stop";
+        json["usage"] = usageJson(answer.usage);
+        result = http::jsonResponse(status_ok, writeJson(json));
+    } else if (!answer.contentType.empty()) {
+        result.headers["Content-Type"] = answer.contentType;
+    }
+    result.headers["Ivypier-Request"] = m_requestId;
+    result.headers["Ivypier-Outcome"] = requests::name(answer.outcome);
+    result.headers["Ivypier-Served-By"] = answer.servedBy;
+    return result;
+}
+
+} // namespace ivypier::gateway
--- /dev/null
+++ b/libraries/gateway/answer_writer.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/scheduler.h"
+#include "http/server.h"
+#include "requests/answer.h"
+
+#include <memory>
+#include <string>
+
+namespace ivypier::gateway {
+
+/// The form in which a caller wants its answer.
+enum class answer_form {
+    event_stream, ///< server-sent events, one a token
+    whole_completion, ///< one JSON completion
+    plain, ///< a plain service's answer as it is
+};
+
+/// An outcome without an answer, or a refusal, as a response.
+http::response outcomeResponse(const std::string &requestId, const requests::final_answer &answer);
+
+/// Writes a request's answer to its caller.
+class answer_writer final : public requests::answer_listener
+{
+public:
+    answer_writer(answer_form form, std::string requestId, std::shared_ptr<http::responder> caller);
+
+    void onPiece(std::uint64_t offset, const std::string &text) override;
+    void onFinal(const requests::final_answer &answer) override;
+    void onMoved(const std::string &address) override;
+
+private:
+    void beginStream();
+    void finishStream(const requests::final_answer &answer);
+    http::response wholeResponse(const requests::final_answer &answer) const;
+
+    answer_form m_form;
+    std::string m_requestId;
+    std::shared_ptr<http::responder> m_caller;
+    std::string m_text;
+    bool m_begun = false;
+};
+
+} // namespace ivypier::gateway
--- /dev/null
+++ b/libraries/gateway/caller_api.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/metrics_registry.h"
+#include "base/scheduler.h"
+#include "configuration/configuration_source.h"
+#include "entry/entry_directory.h"
+#include "gateway/answer_writer.h"
+#include "gateway/forwarder.h"
+#include "http/server.h"
+#include "membership/membership_view.h"
+#include "requests/peer_channel.h"
+#include "requests/request_service.h"
+
+#include <memory>
+#include <string>
+
+namespace ivypier::gateway {
+
+/// What a caller_api works with; every reference outlives it.
+struct caller_api_parts
+{
+    scheduler &tasks;
+    const configuration::configuration_source &configuration;
+    const membership::membership_view &members;
+    const entry::entry_directory &entries;
+    requests::request_service &requests;
+    requests::peer_channel &peers;
+    forwarder &forwards;
+    secret_key fleetKey;
+};
+
+/// The callers' protocol over HTTP; docs/CALLERS.md describes it.
+class caller_api
+{
+public:
+    explicit caller_api(caller_api_parts parts);
+
+    /// Answers a request whose path starts with `/v1/`. Only from tasks of the scheduler.
+    void handle(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
+
+private:
+    using caller_pointer = std::shared_ptr<http::responder>;
+
+    void answerEntry(const http::request &incoming, const configuration::client_account &account,
+                     const caller_pointer &caller);
+    void pickUp(const http::request &incoming, const configuration::client_account &account,
+                const caller_pointer &caller);
+    void run(const http::request &incoming, const configuration::client_account &account,
+             const caller_pointer &caller);
+    void route(const http::request &incoming, requests::incoming_request request, answer_form form,
+               const caller_pointer &caller);
+    void submitHere(requests::incoming_request request, answer_form form, std::uint64_t from,
+                    const caller_pointer &caller);
+    void homeIsSilent(const requests::incoming_request &request, answer_form form,
+                      const caller_pointer &caller);
+    void answerVerdict(const requests::incoming_request &request, answer_form form,
+                       const outcome<requests::witness_verdict> &verdict, const caller_pointer &caller);
+
+    caller_api_parts m_parts;
+};
+
+} // namespace ivypier::gateway
--- /dev/null
+++ b/libraries/gateway/request_reader.cpp
@@ -0,0 +1,191 @@
+#include "gateway/request_reader.h"
+
+#include "base/json.h"
+#include "base/secret.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace ivypier::gateway {
+
+namespace {
+
+constexpr std::string_view completions_path = "/v1/chat/completions";
+constexpr std::string_view services_path = "/v1/services/";
+constexpr std::string_view bearer = "Bearer ";
+
+constexpr std::int64_t default_timeout_milliseconds = 60'000;
+constexpr std::int64_t most_timeout_milliseconds = 600'000;
+constexpr std::uint64_t default_output_tokens = 256;
+constexpr std::uint64_t most_output_tokens = 1'000'000;
+constexpr std::uint64_t bytes_per_token = 4;
+constexpr std::size_t conversation_limit = 128;
+
+error invalid(std::string message)
+{
+    return {error_code::invalid_argument, std::move(message)};
+}
+
+outcome<std::int64_t> readTimeout(const http::request &incoming)
+{
+    const std::string text = incoming.header("Ivypier-Deadline-Ms");
+    if (text.empty())
+        return default_timeout_milliseconds;
+    std::int64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc{} || end != text.data() + text.size() || value < 1
+        || value > most_timeout_milliseconds)
+        return invalid("Ivypier-Deadline-Ms is a number of milliseconds between 1 and 600000");
+    return value;
+}
+
+outcome<bool> readRepeatable(const http::request &incoming, bool otherwise)
+{
+    const std::string text = incoming.header("Ivypier-Repeatable");
+    if (text.empty())
+        return otherwise;
+    if (text != "true" && text != "false")
+        return invalid("Ivypier-Repeatable is true or false");
+    return text == "true";
+}
+
+outcome<std::string> readConversation(const http::request &incoming)
+{
+    std::string text = incoming.header("Ivypier-Conversation");
+    if (text.size() > conversation_limit)
+        return invalid("Ivypier-Conversation has at most 128 bytes");
+    return text;
+}
+
+outcome<const configuration::service *> findService(const configuration::document &document,
+                                                    const configuration::client_account &account,
+                                                    const std::string &name, configuration::service_kind kind)
+{
+    const configuration::service *found = document.findService(name);
+    const bool allowed
+        = std::find(account.services.begin(), account.services.end(), name) != account.services.end();
+    if (!found || found->kind != kind || !allowed)
+        return error{error_code::not_found,
+                     "no " + std::string(configuration::name(kind)) + " service \"" + name
+                         + "\" for this account"};
+    return found;
+}
+
+outcome<void> readMessages(const Json::Value &json)
+{
+    const Json::Value &messages = json["messages"];
+    if (!messages.isArray() || messages.empty())
+        return invalid("messages is an array of at least one message");
+    for (const Json::Value &each : messages) {
+        if (!each.isObject() || !each["role"].isString() || !each["content"].isString())
+            return invalid("each message has a role and a content, both strings");
+    }
+    return success();
+}
+
+outcome<read_request> readCompletion(const configuration::document &document,
+                                     const configuration::client_account &account,
+                                     const http::request &incoming)
+{
+    if (incoming.method != "POST")
+        return invalid("completions are asked for by POST");
+    const outcome<Json::Value> parsed = parseJson(incoming.body);
+    if (!parsed)
+        return parsed.error();
+    const Json::Value &json = parsed.value();
+    if (!json.isObject() || !json["model"].isString())
+        return invalid("the body is an object with the service's name as its model");
+    const outcome<void> messages = readMessages(json);
+    if (!messages)
+        return messages.error();
+    const auto service
+        = findService(document, account, json["model"].asString(), configuration::service_kind::model);
+    if (!service)
+        return service.error();
+    const std::uint64_t outputTokens = unsignedMember(json, "max_tokens", default_output_tokens);
+    if (outputTokens < 1 || outputTokens > most_output_tokens)
+        return invalid("max_tokens is a number between 1 and 1000000");
+
+    Json::Value message(Json::objectValue);
+    message["model"] = service.value()->model;
+    message["messages"] = json["messages"];
+    message["max_tokens"] = Json::UInt64{outputTokens};
+    read_request result;
+    result.form = booleanMember(json, "stream") ? answer_form::event_stream : answer_form::whole_completion;
+    result.request.service = *service.value();
+    result.request.body = writeJson(message);
+    result.request.promptTokens = result.request.body.size() / bytes_per_token;
+    result.request.outputTokens = outputTokens;
+    return result;
+}
+
+outcome<read_request> readPlainCall(const configuration::document &document,
+                                    const configuration::client_account &account,
+                                    const http::request &incoming)
+{
+    const std::string rest = incoming.path.substr(services_path.size());
+    const std::size_t slash = rest.find('/');
+    if (slash == std::string::npos)
+        return invalid("a plain call goes to /v1/services/<service>/<path>");
+    const auto service
+        = findService(document, account, rest.substr(0, slash), configuration::service_kind::plain);
+    if (!service)
+        return service.error();
+    read_request result;
+    result.form = answer_form::plain;
+    result.request.service = *service.value();
+    result.request.method = incoming.method;
+    result.request.path = rest.substr(slash);
+    result.request.query = incoming.query;
+    result.request.contentType = incoming.header("Content-Type");
+    result.request.body = incoming.body;
+    return result;
+}
+
+} // namespace
+
+const configuration::client_account *findAccount(const configuration::document &document,
+                                                 const http::request &incoming)
+{
+    const std::string text = incoming.header("Authorization");
+    if (!text.starts_with(bearer))
+        return nullptr;
+    const std::string digest = sha256Hex(std::string_view(text).substr(bearer.size()));
+    const configuration::client_account *found = nullptr;
+    for (const configuration::client_account &each : document.clientAccounts) {
+        if (equalInConstantTime(digest, each.keySha256))
+            found = &each;
+    }
+    return found;
+}
+
+outcome<read_request> readRequest(const configuration::document &document,
+                                  const configuration::client_account &account, const http::request &incoming)
+{
+    const bool completion = incoming.path == completions_path;
+    if (!completion && !incoming.path.starts_with(services_path))
+        return error{error_code::not_found, "no such path"};
+    outcome<read_request> read = completion ? readCompletion(document, account, incoming)
+                                            : readPlainCall(document, account, incoming);
+    if (!read)
+        return read;
+    const outcome<std::int64_t> timeout = readTimeout(incoming);
+    if (!timeout)
+        return timeout.error();
+    const bool safeMethod = incoming.method == "GET" || incoming.method == "HEAD";
+    const outcome<bool> repeatable = readRepeatable(incoming, completion || safeMethod);
+    if (!repeatable)
+        return repeatable.error();
+    const outcome<std::string> conversation = readConversation(incoming);
+    if (!conversation)
+        return conversation.error();
+    requests::incoming_request &request = read.value().request;
+    request.account = account.name;
+    request.requestClass = document.classOf(account, request.service);
+    request.timeout = std::chrono::milliseconds(timeout.value());
+    request.repeatable = repeatable.value();
+    request.conversation = conversation.value();
+    return read;
+}
+
+} // namespace ivypier::gateway
--- /dev/null
+++ b/libraries/http/client.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/endpoint.h"
+#include "base/fault_switch.h"
+#include "base/outcome.h"
+#include "http/message.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace ivypier::http {
+
+/// Whether a call may run again when it is not known whether it ran. The library re-sends a request by itself
+/// when a reused connection breaks, so a call that must not run twice gets a connection of its own.
+enum class repeatability { repeatable, not_repeatable };
+
+struct call_options
+{
+    duration timeout = std::chrono::seconds(30); ///< longest silence of the other side
+    repeatability repeat = repeatability::repeatable;
+
+    auto operator<=>(const call_options &) const = default;
+};
+
+/// Receives a streamed response. Calls come one after another, on the library's threads.
+class stream_observer
+{
+public:
+    virtual ~stream_observer() = default;
+    virtual void onBegin(int status, const header_map &headers) = 0;
+    virtual void onData(std::string piece) = 0;
+
+    /// The body ended as its framing says. The last call.
+    virtual void onEnd() = 0;
+
+    /// The call failed; `unavailable` means that no byte of it was sent. The last call.
+    virtual void onFailed(const error &failure) = 0;
+};
+
+/// A call that runs.
+class exchange
+{
+public:
+    virtual ~exchange() = default;
+
+    /// Breaks the connection; the observer hears of nothing after this but at most one onFailed.
+    virtual void cancel() = 0;
+};
+
+/// An HTTP/1.1 client (cpprestsdk) with pooled connections. Safe to use from any thread.
+class client
+{
+public:
+    using completion = std::function<void(outcome<response>)>;
+
+    client();
+
+    /// A client whose links follow a fault switch.
+    explicit client(std::shared_ptr<const fault_switch> faults);
+    ~client();
+
+    /// Sends a request and reads the whole response; `done` is called once, on a library thread.
+    void send(const endpoint &to, request message, call_options options, completion done);
+
+    /// Sends a request and hands over the response piece by piece.
+    std::shared_ptr<exchange> stream(const endpoint &to, request message, call_options options,
+                                     std::shared_ptr<stream_observer> observer);
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace ivypier::http
--- /dev/null
+++ b/libraries/membership/exchange_membership.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/scheduler.h"
+#include "membership/membership_view.h"
+#include "rpc/peer_client.h"
+#include "rpc/peer_server.h"
+
+#include <map>
+#include <vector>
+
+namespace ivypier::membership {
+
+/// Membership by full exchange with every seed: the baseline that the gossip protocol is measured against.
+/// Its traffic grows with the square of the fleet; for a handful of nodes only.
+class exchange_membership final : public membership_view
+{
+public:
+    exchange_membership(scheduler &tasks, rpc::peer_client &peers, rpc::peer_server &methods, member self,
+                        std::vector<endpoint> seeds);
+
+    /// Starts to exchange with the seeds.
+    void start();
+
+    member self() const override;
+    std::vector<member> members() const override;
+    std::optional<member> find(incarnation id) const override;
+    std::optional<fact> findFact(const std::string &key) const override;
+    std::vector<fact> facts(const std::string &prefix) const override;
+    void publish(const fact &news) override;
+    void onMembersChanged(std::function<void()> observer) override;
+    void onFact(std::function<void(const fact &)> observer) override;
+    void leave() override;
+
+private:
+    struct known_member
+    {
+        member entry;
+        time_point heardAt;
+    };
+
+    void exchange();
+    Json::Value statement() const;
+    void take(const Json::Value &statement);
+    void takeMember(const Json::Value &json, std::uint64_t ageMilliseconds);
+    void dropSilent();
+    void changed();
+
+    scheduler &m_tasks;
+    rpc::peer_client &m_peers;
+    member m_self;
+    std::vector<endpoint> m_seeds;
+    std::map<incarnation, known_member> m_members;
+    std::map<std::string, fact> m_facts;
+    std::vector<std::function<void()>> m_memberObservers;
+    std::vector<std::function<void(const fact &)>> m_factObservers;
+};
+
+} // namespace ivypier::membership
--- /dev/null
+++ b/libraries/platform/cloud_service.cpp
@@ -0,0 +1,15 @@
+#include "platform/cloud_service.h"
+
+namespace ivypier::platform {
+
+std::string_view name(vm_kind kind)
+{
+    return kind == vm_kind::reclaimable ? "reclaimable" : "on_demand";
+}
+
+std::string_view name(vm_state state)
+{
+    return state == vm_state::live ? "live" : "leaving";
+}
+
+} // namespace ivypier::platform
--- /dev/null
+++ b/libraries/platform/http_platform.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "base/scheduler.h"
+#include "http/client.h"
+#include "platform/cloud_service.h"
+#include "platform/object_store.h"
+#include "platform/table_service.h"
+
+#include <json/value.h>
+
+#include <memory>
+
+namespace ivypier::platform {
+
+/// The platform's services over HTTP: `/table`, `/objects`, `/vms`, `/cloud` below one address.
+class http_platform final : public table_service, public object_store, public cloud_service
+{
+public:
+    http_platform(scheduler &tasks, std::shared_ptr<http::client> transport, endpoint address);
+
+    void read(const std::string &key, read_completion done) override;
+    void list(const std::string &prefix, list_completion done) override;
+    void write(const std::string &key, std::uint64_t expected, const std::string &value,
+               write_completion done) override;
+
+    void get(const std::string &name, get_completion done) override;
+    void put(const std::string &name, std::string content, put_completion done) override;
+
+    void listVms(std::function<void(outcome<std::vector<vm_record>>)> done) override;
+    void listPrices(std::function<void(outcome<std::vector<vm_price>>)> done) override;
+    void startVm(const vm_order &order, std::function<void(outcome<vm_record>)> done) override;
+    void releaseVm(const std::string &id, std::function<void(outcome<void>)> done) override;
+    void listNotices(const std::string &vm,
+                     std::function<void(outcome<std::vector<reclaim_notice>>)> done) override;
+
+private:
+    using reply = std::function<void(const outcome<http::response> &)>;
+
+    void send(http::request message, http::repeatability repeat, reply done);
+
+    scheduler &m_tasks;
+    std::shared_ptr<http::client> m_transport;
+    endpoint m_address;
+};
+
+} // namespace ivypier::platform
--- /dev/null
+++ b/libraries/requests/message_codec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/outcome.h"
+#include "requests/answer.h"
+#include "requests/dispatch_right.h"
+#include "requests/witness_ledger.h"
+
+#include <json/value.h>
+
+namespace ivypier::requests {
+
+/// JSON forms of the messages between nodes. Decoding checks every field that a decision rests on.
+Json::Value encode(const dispatch_intent &intent);
+Json::Value encode(const final_answer &answer);
+Json::Value encode(const witness_verdict &verdict);
+
+outcome<dispatch_intent> decodeIntent(const Json::Value &json);
+outcome<final_answer> decodeAnswer(const Json::Value &json);
+outcome<witness_verdict> decodeVerdict(const Json::Value &json);
+
+} // namespace ivypier::requests
--- /dev/null
+++ b/libraries/rpc/peer_client.cpp
@@ -0,0 +1,47 @@
+#include "rpc/peer_client.h"
+
+#include "rpc/codec/rpc_codec.h"
+
+namespace ivypier::rpc {
+
+namespace {
+
+constexpr int status_ok = 200;
+
+outcome<Json::Value> decode(const outcome<http::response> &answered)
+{
+    if (!answered)
+        return answered.error();
+    if (answered.value().status != status_ok)
+        return error{error_code::refused, "status " + std::to_string(answered.value().status)};
+    decoded_answer decoded = decodeAnswer(answered.value().body);
+    if (!decoded.succeeded)
+        return error{error_code::refused, std::move(decoded.message)};
+    return std::move(decoded.result);
+}
+
+} // namespace
+
+http_peer_client::http_peer_client(scheduler &tasks, std::shared_ptr<http::client> transport,
+                                   secret_key fleetKey)
+    : m_tasks(tasks)
+    , m_transport(std::move(transport))
+    , m_fleetKey(fleetKey)
+{
+}
+
+void http_peer_client::call(const endpoint &to, const std::string &method, Json::Value parameters,
+                            duration timeout, completion done)
+{
+    http::request message;
+    message.method = "POST";
+    message.path = rpc_path;
+    message.body = encodeCall(method, parameters);
+    message.headers[rpc_authenticator_header] = bytesToHex(m_fleetKey.authenticate(message.body));
+    m_transport->send(to, std::move(message), {timeout, http::repeatability::repeatable},
+                      [this, done = std::move(done)](outcome<http::response> answered) {
+                          m_tasks.post([done, result = decode(answered)] { done(result); });
+                      });
+}
+
+} // namespace ivypier::rpc
--- /dev/null
+++ b/libraries/rpc/peer_server.cpp
@@ -0,0 +1,53 @@
+#include "rpc/peer_server.h"
+
+#include "rpc/codec/rpc_codec.h"
+#include "rpc/peer_client.h"
+
+namespace ivypier::rpc {
+
+namespace {
+
+constexpr int status_forbidden = 403;
+constexpr int status_ok = 200;
+
+} // namespace
+
+struct peer_server::state
+{
+    scheduler &tasks;
+    secret_key fleetKey;
+    call_dispatcher dispatcher;
+};
+
+peer_server::peer_server(scheduler &tasks, secret_key fleetKey)
+    : m_state(new state{tasks, fleetKey, {}})
+{
+}
+
+peer_server::~peer_server() = default;
+
+void peer_server::add(const std::string &name, method handler)
+{
+    m_state->dispatcher.add(
+        name, [handler = std::move(handler)](const Json::Value &parameters, std::string &fault) {
+            const outcome<Json::Value> result = handler(parameters);
+            if (result)
+                return result.value();
+            fault = std::string(ivypier::name(result.error().code)) + ": " + result.error().message;
+            return Json::Value();
+        });
+}
+
+void peer_server::handle(http::request incoming, std::shared_ptr<http::responder> answer)
+{
+    const std::string expected = bytesToHex(m_state->fleetKey.authenticate(incoming.body));
+    if (!equalInConstantTime(expected, incoming.header(rpc_authenticator_header))) {
+        answer->respond(http::jsonResponse(status_forbidden, R"({"error":"unauthenticated"})"));
+        return;
+    }
+    m_state->tasks.post([this, body = std::move(incoming.body), answer = std::move(answer)] {
+        answer->respond(http::jsonResponse(status_ok, m_state->dispatcher.handle(body)));
+    });
+}
+
+} // namespace ivypier::rpc
--- /dev/null
+++ b/libraries/upstream/http_plain_service.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/scheduler.h"
+#include "upstream/plain_service.h"
+
+#include <memory>
+
+namespace ivypier::upstream {
+
+/// Plain services over HTTP.
+class http_plain_service final : public plain_service
+{
+public:
+    http_plain_service(scheduler &tasks, std::shared_ptr<http::client> transport);
+
+    void call(const endpoint &service, const plain_call &what,
+              std::function<void(outcome<http::response>)> done) override;
+
+private:
+    scheduler &m_tasks;
+    std::shared_ptr<http::client> m_transport;
+};
+
+} // namespace ivypier::upstream
--- /dev/null
+++ b/libraries/upstream/plain_service.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/endpoint.h"
+#include "base/outcome.h"
+#include "http/client.h"
+
+#include <functional>
+#include <string>
+
+namespace ivypier::upstream {
+
+/// One call of a plain service.
+struct plain_call
+{
+    std::string attempt; ///< id of this attempt, sent along as `Ivypier-Attempt`
+    std::string requestId; ///< id of the request, sent along as `Ivypier-Request`
+    std::string method;
+    std::string path;
+    std::string query;
+    std::string contentType;
+    std::string body;
+    http::repeatability repeat = http::repeatability::not_repeatable;
+    duration timeout = std::chrono::seconds(30);
+
+    bool operator==(const plain_call &) const = default;
+};
+
+/// Plain services, by address. Answers come once, as tasks of the caller's scheduler.
+class plain_service
+{
+public:
+    virtual ~plain_service() = default;
+
+    /// Calls the service; the error `unavailable` means that no byte of the call left.
+    virtual void call(const endpoint &service, const plain_call &what,
+                      std::function<void(outcome<http::response>)> done)
+        = 0;
+};
+
+} // namespace ivypier::upstream
--- /dev/null
+++ b/services/node/node.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/event_loop.h"
+#include "base/outcome.h"
+#include "node_settings.h"
+
+#include <memory>
+
+namespace ivypier::node {
+
+/// One entry node: every part of it, put together.
+class node
+{
+public:
+    /// Listens and starts to follow membership and configuration.
+    static outcome<std::unique_ptr<node>> start(event_loop &loop, const node_settings &settings);
+
+    ~node();
+
+    /// Leaves the fleet, finishes what runs, then stops the loop.
+    void drain();
+
+private:
+    struct parts;
+    explicit node(std::unique_ptr<parts> assembled);
+    std::unique_ptr<parts> m_parts;
+};
+
+} // namespace ivypier::node
--- /dev/null
+++ b/standins/engine/engine_state.cpp
@@ -0,0 +1,330 @@
+#include "engine_state.h"
+
+#include "base/hash.h"
+#include "base/json.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace ivypier::standins {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_service_unavailable = 503;
+
+constexpr std::uint64_t bytes_per_token = 4;
+constexpr std::uint64_t least_answer_tokens = 16;
+constexpr std::uint64_t answer_token_spread = 32;
+constexpr duration frozen_check_interval = std::chrono::milliseconds(20);
+
+constexpr std::array<const char *, 24> words
+    = {"the", "parcel", "tariff", "for",     "up",    "to",    "two", "kilograms",
+       "is",  "listed", "under",  "zone",    "three", "and",   "a",   "duty",
+       "of",  "five",   "cedis",  "applies", "when",  "value", "is",  "declared"};
+
+/// The whole answer to a prompt.
+std::vector<std::string> answerTo(const std::string &prompt, std::uint64_t mostTokens)
+{
+    const std::uint64_t seed = hash64(prompt);
+    const std::uint64_t count = std::min(mostTokens, least_answer_tokens + seed % answer_token_spread);
+    std::vector<std::string> tokens;
+    for (std::uint64_t index = 0; index < count; ++index)
+        tokens.push_back(std::string(words[hash64(std::to_string(index), seed) % words.size()]) + ' ');
+    return tokens;
+}
+
+std::string promptOf(const Json::Value &json)
+{
+    std::string prompt;
+    for (const Json::Value &each : json["messages"])
+        prompt += stringMember(each, "role") + ": " + stringMember(each, "content") + '\n';
+    return prompt;
+}
+
+std::uint64_t numberIn(const std::string &text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+void answerJson(const engine_state::responder_pointer &caller, int status, const Json::Value &json)
+{
+    caller->respond(http::jsonResponse(status, writeJson(json)));
+}
+
+} // namespace
+
+engine_state::engine_state(scheduler &tasks, engine_options options)
+    : m_tasks(tasks)
+    , m_options(std::move(options))
+{
+}
+
+void engine_state::handle(const http::request &incoming, const responder_pointer &caller)
+{
+    constexpr std::string_view streams = "/v1/streams/";
+    if (incoming.path == "/v1/chat/completions") {
+        start(incoming, caller);
+        return;
+    }
+    if (incoming.path.starts_with(streams)) {
+        const std::string rest = incoming.path.substr(streams.size());
+        const std::string id = rest.substr(0, rest.find('/'));
+        if (rest.ends_with("/resume")) {
+            resume(incoming, id, caller);
+            return;
+        }
+        const auto found = m_streams.find(id);
+        if (found != m_streams.end() && incoming.method == "DELETE")
+            found->second->cancelled = true;
+        Json::Value json(Json::objectValue);
+        json["handle"]
+            = rest.ends_with("/export") && found != m_streams.end() ? m_options.name + '/' + id : "";
+        answerJson(caller, found != m_streams.end() ? status_ok : status_not_found, json);
+        return;
+    }
+    if (incoming.path == "/v1/load")
+        answerJson(caller, status_ok, load());
+    else if (incoming.path == "/v1/cache_events") {
+        Json::Value newer(Json::arrayValue);
+        for (const Json::Value &each : m_cacheEvents) {
+            if (each["sequence"].asUInt64() > numberIn(incoming.parameter("after")))
+                newer.append(each);
+        }
+        answerJson(caller, status_ok, newer);
+    } else if (incoming.path == "/v1/orders")
+        order(incoming, caller);
+    else
+        control(incoming, caller);
+}
+
+void engine_state::start(const http::request &incoming, const responder_pointer &caller)
+{
+    const outcome<Json::Value> parsed = parseJson(incoming.body);
+    if (!parsed) {
+        answerJson(caller, status_bad_request, {});
+        return;
+    }
+    if (m_faults.refuse > 0 || m_leaving) {
+        m_faults.refuse = std::max(0, m_faults.refuse - 1);
+        answerJson(caller, status_service_unavailable, {});
+        return;
+    }
+    auto created = std::make_shared<stream>();
+    created->id = m_options.name + "-" + std::to_string(m_nextStream++);
+    created->attempt = incoming.header("Ivypier-Attempt");
+    created->priority = static_cast<int>(integerMember(parsed.value(), "priority", 0));
+    const std::string prompt = promptOf(parsed.value());
+    created->tokens = answerTo(prompt, unsignedMember(parsed.value(), "max_tokens", 256));
+    created->produced = std::min<std::uint64_t>(unsignedMember(parsed.value(), "delivered_tokens", 0),
+                                                created->tokens.size());
+    created->sent = created->produced;
+    created->promptTokens = prompt.size() / bytes_per_token + created->produced;
+    created->cachedTokens = incoming.header("Ivypier-Cache-Handle").empty()
+        ? cachedTokens(prompt, created->promptTokens)
+        : created->promptTokens;
+    created->reader = caller;
+    m_streams[created->id] = created;
+    record("started", *created);
+    caller->begin(status_ok, {{"Content-Type", "text/event-stream"}, {"Ivypier-Stream", created->id}});
+    m_waiting.push_back(created);
+    admitWaiting();
+}
+
+void engine_state::resume(const http::request &incoming, const std::string &id,
+                          const responder_pointer &caller)
+{
+    const auto found = m_streams.find(id);
+    if (found == m_streams.end()) {
+        answerJson(caller, status_not_found, {});
+        return;
+    }
+    stream &resumed = *found->second;
+    resumed.attempt = incoming.header("Ivypier-Attempt");
+    resumed.sent = std::min(numberIn(incoming.parameter("next")), resumed.produced);
+    resumed.reader = caller;
+    record("resumed", resumed);
+    caller->begin(status_ok, {{"Content-Type", "text/event-stream"}, {"Ivypier-Stream", id}});
+    push(found->second);
+}
+
+void engine_state::order(const http::request &incoming, const responder_pointer &caller)
+{
+    const outcome<Json::Value> parsed = parseJson(incoming.body);
+    if (!parsed) {
+        answerJson(caller, status_bad_request, {});
+        return;
+    }
+    const std::uint64_t fencing = unsignedMember(parsed.value(), "fencing", 0);
+    if (m_options.checksFencing && fencing < m_fencing) {
+        answerJson(caller, status_conflict, {});
+        return;
+    }
+    m_fencing = std::max(m_fencing, fencing);
+    m_options.model = stringMember(parsed.value(), "model");
+    m_modelVersion = stringMember(parsed.value(), "model_version");
+    Json::Value entry(parsed.value());
+    entry["event"] = "order";
+    m_record.append(entry);
+    answerJson(caller, status_ok, Json::Value(Json::objectValue));
+}
+
+void engine_state::control(const http::request &incoming, const responder_pointer &caller)
+{
+    if (incoming.path == "/control/record") {
+        answerJson(caller, status_ok, m_record);
+        return;
+    }
+    const outcome<Json::Value> parsed = parseJson(incoming.body);
+    if (!parsed || incoming.path != "/control/faults") {
+        answerJson(caller, status_not_found, {});
+        return;
+    }
+    m_faults.refuse = static_cast<int>(integerMember(parsed.value(), "refuse", 0));
+    m_faults.cutAfterTokens = integerMember(parsed.value(), "cut_after_tokens", -1);
+    m_faults.frozen = booleanMember(parsed.value(), "frozen");
+    m_faults.mixUp = booleanMember(parsed.value(), "mix_up");
+    m_leaving = booleanMember(parsed.value(), "leaving");
+    answerJson(caller, status_ok, Json::Value(Json::objectValue));
+}
+
+void engine_state::admitWaiting()
+{
+    while (m_running < m_options.streamLimit && !m_waiting.empty()) {
+        const auto next = std::max_element(m_waiting.begin(), m_waiting.end(),
+                                           [](const stream_pointer &left, const stream_pointer &right) {
+                                               return left->priority < right->priority;
+                                           });
+        const stream_pointer chosen = *next;
+        m_waiting.erase(next);
+        if (chosen->cancelled)
+            continue;
+        ++m_running;
+        prefill(chosen);
+    }
+}
+
+void engine_state::prefill(const stream_pointer &of)
+{
+    const auto uncached = static_cast<double>(of->promptTokens - of->cachedTokens);
+    const time_point begin = std::max(m_prefillFreeAt, m_tasks.now());
+    m_prefillFreeAt = begin + fromSeconds(uncached / m_options.prefillTokensPerSecond);
+    m_tasks.after(m_prefillFreeAt - m_tasks.now() + fromSeconds(m_options.decodeSecondsPerToken),
+                  [this, of] { decode(of); });
+}
+
+void engine_state::decode(const stream_pointer &of)
+{
+    if (of->cancelled) {
+        end(of);
+        return;
+    }
+    if (m_faults.frozen) {
+        m_tasks.after(frozen_check_interval, [this, of] { decode(of); });
+        return;
+    }
+    of->produced = std::min<std::uint64_t>(of->produced + 1, of->tokens.size());
+    push(of);
+    if (of->produced == of->tokens.size()) {
+        end(of);
+        return;
+    }
+    m_tasks.after(fromSeconds(m_options.decodeSecondsPerToken), [this, of] { decode(of); });
+}
+
+void engine_state::push(const stream_pointer &of)
+{
+    const std::string attempt = m_faults.mixUp ? "another" : of->attempt;
+    while (of->reader && of->sent < of->produced) {
+        if (m_faults.cutAfterTokens >= 0 && of->sent >= static_cast<std::uint64_t>(m_faults.cutAfterTokens)) {
+            of->reader.reset(); // breaks the connection
+            return;
+        }
+        Json::Value json(Json::objectValue);
+        json["attempt"] = attempt;
+        json["index"] = Json::UInt64{of->sent};
+        json["text"] = of->tokens[of->sent];
+        of->reader->write("data: " + writeJson(json) + "\n\n");
+        ++of->sent;
+    }
+    if (!of->reader || of->sent < of->tokens.size())
+        return;
+    Json::Value json(Json::objectValue);
+    json["attempt"] = attempt;
+    json["usage"]["prompt_tokens"] = Json::UInt64{of->promptTokens};
+    json["usage"]["cached_tokens"] = Json::UInt64{of->cachedTokens};
+    json["usage"]["completion_tokens"] = Json::UInt64{of->tokens.size()};
+    of->reader->write("data: " + writeJson(json) + "\n\n");
+    of->reader->finish();
+    of->reader.reset();
+    record("finished", *of);
+}
+
+void engine_state::end(const stream_pointer &of)
+{
+    if (of->cancelled)
+        record("cancelled", *of);
+    --m_running;
+    admitWaiting();
+}
+
+std::uint64_t engine_state::cachedTokens(const std::string &prompt, std::uint64_t promptTokens)
+{
+    std::uint64_t best = 0;
+    std::uint64_t total = promptTokens;
+    for (const auto &[known, tokens] : m_cache) {
+        if (prompt.starts_with(known))
+            best = std::max(best, tokens);
+        total += tokens;
+    }
+    m_cache.emplace_front(prompt, promptTokens);
+    const auto addEvent = [this](const std::string &text, std::uint64_t tokens, bool stored) {
+        Json::Value event(Json::objectValue);
+        event["sequence"] = m_cacheEvents.size() + 1;
+        event["stored"] = stored;
+        event["prefix"] = toHex(hash64(text));
+        event["tokens"] = Json::UInt64{tokens};
+        m_cacheEvents.append(event);
+    };
+    addEvent(prompt, promptTokens, true);
+    while (total > m_options.cacheTokens && m_cache.size() > 1) {
+        addEvent(m_cache.back().first, m_cache.back().second, false);
+        total -= m_cache.back().second;
+        m_cache.pop_back();
+    }
+    return std::min(best, promptTokens);
+}
+
+Json::Value engine_state::load() const
+{
+    const double prefill = std::max(0.0, seconds(m_prefillFreeAt - m_tasks.now()));
+    Json::Value json(Json::objectValue);
+    json["queued_seconds"]
+        = prefill + static_cast<double>(m_waiting.size()) * m_options.decodeSecondsPerToken;
+    json["running_streams"] = m_running;
+    json["stream_limit"] = m_options.streamLimit;
+    json["prefill_tokens_per_second"] = m_options.prefillTokensPerSecond;
+    json["decode_seconds_per_token"] = m_options.decodeSecondsPerToken;
+    json["leaving"] = m_leaving;
+    json["model"] = m_options.model;
+    json["model_version"] = m_modelVersion;
+    return json;
+}
+
+void engine_state::record(const std::string &event, const stream &of)
+{
+    Json::Value entry(Json::objectValue);
+    entry["event"] = event;
+    entry["attempt"] = of.attempt;
+    entry["stream"] = of.id;
+    entry["tokens"] = Json::UInt64{of.sent};
+    m_record.append(entry);
+}
+
+} // namespace ivypier::standins
--- /dev/null
+++ b/tests/scenario_runner/http_caller.cpp
@@ -0,0 +1,93 @@
+#include "http_caller.h"
+
+namespace ivypier::scenarios {
+
+/// Collects one call's response.
+class http_caller::observer final : public http::stream_observer
+{
+public:
+    void onBegin(int status, const http::header_map &headers) override
+    {
+        change([&](call_progress &known) {
+            known.begun = true;
+            known.status = status;
+            known.headers = headers;
+        });
+    }
+
+    void onData(std::string piece) override
+    {
+        change([&](call_progress &known) { known.body += piece; });
+    }
+
+    void onEnd() override
+    {
+        change([](call_progress &known) { known.ended = true; });
+    }
+
+    void onFailed(const error &failure) override
+    {
+        change([&](call_progress &known) {
+            known.ended = true;
+            known.failure = failure;
+        });
+    }
+
+    call_progress known() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_known;
+    }
+
+    call_progress wait(double seconds) const
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, std::chrono::duration<double>(seconds), [this] { return m_known.ended; });
+        return m_known;
+    }
+
+private:
+    template <typename Change>
+    void change(Change apply)
+    {
+        const std::lock_guard lock(m_mutex);
+        apply(m_known);
+        m_changed.notify_all();
+    }
+
+    mutable std::mutex m_mutex;
+    mutable std::condition_variable m_changed;
+    call_progress m_known;
+};
+
+int http_caller::start(const endpoint &to, http::request message, duration timeout)
+{
+    const int number = m_next++;
+    auto watched = std::make_shared<observer>();
+    // A connection of its own: the library must not repeat a scenario's call by itself.
+    auto exchange
+        = m_client.stream(to, std::move(message), {timeout, http::repeatability::not_repeatable}, watched);
+    m_calls[number] = {std::move(watched), std::move(exchange)};
+    return number;
+}
+
+call_progress http_caller::progress(int call) const
+{
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() ? call_progress{} : found->second.watched->known();
+}
+
+call_progress http_caller::wait(int call, double seconds) const
+{
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() ? call_progress{} : found->second.watched->wait(seconds);
+}
+
+void http_caller::cancel(int call)
+{
+    const auto found = m_calls.find(call);
+    if (found != m_calls.end())
+        found->second.exchange->cancel();
+}
+
+} // namespace ivypier::scenarios
--- /dev/null
+++ b/tests/scenario_runner/main.cpp
@@ -0,0 +1,81 @@
+#include "base/log_event.h"
+#include "lua_functions.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <string>
+#include <unistd.h>
+
+namespace {
+
+/// A loopback network of this scenario's own, so that scenarios run side by side: 127.16.0 to 127.127.255.
+std::string ownNetwork()
+{
+    constexpr int first = 16;
+    constexpr int networks = 112 * 256;
+    const int chosen = static_cast<int>(getpid()) % networks;
+    return "127." + std::to_string(first + chosen / 256) + '.' + std::to_string(chosen % 256) + '.';
+}
+
+int fail(lua_State *lua)
+{
+    luaL_traceback(lua, lua, lua_tostring(lua, 1), 1);
+    return 1;
+}
+
+} // namespace
+
+/// scenario-runner --bin FOLDER SCRIPT [ARGUMENT...]: runs a scenario; 0 when it holds.
+int main(int argc, char **argv)
+{
+    if (argc < 4 || std::string(argv[1]) != "--bin") {
+        std::cerr << "usage: scenario-runner --bin FOLDER SCRIPT [ARGUMENT...]\n";
+        return 2;
+    }
+    ivypier::configureLog("scenario-runner", ivypier::log_level::warning);
+    std::string pattern = std::filesystem::temp_directory_path() / "ivypier-scenario-XXXXXX";
+    if (!mkdtemp(pattern.data())) {
+        std::cerr << "scenario-runner: no temporary folder\n";
+        return 2;
+    }
+    int result = 1;
+    {
+        ivypier::scenarios::scenario_context context{
+            ivypier::scenarios::process_table(pattern), {}, argv[2], pattern, ownNetwork()};
+        lua_State *lua = luaL_newstate();
+        luaL_openlibs(lua);
+        ivypier::scenarios::registerFunctions(lua, context);
+        lua_newtable(lua);
+        for (int index = 4; index < argc; ++index) {
+            lua_pushstring(lua, argv[index]);
+            lua_rawseti(lua, -2, index - 3);
+        }
+        lua_setglobal(lua, "arguments");
+        const std::string folder = std::filesystem::path(argv[3]).parent_path();
+        const std::string prelude = "package.path = '" + folder + "/lib/?.lua'";
+        lua_pushcfunction(lua, fail);
+        const bool loaded
+            = luaL_dostring(lua, prelude.c_str()) == LUA_OK && luaL_loadfile(lua, argv[3]) == LUA_OK;
+        result = loaded && lua_pcall(lua, 0, 0, 1) == LUA_OK ? 0 : 1;
+        if (result != 0) {
+            std::cerr << lua_tostring(lua, -1) << '\n';
+            for (const auto &each : std::filesystem::directory_iterator(pattern)) {
+                std::cerr << "-- " << each.path().filename().string() << '\n';
+                const std::string command = each.path();
+                FILE *file = std::fopen(command.c_str(), "r");
+                std::string text;
+                for (int character = 0; file && (character = std::fgetc(file)) != EOF;)
+                    text += static_cast<char>(character);
+                if (file)
+                    std::fclose(file);
+                constexpr std::size_t shown = 6000;
+                std::cerr << (text.size() > shown ? text.substr(text.size() - shown) : text);
+            }
+        }
+        lua_close(lua);
+    }
+    std::filesystem::remove_all(pattern);
+    std::cout << (result == 0 ? "1 passed, 0 failed\n" : "0 passed, 1 failed\n");
+    return result;
+}
