Membership by probing and gossip over authenticated datagrams

Cause: the full exchange with every seed grows with the square of the fleet. Now: a SWIM-style protocol with probes, indirect probes through other failure domains, suspicions that one domain alone makes last four times as long, refutation by generation, local health, facts with anti-entropy, and one summary for each domain between regions. The core is plain code over scheduler, random source and a datagram channel. Ruled out: a suspicion time that grows with the local health (a minority of 3 of 12 that is cut off took over 40 s to see the others gone; Lifeguard scales only the probes, and so does this now).

--- /dev/null
+++ b/libraries/membership/anti_entropy.cpp
@@ -0,0 +1,218 @@
+#include "membership/anti_entropy.h"
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+
+namespace ivypier::membership {
+
+namespace {
+
+constexpr std::size_t most_datagrams = 6; ///< in one answer; the next comparison goes on from there
+
+std::uint64_t bit(std::size_t index)
+{
+    return std::uint64_t{1} << index;
+}
+
+bool newer(const listed_member &left, const member_record &right)
+{
+    if (left.generation != right.generation)
+        return left.generation > right.generation;
+    return left.liveness > right.liveness || (left.leaving && !right.leaving);
+}
+
+bool older(const listed_member &left, const member_record &right)
+{
+    if (left.generation != right.generation)
+        return left.generation < right.generation;
+    return left.liveness < right.liveness || (!left.leaving && right.leaving);
+}
+
+} // namespace
+
+/// Datagrams of one kind, filled one after another.
+struct anti_entropy::batch
+{
+    message_kind kind;
+    std::vector<gossip_message> messages;
+
+    /// The message that has `size` bytes left; null when the batch is full.
+    gossip_message *roomFor(std::size_t size)
+    {
+        if (messages.empty() || roomIn(messages.back()) < size) {
+            if (messages.size() >= most_datagrams)
+                return nullptr;
+            messages.emplace_back().kind = kind;
+        }
+        return roomIn(messages.back()) < size ? nullptr : &messages.back();
+    }
+
+    void add(const member_news &news)
+    {
+        if (gossip_message *message = roomFor(encodedSize(news)))
+            message->members.push_back(news);
+    }
+
+    void add(const fact_news &news)
+    {
+        if (gossip_message *message = roomFor(encodedSize(news)))
+            message->facts.push_back(news);
+    }
+};
+
+anti_entropy::anti_entropy(const clock &time, const member_table &members, const fact_store &facts,
+                           gossip_sender &sender)
+    : m_time(time)
+    , m_members(members)
+    , m_facts(facts)
+    , m_sender(sender)
+{
+}
+
+void anti_entropy::compare(const endpoint &with, bool membersToo)
+{
+    gossip_message digest;
+    digest.kind = message_kind::digest;
+    if (membersToo)
+        digest.memberHashes = m_members.hashes();
+    digest.factHashes = m_facts.hashes();
+    m_sender.send(with, std::move(digest));
+}
+
+bool anti_entropy::onDigest(const gossip_message &message, const endpoint &from)
+{
+    batch answers{message_kind::listing, {}};
+    if (message.memberHashes.size() == member_table::bucket_count)
+        listMembers(message, answers);
+    if (message.factHashes.size() == fact_store::bucket_count)
+        listFacts(message, answers);
+    const bool differs = !answers.messages.empty();
+    sendAll(answers, from);
+    return differs;
+}
+
+void anti_entropy::listMembers(const gossip_message &digest, batch &answers) const
+{
+    std::vector<std::vector<listed_member>> buckets(member_table::bucket_count);
+    for (const auto &[id, record] : m_members.records())
+        buckets[member_table::bucketOf(id)].push_back(
+            {id, record.generation, record.liveness, record.leaving});
+    for (std::size_t index = 0; index < buckets.size(); ++index) {
+        if (digest.memberHashes[index] == m_members.hashes()[index])
+            continue;
+        gossip_message *answer = answers.roomFor(buckets[index].size() * listed_size);
+        if (answer) {
+            answer->memberBuckets |= bit(index);
+            answer->listedMembers.insert(answer->listedMembers.end(), buckets[index].begin(),
+                                         buckets[index].end());
+            continue;
+        }
+        for (const listed_member &each : buckets[index]) { // too many for one datagram: not listed whole
+            if (gossip_message *part = answers.roomFor(listed_size))
+                part->listedMembers.push_back(each);
+        }
+    }
+}
+
+void anti_entropy::listFacts(const gossip_message &digest, batch &answers) const
+{
+    for (std::size_t index = 0; index < fact_store::bucket_count; ++index) {
+        if (digest.factHashes[index] == m_facts.hashes()[index])
+            continue;
+        const std::vector<listed_fact> bucket = m_facts.listed(index);
+        gossip_message *answer = answers.roomFor(bucket.size() * listed_size);
+        if (answer) {
+            answer->factBuckets |= bit(index);
+            answer->listedFacts.insert(answer->listedFacts.end(), bucket.begin(), bucket.end());
+            continue;
+        }
+        for (const listed_fact &each : bucket) {
+            if (gossip_message *part = answers.roomFor(listed_size))
+                part->listedFacts.push_back(each);
+        }
+    }
+}
+
+bool anti_entropy::onListing(const gossip_message &message, const endpoint &from)
+{
+    batch pulls{message_kind::pull, {}};
+    batch news{message_kind::news, {}};
+    compareMembers(message, pulls, news);
+    compareFacts(message, pulls, news);
+    sendAll(pulls, from);
+    sendAll(news, from);
+    return !pulls.messages.empty() || !news.messages.empty();
+}
+
+void anti_entropy::compareMembers(const gossip_message &listing, batch &pulls, batch &news) const
+{
+    std::set<incarnation> listed;
+    for (const listed_member &each : listing.listedMembers) {
+        listed.insert(each.id);
+        const member_record *own = m_members.find(each.id);
+        const bool wanted = own ? newer(each, *own) : each.liveness != liveness::dead;
+        if (own && older(each, *own))
+            news.add(member_table::newsOf(*own));
+        gossip_message *pull = wanted ? pulls.roomFor(wanted_size) : nullptr;
+        if (pull)
+            pull->wantedMembers.push_back(each.id);
+    }
+    for (const auto &[id, record] : m_members.records()) {
+        const bool whole = (listing.memberBuckets & bit(member_table::bucketOf(id))) != 0;
+        if (whole && !record.dead() && !listed.contains(id))
+            news.add(member_table::newsOf(record));
+    }
+}
+
+void anti_entropy::compareFacts(const gossip_message &listing, batch &pulls, batch &news) const
+{
+    std::unordered_map<std::uint64_t, std::uint64_t> theirs;
+    for (const listed_fact &each : listing.listedFacts)
+        theirs[each.keyHash] = each.version;
+    std::unordered_map<std::uint64_t, std::uint64_t> own;
+    for (std::size_t index = 0; index < fact_store::bucket_count; ++index) {
+        for (const listed_fact &each : m_facts.listed(index)) {
+            own[each.keyHash] = each.version;
+            const auto found = theirs.find(each.keyHash);
+            const bool whole = (listing.factBuckets & bit(index)) != 0;
+            const bool push = found == theirs.end() ? whole : found->second < each.version;
+            if (!push)
+                continue;
+            if (const auto content = m_facts.newsOf(each.keyHash, m_time.now()))
+                news.add(*content);
+        }
+    }
+    for (const auto &[hash, version] : theirs) {
+        const auto found = own.find(hash);
+        if (found != own.end() && found->second >= version)
+            continue;
+        if (gossip_message *pull = pulls.roomFor(wanted_size))
+            pull->wantedFacts.push_back(hash);
+    }
+}
+
+void anti_entropy::onPull(const gossip_message &message, const endpoint &from)
+{
+    batch news{message_kind::news, {}};
+    for (const incarnation id : message.wantedMembers) {
+        if (const member_record *record = m_members.find(id))
+            news.add(member_table::newsOf(*record));
+    }
+    for (const std::uint64_t hash : message.wantedFacts) {
+        if (const auto content = m_facts.newsOf(hash, m_time.now()))
+            news.add(*content);
+    }
+    sendAll(news, from);
+}
+
+void anti_entropy::sendAll(batch &messages, const endpoint &to)
+{
+    for (gossip_message &each : messages.messages) {
+        if (!m_sender.withinBudget())
+            return;
+        m_sender.send(to, std::move(each));
+    }
+}
+
+} // namespace ivypier::membership
--- /dev/null
+++ b/libraries/membership/failure_detector.cpp
@@ -0,0 +1,203 @@
+#include "membership/failure_detector.h"
+
+#include <algorithm>
+#include <set>
+
+namespace ivypier::membership {
+
+namespace {
+
+constexpr duration direct_timeout = std::chrono::milliseconds(200);
+constexpr duration relay_timeout = std::chrono::milliseconds(150);
+constexpr std::size_t helper_count = 3;
+constexpr std::size_t relay_limit = 64;
+constexpr double period_jitter = 0.2;
+
+} // namespace
+
+failure_detector::failure_detector(failure_detector_parts parts)
+    : m_parts(std::move(parts))
+    , m_sequence(static_cast<std::uint32_t>(m_parts.randomness.next()))
+    , m_nextProbe(m_parts.time.now())
+{
+}
+
+void failure_detector::tick()
+{
+    const time_point now = m_parts.time.now();
+    expireRelays(now);
+    if (m_probe && !m_probe->indirect && now >= m_probe->directUntil)
+        askHelpers();
+    if (m_probe && now >= m_probe->until)
+        fail();
+    if (!m_probe && now >= m_nextProbe)
+        begin(now);
+}
+
+void failure_detector::reset()
+{
+    m_probe.reset();
+    m_relays.clear();
+}
+
+void failure_detector::onPing(const gossip_message &message, const endpoint &from)
+{
+    gossip_message answer;
+    answer.kind = message_kind::acknowledge;
+    answer.sequence = message.sequence;
+    answer.target = m_parts.members.self().entry.id;
+    if (message.target != answer.target) // the sender does not know this incarnation
+        answer.members.push_back(member_table::newsOf(m_parts.members.self()));
+    m_parts.sender.send(from, std::move(answer));
+}
+
+void failure_detector::onPingRequest(const gossip_message &message, const endpoint &from)
+{
+    if (m_relays.size() >= relay_limit)
+        return;
+    const std::uint32_t sequence = ++m_sequence;
+    m_relays.push_back({sequence, from, message.sequence, m_parts.time.now() + relay_timeout});
+    gossip_message ping;
+    ping.kind = message_kind::ping;
+    ping.sequence = sequence;
+    ping.target = message.target;
+    m_parts.sender.send(message.targetAddress, std::move(ping));
+}
+
+void failure_detector::onAcknowledge(const gossip_message &message)
+{
+    if (m_probe && message.sequence == m_probe->sequence) {
+        const incarnation target = m_probe->target;
+        m_probe.reset();
+        m_parts.health.better();
+        if (message.target != target)
+            m_parts.onReplaced(target);
+        return;
+    }
+    const auto found = std::find_if(m_relays.begin(), m_relays.end(),
+                                    [&](const relay &each) { return each.sequence == message.sequence; });
+    if (found == m_relays.end())
+        return;
+    gossip_message passed;
+    passed.kind = message_kind::acknowledge;
+    passed.sequence = found->requesterSequence;
+    passed.target = message.target;
+    const endpoint requester = found->requester;
+    m_relays.erase(found);
+    m_parts.sender.send(requester, std::move(passed));
+}
+
+void failure_detector::onNoAnswer(const gossip_message &message)
+{
+    if (m_probe && message.sequence == m_probe->sequence)
+        ++m_probe->answered;
+}
+
+void failure_detector::begin(time_point now)
+{
+    const int factor = m_parts.health.factor();
+    const double jitter = 1.0 - period_jitter / 2 + period_jitter * m_parts.randomness.uniform();
+    m_nextProbe = now + fromSeconds(seconds(probe_period) * jitter * factor);
+    const incarnation target = nextTarget();
+    const member_record *record = m_parts.members.find(target);
+    if (!record)
+        return;
+    m_probe = probe{.target = target,
+                    .sequence = ++m_sequence,
+                    .directUntil = now + direct_timeout * factor,
+                    .until = now + probe_period * factor};
+    gossip_message ping;
+    ping.kind = message_kind::ping;
+    ping.sequence = m_probe->sequence;
+    ping.target = target;
+    if (record->liveness != liveness::alive) // so that it can refute
+        ping.members.push_back({target, record->generation, record->liveness, record->leaving, "", {}});
+    m_parts.sender.send(record->entry.gossipAddress, std::move(ping));
+}
+
+void failure_detector::askHelpers()
+{
+    m_probe->indirect = true;
+    const member_record *target = m_parts.members.find(m_probe->target);
+    if (!target)
+        return;
+    for (const member_record *helper : helpersFor(*target)) {
+        gossip_message request;
+        request.kind = message_kind::ping_request;
+        request.sequence = m_probe->sequence;
+        request.target = m_probe->target;
+        request.targetAddress = target->entry.gossipAddress;
+        ++m_probe->asked;
+        m_parts.sender.send(helper->entry.gossipAddress, std::move(request));
+    }
+}
+
+void failure_detector::fail()
+{
+    const probe ended = *m_probe;
+    m_probe.reset();
+    if (ended.answered < ended.asked) // some helper did not answer either: the fault may be here
+        m_parts.health.worse();
+    m_parts.onSilent(ended.target);
+}
+
+void failure_detector::expireRelays(time_point now)
+{
+    for (const relay &each : m_relays) {
+        if (now < each.until)
+            continue;
+        gossip_message answer;
+        answer.kind = message_kind::no_answer;
+        answer.sequence = each.requesterSequence;
+        m_parts.sender.send(each.requester, std::move(answer));
+    }
+    std::erase_if(m_relays, [&](const relay &each) { return now >= each.until; });
+}
+
+incarnation failure_detector::nextTarget()
+{
+    while (true) {
+        if (m_round.empty()) {
+            m_round = m_parts.members.others();
+            for (std::size_t index = m_round.size(); index > 1; --index)
+                std::swap(m_round[index - 1], m_round[m_parts.randomness.index(index)]);
+            if (m_round.empty())
+                return 0;
+        }
+        const incarnation target = m_round.back();
+        m_round.pop_back();
+        const member_record *record = m_parts.members.find(target);
+        if (record && !record->dead())
+            return target;
+    }
+}
+
+std::vector<const member_record *> failure_detector::helpersFor(const member_record &target) const
+{
+    const member &own = m_parts.members.self().entry;
+    const std::vector<const member_record *> shuffled
+        = m_parts.members.pick(m_parts.randomness, m_parts.members.others().size(), target.entry.id);
+    std::set<std::string> taken{own.failureDomain, target.entry.failureDomain};
+    std::vector<const member_record *> helpers;
+    std::vector<const member_record *> rest;
+    for (const member_record *each : shuffled) {
+        if (each->liveness != liveness::alive)
+            continue;
+        if (helpers.size() < helper_count && taken.insert(each->entry.failureDomain).second)
+            helpers.push_back(each);
+        else
+            rest.push_back(each);
+    }
+    // Then any other domain than the target's, so that a domain that is lost does not judge its own.
+    std::stable_partition(rest.begin(), rest.end(), [&](const member_record *each) {
+        return each->entry.failureDomain != target.entry.failureDomain;
+    });
+    for (const member_record *each : rest) {
+        if (helpers.size() >= helper_count)
+            break;
+        helpers.push_back(each);
+    }
+    return helpers;
+}
+
+} // namespace ivypier::membership
--- /dev/null
+++ b/libraries/membership/gossip_sender.cpp
@@ -0,0 +1,71 @@
+#include "membership/gossip_sender.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace ivypier::membership {
+
+namespace {
+
+constexpr double budget_bytes_per_second = 2000.0;
+constexpr double budget_burst_bytes = 48.0 * 1024.0;
+constexpr std::size_t hash_bytes = 4;
+
+} // namespace
+
+std::size_t roomIn(const gossip_message &message)
+{
+    std::size_t used = message_overhead;
+    for (const member_news &each : message.members)
+        used += encodedSize(each);
+    for (const fact_news &each : message.facts)
+        used += encodedSize(each);
+    used += (message.memberHashes.size() + message.factHashes.size()) * hash_bytes;
+    used += (message.listedMembers.size() + message.listedFacts.size()) * listed_size;
+    used += (message.wantedMembers.size() + message.wantedFacts.size()) * wanted_size;
+    return used >= datagram_limit ? 0 : datagram_limit - used;
+}
+
+gossip_sender::gossip_sender(const clock &time, datagram_channel &channel, const secret_key &fleetKey,
+                             const member_table &members, broadcast_queue &queue)
+    : m_time(time)
+    , m_channel(channel)
+    , m_codec(fleetKey)
+    , m_members(members)
+    , m_queue(queue)
+    , m_credit(budget_burst_bytes)
+    , m_creditAt(time.now())
+{
+}
+
+void gossip_sender::send(const endpoint &to, gossip_message message)
+{
+    message.sender = m_members.self().entry.id;
+    m_queue.fill(message, roomIn(message), m_members.liveCount());
+    const std::string datagram = m_codec.encode(message);
+    assert(datagram.size() <= datagram_limit);
+    ++m_traffic.messages;
+    m_traffic.bytes += datagram.size();
+    m_credit -= static_cast<double>(datagram.size());
+    m_channel.send(to, datagram);
+}
+
+bool gossip_sender::withinBudget()
+{
+    const time_point now = m_time.now();
+    m_credit = std::min(budget_burst_bytes, m_credit + seconds(now - m_creditAt) * budget_bytes_per_second);
+    m_creditAt = now;
+    return m_credit > 0.0;
+}
+
+const gossip_traffic &gossip_sender::traffic() const
+{
+    return m_traffic;
+}
+
+const gossip_codec &gossip_sender::codec() const
+{
+    return m_codec;
+}
+
+} // namespace ivypier::membership
--- /dev/null
+++ b/libraries/membership/gossip_sender.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/clock.h"
+#include "membership/broadcast_queue.h"
+#include "membership/datagram_channel.h"
+#include "membership/gossip_codec.h"
+#include "membership/member_table.h"
+
+namespace ivypier::membership {
+
+/// What this node has sent.
+struct gossip_traffic
+{
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0; ///< of datagrams, without the headers of UDP and IP
+
+    auto operator<=>(const gossip_traffic &) const = default;
+};
+
+/// Sends messages with as much waiting news as fits, and keeps the rate of what can wait under a budget.
+class gossip_sender
+{
+public:
+    gossip_sender(const clock &time, datagram_channel &channel, const secret_key &fleetKey,
+                  const member_table &members, broadcast_queue &queue);
+
+    void send(const endpoint &to, gossip_message message);
+
+    /// True while messages that can wait may be sent now.
+    bool withinBudget();
+
+    const gossip_traffic &traffic() const;
+    const gossip_codec &codec() const;
+
+private:
+    const clock &m_time;
+    datagram_channel &m_channel;
+    gossip_codec m_codec;
+    const member_table &m_members;
+    broadcast_queue &m_queue;
+    gossip_traffic m_traffic;
+    double m_credit;
+    time_point m_creditAt;
+};
+
+/// Bytes left in a datagram beside what a message already holds.
+std::size_t roomIn(const gossip_message &message);
+
+} // namespace ivypier::membership
--- a/libraries/membership/membership_view.h
+++ b/libraries/membership/membership_view.h
@@ -11,9 +11,11 @@
 
 namespace ivypier::membership {
 
-/// A small versioned value that every node learns: the newest version of a key wins everywhere. Keys in use:
-/// `configuration` (the newest head), `leaving/<upstream address>`, `witness/<incarnation>` (its successor),
-/// `share/<account>/<node>` (limit shares).
+/// A small versioned value that every node learns: the newest version of a key wins everywhere. A key has one
+/// writer for each version. Facts are forgotten an hour after they were published, `configuration` is not;
+/// one that has to last longer is published again under a greater version. Keys in use: `configuration` (the
+/// newest head), `leaving/<upstream address>`, `witness/<incarnation>` (its successor),
+/// `share/<account>/<node>` (limit shares), `domain/<region>/<failure domain>` (a domain_summary).
 struct fact
 {
     std::string key;
@@ -55,6 +57,12 @@
 
     /// Tells the others that this node takes nothing new from now on.
     virtual void leave() = 0;
+
+    /// True while this node reaches neither the platform nor another member: it must start nothing then.
+    virtual bool isolated() const
+    {
+        return false;
+    }
 };
 
 } // namespace ivypier::membership
--- /dev/null
+++ b/libraries/membership/tests/gossip_fleet.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "base/pausable_scheduler.h"
+#include "base/virtual_scheduler.h"
+#include "membership/gossip_membership.h"
+#include "membership/virtual_network.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ivypier::membership {
+
+/// A fleet in virtual time with the real protocol code.
+struct gossip_fleet
+{
+    struct node
+    {
+        node(virtual_scheduler &time, virtual_network &network, std::uint64_t seed, const secret_key &key,
+             const member &self, std::vector<endpoint> seeds)
+            : tasks(time)
+            , randomness(seed)
+            , channel(network.open(tasks, self.gossipAddress))
+            , membership(tasks, randomness, *channel, key, self, std::move(seeds))
+        {
+        }
+
+        pausable_scheduler tasks;
+        seeded_random randomness;
+        std::unique_ptr<datagram_channel> channel;
+        gossip_membership membership;
+    };
+
+    explicit gossip_fleet(std::uint64_t seed)
+        : randomness(seed)
+    {
+    }
+
+    static endpoint addressOf(std::size_t index)
+    {
+        return {"10.0." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 1), 8080};
+    }
+
+    /// Starts node `index`, anew if it ran before.
+    void start(std::size_t index, const std::string &domain, const std::string &region = "local")
+    {
+        if (nodes.size() <= index)
+            nodes.resize(index + 1);
+        nodes[index].reset();
+        member self;
+        self.id = randomness.next() | 1;
+        self.name = "node-" + std::to_string(index);
+        self.address = addressOf(index);
+        self.gossipAddress = self.address;
+        self.failureDomain = domain;
+        self.region = region;
+        nodes[index] = std::make_unique<node>(time, network, randomness.next(), key, self, seeds);
+        nodes[index]->membership.start();
+    }
+
+    /// Starts `count` nodes in three domains and waits until each knows all.
+    void startAll(std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index)
+            start(index, domainOf(index));
+        waitUntil(std::chrono::seconds(60), [&] { return allKnow(count); });
+    }
+
+    static std::string domainOf(std::size_t index)
+    {
+        return "hall-" + std::string(1, static_cast<char>('a' + index % 3));
+    }
+
+    bool running(std::size_t index) const
+    {
+        return nodes[index] && !nodes[index]->tasks.paused();
+    }
+
+    /// True when every running node sees `count` members that are not dead.
+    bool allKnow(std::size_t count) const
+    {
+        for (std::size_t index = 0; index < nodes.size(); ++index) {
+            if (running(index) && nodes[index]->membership.members().size() != count)
+                return false;
+        }
+        return true;
+    }
+
+    /// True when every running node sees node `of` in the state.
+    bool allSee(incarnation of, member_state state) const
+    {
+        for (std::size_t index = 0; index < nodes.size(); ++index) {
+            if (!running(index) || nodes[index]->membership.self().id == of)
+                continue;
+            const auto known = nodes[index]->membership.find(of);
+            if (!known || known->state != state)
+                return false;
+        }
+        return true;
+    }
+
+    /// Moves time on until the condition holds; the time it took, or nothing after `limit`.
+    template <typename Condition>
+    std::optional<duration> waitUntil(duration limit, Condition condition)
+    {
+        const time_point begin = time.now();
+        while (time.now() - begin <= limit) {
+            if (condition())
+                return time.now() - begin;
+            time.advance(std::chrono::milliseconds(50));
+        }
+        return std::nullopt;
+    }
+
+    /// Cuts every link between the two sets.
+    void partition(std::vector<std::size_t> minority)
+    {
+        std::vector<endpoint> addresses;
+        for (const std::size_t each : minority)
+            addresses.push_back(addressOf(each));
+        network.setCut([addresses](const endpoint &from, const endpoint &to) {
+            const auto in = [&](const endpoint &which) {
+                return std::find(addresses.begin(), addresses.end(), which) != addresses.end();
+            };
+            return in(from) != in(to);
+        });
+    }
+
+    void heal()
+    {
+        network.setCut({});
+    }
+
+    virtual_scheduler time;
+    seeded_random randomness;
+    virtual_network network{time, randomness};
+    secret_key key = secret_key::fromPassphrase("fleet key of the tests").value();
+    std::vector<endpoint> seeds{addressOf(0), addressOf(1), addressOf(2)};
+    std::vector<std::unique_ptr<node>> nodes;
+};
+
+} // namespace ivypier::membership
--- /dev/null
+++ b/libraries/membership/tests/gossip_membership_test.cpp
@@ -0,0 +1,224 @@
+#include "gossip_fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+using namespace ivypier::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t seed_count = 20;
+
+/// Counts how often a running member of `fleet` sees another running member dead, over `span`.
+std::size_t falseDeaths(gossip_fleet &fleet, duration span)
+{
+    std::size_t count = 0;
+    const time_point end = fleet.time.now() + span;
+    while (fleet.time.now() < end) {
+        fleet.time.advance(250ms);
+        for (std::size_t seen = 0; seen < fleet.nodes.size(); ++seen) {
+            if (!fleet.running(seen))
+                continue;
+            const incarnation id = fleet.nodes[seen]->membership.self().id;
+            for (std::size_t by = 0; by < fleet.nodes.size(); ++by) {
+                if (!fleet.running(by))
+                    continue;
+                const auto known = fleet.nodes[by]->membership.find(id);
+                if (known && known->state == member_state::dead)
+                    ++count;
+            }
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("a killed member is dead for all within 10 s at 8 members and 15 s at 60")
+{
+    const std::size_t size = GENERATE(8, 60);
+    const duration bound = size == 8 ? 10s : 15s;
+    for (std::uint64_t seed = 1; seed <= (size == 8 ? seed_count : 4); ++seed) {
+        INFO("seed " << seed);
+        gossip_fleet fleet(seed);
+        fleet.startAll(size);
+        REQUIRE(fleet.allKnow(size));
+        const incarnation killed = fleet.nodes[3]->membership.self().id;
+        fleet.nodes[3].reset();
+        CHECK(fleet.waitUntil(bound, [&] { return fleet.allSee(killed, member_state::dead); }));
+    }
+}
+
+TEST_CASE("no member is taken for dead under a loss of 5 of 100 datagrams")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        INFO("seed " << seed);
+        gossip_fleet fleet(seed);
+        fleet.startAll(20);
+        fleet.network.setLoss(0.05);
+        CHECK(falseDeaths(fleet, 120s) == 0);
+    }
+}
+
+TEST_CASE("a frozen member that wakes up refutes and is alive for all")
+{
+    const duration pause = GENERATE(duration(3s), duration(30s));
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        INFO("seed " << seed << " pause " << seconds(pause));
+        gossip_fleet fleet(seed);
+        fleet.startAll(8);
+        fleet.nodes[5]->tasks.pause();
+        fleet.time.advance(pause);
+        const incarnation frozen = fleet.nodes[5]->membership.self().id;
+        CHECK((pause < 10s || fleet.allSee(frozen, member_state::dead)));
+        fleet.nodes[5]->tasks.resume();
+        CHECK(fleet.waitUntil(10s, [&] { return fleet.allSee(frozen, member_state::alive); }));
+        CHECK(fleet.allKnow(8));
+        CHECK(falseDeaths(fleet, 20s) == 0);
+    }
+}
+
+TEST_CASE("a domain of a third of 60 members that is lost at once takes no other member with it")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        INFO("seed " << seed);
+        gossip_fleet fleet(seed);
+        fleet.startAll(60);
+        fleet.network.setLoss(0.01);
+        for (std::size_t index = 0; index < 60; index += 3)
+            fleet.nodes[index].reset();
+        CHECK(falseDeaths(fleet, 30s) == 0);
+        CHECK(fleet.waitUntil(60s, [&] { return fleet.allKnow(40); }));
+    }
+}
+
+TEST_CASE("a partition heals: everyone knows everyone and every fact again")
+{
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        INFO("seed " << seed);
+        gossip_fleet fleet(seed);
+        fleet.startAll(12);
+        fleet.partition({0, 3, 6});
+        CHECK(fleet.waitUntil(40s, [&] { return fleet.nodes[0]->membership.members().size() == 3; }));
+        fleet.nodes[1]->membership.publish({"configuration", 5, "five"});
+        fleet.nodes[0]->membership.publish({"leaving/10.9.9.9:1", 1, "vm-9"});
+        fleet.time.advance(120s);
+        fleet.heal();
+        CHECK(fleet.waitUntil(30s, [&] { return fleet.allKnow(12); }));
+        CHECK(fleet.waitUntil(20s, [&] {
+            for (const auto &each : fleet.nodes) {
+                if (!each->membership.findFact("configuration")
+                    || !each->membership.findFact("leaving/10.9.9.9:1"))
+                    return false;
+            }
+            return true;
+        }));
+    }
+}
+
+TEST_CASE("a fact reaches all of 200 members within 3 s, and the newest version wins")
+{
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+        INFO("seed " << seed);
+        gossip_fleet fleet(seed);
+        fleet.startAll(200);
+        REQUIRE(fleet.allKnow(200));
+        fleet.time.advance(20s);
+        fleet.nodes[7]->membership.publish({"configuration", 2, "two"});
+        fleet.nodes[8]->membership.publish({"configuration", 1, "one"});
+        const auto reached = [&] {
+            for (const auto &each : fleet.nodes) {
+                if (each->membership.findFact("configuration") != fact{"configuration", 2, "two"})
+                    return false;
+            }
+            return true;
+        };
+        CHECK(fleet.waitUntil(3s, reached));
+        CHECK(fleet.network.longest() <= datagram_limit);
+    }
+}
+
+TEST_CASE("a member that leaves takes no work anywhere after 1 s, and its end needs no detection")
+{
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        INFO("seed " << seed);
+        gossip_fleet fleet(seed);
+        fleet.startAll(8);
+        const incarnation leaver = fleet.nodes[2]->membership.self().id;
+        fleet.nodes[2]->membership.leave();
+        CHECK(fleet.waitUntil(1s, [&] { return fleet.allSee(leaver, member_state::leaving); }));
+        fleet.nodes[2]->membership.depart();
+        fleet.time.advance(1s);
+        fleet.nodes[2].reset();
+        CHECK(fleet.allSee(leaver, member_state::dead));
+    }
+}
+
+TEST_CASE("a node that is restarted at its address takes the place of its earlier run")
+{
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        INFO("seed " << seed);
+        gossip_fleet fleet(seed);
+        fleet.startAll(8);
+        const incarnation earlier = fleet.nodes[4]->membership.self().id;
+        fleet.start(4, gossip_fleet::domainOf(4));
+        CHECK(fleet.waitUntil(10s, [&] {
+            return fleet.allKnow(8)
+                && fleet.allSee(fleet.nodes[4]->membership.self().id, member_state::alive);
+        }));
+        for (const auto &each : fleet.nodes) {
+            const auto known = each->membership.find(earlier);
+            CHECK((!known || known->state == member_state::dead));
+        }
+    }
+}
+
+TEST_CASE("a node with neither platform nor peers is isolated, and either ends it")
+{
+    gossip_fleet fleet(1);
+    fleet.start(0, "hall-a");
+    gossip_membership &first = fleet.nodes[0]->membership;
+    fleet.time.advance(1s);
+    CHECK(first.isolated());
+    first.platformAnswered();
+    CHECK_FALSE(first.isolated());
+    fleet.time.advance(6s);
+    CHECK(first.isolated());
+    fleet.start(1, "hall-b");
+    fleet.time.advance(3s);
+    CHECK_FALSE(first.isolated());
+}
+
+TEST_CASE("datagrams of a foreign fleet change nothing")
+{
+    gossip_fleet fleet(1);
+    fleet.startAll(3);
+    fleet.key = secret_key::fromPassphrase("fleet key of somebody else").value();
+    fleet.start(3, "hall-a");
+    fleet.time.advance(30s);
+    CHECK(fleet.nodes[0]->membership.members().size() == 3);
+    CHECK(fleet.nodes[3]->membership.members().size() == 1);
+}
+
+TEST_CASE("regions know each other's domains by a summary and share facts")
+{
+    gossip_fleet fleet(3);
+    for (std::size_t index = 0; index < 18; ++index)
+        fleet.start(index, "r" + std::to_string(index % 2) + "-" + gossip_fleet::domainOf(index / 2),
+                    index % 2 == 0 ? "accra" : "almaty");
+    const auto summariesOf = [&](std::size_t index) {
+        std::uint32_t members = 0;
+        for (const domain_summary &each : fleet.nodes[index]->membership.otherRegions())
+            members += each.members;
+        return members;
+    };
+    CHECK(
+        fleet.waitUntil(60s, [&] { return fleet.allKnow(9) && summariesOf(4) == 9 && summariesOf(5) == 9; }));
+    fleet.nodes[4]->membership.publish({"configuration", 3, "three"});
+    CHECK(fleet.waitUntil(10s, [&] {
+        return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [](const auto &each) {
+            return each->membership.findFact("configuration").has_value();
+        });
+    }));
+}
--- /dev/null
+++ b/libraries/membership/virtual_network.cpp
@@ -0,0 +1,105 @@
+#include "membership/virtual_network.h"
+
+#include <algorithm>
+
+namespace ivypier::membership {
+
+namespace {
+
+constexpr duration default_shortest_delay = std::chrono::microseconds(200);
+constexpr duration default_longest_delay = std::chrono::microseconds(1500);
+
+} // namespace
+
+class virtual_network::channel final : public datagram_channel
+{
+public:
+    channel(virtual_network &network, scheduler &owner, endpoint address)
+        : m_network(network)
+        , m_owner(owner)
+        , m_address(std::move(address))
+    {
+        m_network.m_channels[m_address] = this;
+    }
+
+    ~channel() override
+    {
+        const auto own = m_network.m_channels.find(m_address);
+        if (own != m_network.m_channels.end() && own->second == this)
+            m_network.m_channels.erase(own);
+    }
+
+    void send(const endpoint &to, std::string_view content) override
+    {
+        m_network.carry(m_address, to, content);
+    }
+
+    void onReceive(receiver handler) override
+    {
+        *m_handler = std::move(handler);
+    }
+
+    void arrive(const endpoint &from, std::string content)
+    {
+        m_owner.post([handler = std::weak_ptr(m_handler), from, content = std::move(content)] {
+            const auto own = handler.lock();
+            if (own && *own)
+                (*own)(from, content);
+        });
+    }
+
+private:
+    virtual_network &m_network;
+    scheduler &m_owner;
+    endpoint m_address;
+    std::shared_ptr<receiver> m_handler = std::make_shared<receiver>();
+};
+
+virtual_network::virtual_network(scheduler &tasks, random_source &randomness)
+    : m_tasks(tasks)
+    , m_random(randomness)
+    , m_shortestDelay(default_shortest_delay)
+    , m_longestDelay(default_longest_delay)
+{
+}
+
+std::unique_ptr<datagram_channel> virtual_network::open(scheduler &owner, const endpoint &address)
+{
+    return std::make_unique<channel>(*this, owner, address);
+}
+
+void virtual_network::setDelay(duration shortest, duration longest)
+{
+    m_shortestDelay = shortest;
+    m_longestDelay = longest;
+}
+
+void virtual_network::setLoss(double share)
+{
+    m_loss = share;
+}
+
+void virtual_network::setCut(cut links)
+{
+    m_cut = std::move(links);
+}
+
+std::size_t virtual_network::longest() const
+{
+    return m_longest;
+}
+
+void virtual_network::carry(const endpoint &from, const endpoint &to, std::string_view content)
+{
+    m_longest = std::max(m_longest, content.size());
+    if (m_random.uniform() < m_loss || (m_cut && m_cut(from, to)))
+        return;
+    const double spread = seconds(m_longestDelay - m_shortestDelay) * m_random.uniform();
+    m_tasks.after(m_shortestDelay + fromSeconds(spread), [this, from, to, bytes = std::string(content)] {
+        const auto target = m_channels.find(to);
+        if (target != m_channels.end())
+            target->second->arrive(from, bytes);
+    });
+}
+
+} // namespace ivypier::membership
