Routing on expected time, prefix affinity, set-aside with probes

Cause: the node chose the upstream with the fewest own attempts in flight. It knew nothing of other nodes' work, of prefix caches, or of upstreams that fail.

expected_time_router: last report aged, own attempts since the report in seconds of prompt and places of the batch, prompt tokens not cached, distance. Two candidates at random, the home of the conversation by rendezvous hash, and the holder of the longest known prefix. In a large fleet a node follows the load of 32 upstreams a service. The node polls loads and cache events at a jittered interval.

Prompt digests: one a message, hashed as the engines hash their cache events; the gateway's reader fills them in. Prompt tokens are now counted over the prompt's text, as engines count, and no more over the JSON body.

The simple policies share baseline_router and stay as baselines.

--- a/libraries/base/hash.cpp
+++ b/libraries/base/hash.cpp
@@ -13,6 +13,30 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+struct running_hash::state
+{
+    std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t *)> hash{XXH3_createState(),
+                                                                          &XXH3_freeState};
+};
+
+running_hash::running_hash()
+    : m_state(std::make_unique<state>())
+{
+    XXH3_64bits_reset(m_state->hash.get());
+}
+
+running_hash::~running_hash() = default;
+
+void running_hash::append(std::string_view piece)
+{
+    XXH3_64bits_update(m_state->hash.get(), piece.data(), piece.size());
+}
+
+std::uint64_t running_hash::digest() const
+{
+    return XXH3_64bits_digest(m_state->hash.get());
+}
+
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate)
 {
     return hash64(candidate, hash64(key));
--- a/libraries/base/hash.h
+++ b/libraries/base/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -9,6 +10,24 @@
 /// A fast 64-bit hash (XXH3) that is the same on every node; not for secrets.
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
+/// hash64 of a text that grows piece by piece; each digest costs no second pass over the text.
+class running_hash
+{
+public:
+    running_hash();
+    ~running_hash();
+
+    /// Appends a piece to the text.
+    void append(std::string_view piece);
+
+    /// hash64 of everything appended so far.
+    std::uint64_t digest() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
 /// The weight of `candidate` for `key` in rendezvous (highest random weight) hashing: the candidate with the
 /// greatest weight owns the key.
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate);
--- a/libraries/gateway/request_reader.cpp
+++ b/libraries/gateway/request_reader.cpp
@@ -18,7 +18,6 @@
 constexpr std::int64_t most_timeout_milliseconds = 600'000;
 constexpr std::uint64_t default_output_tokens = 256;
 constexpr std::uint64_t most_output_tokens = 1'000'000;
-constexpr std::uint64_t bytes_per_token = 4;
 constexpr std::size_t conversation_limit = 128;
 
 error invalid(std::string message)
@@ -83,6 +82,14 @@
     return success();
 }
 
+routing::prompt_prefixes prefixesOf(const Json::Value &messages)
+{
+    routing::prompt_prefixes_builder builder;
+    for (const Json::Value &each : messages)
+        builder.add(stringMember(each, "role"), stringMember(each, "content"));
+    return builder.build();
+}
+
 outcome<read_request> readCompletion(const configuration::document &document,
                                      const configuration::client_account &account,
                                      const http::request &incoming)
@@ -114,7 +121,8 @@
     result.form = booleanMember(json, "stream") ? answer_form::event_stream : answer_form::whole_completion;
     result.request.service = *service.value();
     result.request.body = writeJson(message);
-    result.request.promptTokens = result.request.body.size() / bytes_per_token;
+    result.request.prefixes = prefixesOf(json["messages"]);
+    result.request.promptTokens = result.request.prefixes.tokens.back();
     result.request.outputTokens = outputTokens;
     return result;
 }
--- a/libraries/requests/incoming_request.h
+++ b/libraries/requests/incoming_request.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "configuration/document.h"
 #include "entry/ticket.h"
+#include "routing/prompt_digests.h"
 
 #include <compare>
 #include <cstdint>
@@ -27,6 +28,7 @@
     std::string body;
     std::uint64_t promptTokens = 0; ///< estimate; model services only, as is outputTokens
     std::uint64_t outputTokens = 0;
+    routing::prompt_prefixes prefixes; ///< of the prompt, one a message
 
     auto operator<=>(const incoming_request &) const = default;
 
--- a/libraries/requests/request_service.cpp
+++ b/libraries/requests/request_service.cpp
@@ -511,6 +511,8 @@
     request.conversation = record.request.conversation;
     request.promptTokens = record.request.promptTokens;
     request.outputTokens = record.request.outputTokens;
+    request.prefixes = record.request.prefixes.digests;
+    request.prefixTokens = record.request.prefixes.tokens;
     request.excluded = record.excluded;
     return request;
 }
--- /dev/null
+++ b/libraries/routing/expected_time_router.cpp
@@ -0,0 +1,333 @@
+#include "routing/expected_time_router.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace ivypier::routing {
+
+namespace {
+
+/// Weight of the newest observation in the moving average of a service's stream times.
+constexpr double newest_weight = 0.05;
+
+/// The home of a prefix is preferred while it is no slower than the best other by more than this.
+constexpr double home_preference_seconds = 0.005;
+
+} // namespace
+
+expected_time_router::expected_time_router(const clock &time, random_source &randomness,
+                                           expected_time_settings settings)
+    : m_time(time)
+    , m_random(randomness)
+    , m_settings(std::move(settings))
+{
+}
+
+void expected_time_router::setCandidates(std::vector<candidate> all)
+{
+    std::sort(all.begin(), all.end());
+    std::map<endpoint, state_pointer> kept;
+    for (auto &[name, service] : m_services) {
+        service.all.clear();
+        service.followed.clear();
+    }
+    for (const candidate &each : all) {
+        const auto found = m_upstreams.find(each.address);
+        state_pointer state = found != m_upstreams.end() ? found->second : std::make_shared<upstream_state>();
+        state->target = each;
+        if (!kept.emplace(each.address, state).second)
+            continue; // listed twice: the first by name stands
+        m_services[each.service].all.push_back(std::move(state));
+    }
+    m_upstreams = std::move(kept);
+    // An address that went away may come back as another VM.
+    std::erase_if(m_leaving, [this](const endpoint &each) { return !m_upstreams.contains(each); });
+    for (auto &[name, service] : m_services)
+        follow(service);
+}
+
+void expected_time_router::markLeaving(const endpoint &upstream)
+{
+    m_leaving.insert(upstream);
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end())
+        follow(m_services[found->second->target.service]);
+}
+
+outcome<routing_choice> expected_time_router::choose(const routing_request &request)
+{
+    const auto found = m_services.find(request.service);
+    if (found == m_services.end())
+        return error{error_code::unavailable, "no upstream of " + request.service + " is known"};
+    const service_state &service = found->second;
+    std::optional<estimate> best;
+    if (const state_pointer probed = dueForProbe(service, request))
+        best = expect(service, probed, request);
+    else {
+        const state_pointer preferred = home(service, request);
+        const auto compared = [&](const estimate &of) {
+            return of.target == preferred ? of.seconds - home_preference_seconds : of.seconds;
+        };
+        for (const state_pointer &each : sample(service, request, preferred)) {
+            const estimate expected = expect(service, each, request);
+            if (!best || compared(expected) < compared(*best))
+                best = expected;
+        }
+    }
+    if (!best)
+        return error{error_code::unavailable, "no upstream of " + request.service + " is fit"};
+    return routing_choice{best->target->target, fromSeconds(best->seconds), best->cachedTokens};
+}
+
+void expected_time_router::dispatched(const endpoint &upstream, const std::string &attempt,
+                                      const routing_request &request)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end())
+        return;
+    upstream_state &state = *found->second;
+    const service_speed speed = state.load.speed(m_services[request.service].speed);
+    const std::uint64_t cached = m_settings.usePrefixes ? state.prefixes.cachedTokens(request) : 0;
+    const double prefill = static_cast<double>(request.promptTokens - cached) / speed.prefillTokensPerSecond;
+    const time_point now = m_time.now();
+    state.load.dispatched(attempt, prefill, now);
+    state.prefixes.sent(request, now);
+    m_attempts[attempt] = {.target = found->second,
+                           .service = request.service,
+                           .isProbe = state.health.dispatched(),
+                           .sentAt = now};
+}
+
+void expected_time_router::firstToken(const std::string &attempt, duration)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    const time_point now = m_time.now();
+    found->second.begun = true;
+    found->second.firstTokenAt = now;
+    found->second.target->load.firstToken(attempt, now);
+}
+
+void expected_time_router::finished(const std::string &attempt, attempt_result result)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    const sent_attempt sent = std::move(found->second);
+    m_attempts.erase(found);
+    const time_point now = m_time.now();
+    sent.target->load.finished(attempt, now);
+    if (result == attempt_result::failed) {
+        sent.target->health.failed(sent.isProbe, now, m_random);
+        return;
+    }
+    if (result == attempt_result::cancelled) {
+        if (sent.isProbe)
+            sent.target->health.probeCancelled();
+        return;
+    }
+    sent.target->health.succeeded();
+    // A plain service has no first token; all of its time is the answer.
+    const double elapsed = seconds(now - (sent.begun ? sent.firstTokenAt : sent.sentAt));
+    double &mean = m_services[sent.service].speed.streamSeconds;
+    mean += newest_weight * (elapsed - mean);
+}
+
+void expected_time_router::loadReported(const endpoint &upstream, const upstream::engine_load &load)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end())
+        return;
+    upstream_state &state = *found->second;
+    const bool leavingChanged = load.leaving != (state.load.lastReport() && state.load.lastReport()->leaving);
+    state.load.reported(load, m_settings.reportLag, m_time.now());
+    state.asked = false;
+    service_state &service = m_services[state.target.service];
+    service.speed
+        = {.prefillTokensPerSecond = load.prefillTokensPerSecond > 0.0 ? load.prefillTokensPerSecond
+                                                                       : service.speed.prefillTokensPerSecond,
+           .decodeSecondsPerToken = load.decodeSecondsPerToken > 0.0 ? load.decodeSecondsPerToken
+                                                                     : service.speed.decodeSecondsPerToken,
+           .streamSeconds = service.speed.streamSeconds,
+           .streamLimit = load.streamLimit > 0 ? load.streamLimit : service.speed.streamLimit};
+    if (leavingChanged)
+        follow(service);
+}
+
+void expected_time_router::cacheReported(const endpoint &upstream,
+                                         const std::vector<upstream::cache_event> &events)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end())
+        found->second->prefixes.apply(events, m_time.now());
+}
+
+std::vector<endpoint> expected_time_router::wantedReports(std::size_t limit)
+{
+    std::vector<state_pointer> wanted;
+    for (const auto &[name, service] : m_services) {
+        for (const state_pointer &each : service.followed) {
+            if (each->target.reportsLoad && wantsReport(*each))
+                wanted.push_back(each);
+        }
+    }
+    const auto oldestFirst = [](const state_pointer &left, const state_pointer &right) {
+        return std::max(left->load.reportedAt(), left->askedAt)
+            < std::max(right->load.reportedAt(), right->askedAt);
+    };
+    std::stable_sort(wanted.begin(), wanted.end(), oldestFirst);
+    wanted.resize(std::min(wanted.size(), limit));
+    std::vector<endpoint> result;
+    for (const state_pointer &each : wanted) {
+        each->asked = true;
+        each->askedAt = m_time.now();
+        result.push_back(each->target.address);
+    }
+    return result;
+}
+
+/// Chooses the upstreams whose load is followed, so that over all nodes each has about as many followers.
+void expected_time_router::follow(service_state &service) const
+{
+    service.followed.clear();
+    for (const state_pointer &each : service.all) {
+        if (!isLeaving(*each))
+            service.followed.push_back(each);
+    }
+    if (service.followed.size() <= m_settings.followedLimit)
+        return;
+    std::vector<std::pair<std::uint64_t, state_pointer>> weighted;
+    for (const state_pointer &each : service.followed)
+        weighted.emplace_back(rendezvousWeight(m_settings.node, each->target.address.text()), each);
+    std::sort(weighted.begin(), weighted.end(),
+              [](const auto &left, const auto &right) { return left.first > right.first; });
+    service.followed.clear();
+    for (std::size_t index = 0; index < m_settings.followedLimit; ++index)
+        service.followed.push_back(weighted[index].second);
+}
+
+bool expected_time_router::isLeaving(const upstream_state &of) const
+{
+    const auto &report = of.load.lastReport();
+    return m_leaving.contains(of.target.address) || (report && report->leaving);
+}
+
+bool expected_time_router::isFit(const upstream_state &of, const routing_request &request) const
+{
+    const auto &excluded = request.excluded;
+    return of.health.isFit() && !isLeaving(of)
+        && std::find(excluded.begin(), excluded.end(), of.target.address) == excluded.end();
+}
+
+std::vector<expected_time_router::state_pointer>
+expected_time_router::fitting(const service_state &service, const routing_request &request) const
+{
+    std::vector<state_pointer> result;
+    for (const state_pointer &each : service.followed) {
+        if (isFit(*each, request))
+            result.push_back(each);
+    }
+    if (!result.empty())
+        return result;
+    // Nothing that this node follows is fit: any other that is.
+    for (const state_pointer &each : service.all) {
+        if (isFit(*each, request))
+            result.push_back(each);
+    }
+    return result;
+}
+
+/// The upstream of a service that is to be probed by this request; none while another probe runs.
+expected_time_router::state_pointer expected_time_router::dueForProbe(const service_state &service,
+                                                                      const routing_request &request) const
+{
+    state_pointer due;
+    const auto &excluded = request.excluded;
+    for (const state_pointer &each : service.followed) {
+        if (each->health.isFit())
+            continue;
+        if (each->health.isProbing())
+            return nullptr;
+        if (std::find(excluded.begin(), excluded.end(), each->target.address) != excluded.end())
+            continue;
+        if (!due && each->health.isDueForProbe(m_time.now()) && !isLeaving(*each))
+            due = each;
+    }
+    return due;
+}
+
+/// The upstream where the request's conversation, or its first message, belongs on every node.
+expected_time_router::state_pointer expected_time_router::home(const service_state &service,
+                                                               const routing_request &request) const
+{
+    if (!m_settings.usePrefixes || (request.conversation.empty() && request.prefixes.empty()))
+        return nullptr;
+    const std::string key = request.conversation.empty() ? request.prefixes.front()
+                                                         : request.account + '/' + request.conversation;
+    state_pointer best;
+    std::uint64_t bestWeight = 0;
+    for (const state_pointer &each : service.all) {
+        const std::uint64_t weight = rendezvousWeight(key, each->target.name);
+        if (isFit(*each, request) && (!best || weight > bestWeight)) {
+            best = each;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+std::vector<expected_time_router::state_pointer> expected_time_router::sample(const service_state &service,
+                                                                              const routing_request &request,
+                                                                              const state_pointer &preferred)
+{
+    std::vector<state_pointer> fit = fitting(service, request);
+    std::vector<state_pointer> chosen;
+    if (preferred)
+        chosen.push_back(preferred);
+    if (m_settings.usePrefixes && !request.prefixes.empty()) {
+        const auto holder = std::max_element(
+            fit.begin(), fit.end(), [&](const state_pointer &left, const state_pointer &right) {
+                return left->prefixes.cachedTokens(request) < right->prefixes.cachedTokens(request);
+            });
+        if (holder != fit.end() && (*holder)->prefixes.cachedTokens(request) > 0)
+            chosen.push_back(*holder);
+    }
+    const std::size_t draws = std::min(m_settings.sampledCandidates, fit.size());
+    for (std::size_t drawn = 0; drawn < draws; ++drawn) {
+        std::swap(fit[drawn], fit[drawn + m_random.index(fit.size() - drawn)]);
+        chosen.push_back(fit[drawn]);
+    }
+    return chosen;
+}
+
+expected_time_router::estimate expected_time_router::expect(const service_state &service,
+                                                            const state_pointer &of,
+                                                            const routing_request &request) const
+{
+    const service_speed speed = of->load.speed(service.speed);
+    estimate result{of, of->load.waitSeconds(service.speed, m_time.now()),
+                    m_settings.usePrefixes ? of->prefixes.cachedTokens(request) : 0};
+    const bool plain = request.promptTokens == 0;
+    if (plain)
+        result.seconds += speed.streamSeconds;
+    else
+        result.seconds
+            += static_cast<double>(request.promptTokens - result.cachedTokens) / speed.prefillTokensPerSecond
+            + speed.decodeSecondsPerToken;
+    if (of->target.failureDomain != m_settings.failureDomain)
+        result.seconds += seconds(m_settings.otherDomainDistance);
+    return result;
+}
+
+bool expected_time_router::wantsReport(const upstream_state &of) const
+{
+    const time_point newest = std::max(of.load.reportedAt(), of.askedAt);
+    const bool never = !of.asked && !of.load.lastReport();
+    return never || m_time.now() - newest >= m_settings.reportInterval;
+}
+
+} // namespace ivypier::routing
--- /dev/null
+++ b/libraries/routing/expected_time_router.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "routing/load_estimate.h"
+#include "routing/prefix_index.h"
+#include "routing/router.h"
+#include "routing/upstream_health.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ivypier::routing {
+
+/// What an expected_time_router is told about its node and its upstreams.
+struct expected_time_settings
+{
+    std::string node; ///< chooses the upstreams that this node follows
+    std::string failureDomain; ///< this node's
+    std::size_t followedLimit = 32; ///< upstreams of one service whose load this node follows
+    duration otherDomainDistance = std::chrono::milliseconds(1);
+    duration reportLag{}; ///< age of a load report when it arrives
+    duration reportInterval = std::chrono::milliseconds(500); ///< between two reports asked of one upstream
+    std::size_t sampledCandidates = 2; ///< drawn at random for each request
+    bool usePrefixes = true; ///< false: a baseline that knows nothing of prefix caches
+
+    auto operator<=>(const expected_time_settings &) const = default;
+};
+
+/// The upstream with the least expected time to the first token, among a few drawn at random, the home of the
+/// request's prefix by rendezvous hash, and the one that holds most of its prompt. Expected time: the last
+/// report aged, this node's own attempts since, the prompt tokens not cached, and the distance.
+class expected_time_router final : public router
+{
+public:
+    expected_time_router(const clock &time, random_source &randomness, expected_time_settings settings);
+
+    void setCandidates(std::vector<candidate> all) override;
+    void markLeaving(const endpoint &upstream) override;
+    outcome<routing_choice> choose(const routing_request &request) override;
+    void dispatched(const endpoint &upstream, const std::string &attempt,
+                    const routing_request &request) override;
+    void firstToken(const std::string &attempt, duration elapsed) override;
+    void finished(const std::string &attempt, attempt_result result) override;
+    void loadReported(const endpoint &upstream, const upstream::engine_load &load) override;
+    void cacheReported(const endpoint &upstream, const std::vector<upstream::cache_event> &events) override;
+    std::vector<endpoint> wantedReports(std::size_t limit) override;
+
+private:
+    struct upstream_state
+    {
+        candidate target;
+        load_estimate load;
+        prefix_index prefixes;
+        upstream_health health;
+        time_point askedAt{};
+        bool asked = false;
+    };
+    using state_pointer = std::shared_ptr<upstream_state>;
+
+    struct service_state
+    {
+        std::vector<state_pointer> all;
+        std::vector<state_pointer> followed; ///< the most wanted by rendezvous hash first
+        service_speed speed;
+    };
+
+    struct sent_attempt
+    {
+        state_pointer target;
+        std::string service;
+        bool isProbe = false;
+        bool begun = false;
+        time_point sentAt{};
+        time_point firstTokenAt{};
+    };
+
+    struct estimate
+    {
+        state_pointer target;
+        double seconds = 0.0;
+        std::uint64_t cachedTokens = 0;
+    };
+
+    void follow(service_state &service) const;
+    bool isLeaving(const upstream_state &of) const;
+    bool isFit(const upstream_state &of, const routing_request &request) const;
+    std::vector<state_pointer> fitting(const service_state &service, const routing_request &request) const;
+    state_pointer dueForProbe(const service_state &service, const routing_request &request) const;
+    state_pointer home(const service_state &service, const routing_request &request) const;
+    std::vector<state_pointer> sample(const service_state &service, const routing_request &request,
+                                      const state_pointer &preferred);
+    estimate expect(const service_state &service, const state_pointer &of,
+                    const routing_request &request) const;
+    bool wantsReport(const upstream_state &of) const;
+
+    const clock &m_time;
+    random_source &m_random;
+    expected_time_settings m_settings;
+    std::map<endpoint, state_pointer> m_upstreams;
+    std::map<std::string, service_state> m_services;
+    std::set<endpoint> m_leaving;
+    std::map<std::string, sent_attempt> m_attempts;
+};
+
+} // namespace ivypier::routing
--- /dev/null
+++ b/libraries/routing/prefix_index.cpp
@@ -0,0 +1,86 @@
+#include "routing/prefix_index.h"
+
+#include <algorithm>
+
+namespace ivypier::routing {
+
+void prefix_index::sent(const routing_request &request, time_point now)
+{
+    const std::size_t count = std::min(request.prefixes.size(), request.prefixTokens.size());
+    for (std::size_t index = 0; index < count; ++index)
+        store(request.prefixes[index], request.prefixTokens[index], now);
+}
+
+void prefix_index::apply(const std::vector<upstream::cache_event> &events, time_point now)
+{
+    const bool restarted = !events.empty() && events.back().sequence < m_lastSequence;
+    if (restarted) {
+        forget();
+        m_lastSequence = 0;
+    }
+    for (const upstream::cache_event &event : events) {
+        if (event.sequence <= m_lastSequence)
+            continue;
+        const bool gap = m_lastSequence != 0 && event.sequence != m_lastSequence + 1;
+        if (gap)
+            forget();
+        m_lastSequence = event.sequence;
+        if (event.stored)
+            store(event.prefix, event.tokens, time_point{});
+        else
+            evict(event.prefix, now);
+    }
+}
+
+std::uint64_t prefix_index::cachedTokens(const routing_request &request) const
+{
+    for (auto prefix = request.prefixes.rbegin(); prefix != request.prefixes.rend(); ++prefix) {
+        const auto found = m_entries.find(*prefix);
+        if (found != m_entries.end())
+            return std::min(found->second.tokens, request.promptTokens);
+    }
+    return 0;
+}
+
+std::size_t prefix_index::size() const
+{
+    return m_entries.size();
+}
+
+void prefix_index::forget()
+{
+    m_entries.clear();
+    m_uses.clear();
+}
+
+void prefix_index::store(const std::string &prefix, std::uint64_t tokens, time_point sentAt)
+{
+    const auto found = m_entries.find(prefix);
+    if (found != m_entries.end()) {
+        m_uses.splice(m_uses.begin(), m_uses, found->second.use);
+        found->second.tokens = tokens;
+        found->second.sentAt = std::max(found->second.sentAt, sentAt);
+        return;
+    }
+    m_uses.push_front(prefix);
+    m_entries[prefix] = {tokens, sentAt, m_uses.begin()};
+    if (m_entries.size() <= entry_limit)
+        return;
+    m_entries.erase(m_uses.back());
+    m_uses.pop_back();
+}
+
+void prefix_index::evict(const std::string &prefix, time_point now)
+{
+    const auto found = m_entries.find(prefix);
+    if (found == m_entries.end())
+        return;
+    const bool sentLately
+        = found->second.sentAt != time_point{} && now - found->second.sentAt < event_lag_limit;
+    if (sentLately)
+        return;
+    m_uses.erase(found->second.use);
+    m_entries.erase(found);
+}
+
+} // namespace ivypier::routing
--- /dev/null
+++ b/libraries/routing/round_robin_router.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "routing/baseline_router.h"
+
+namespace ivypier::routing {
+
+/// Each upstream in turn. A baseline.
+class round_robin_router final : public baseline_router
+{
+protected:
+    double rank(const upstream_counts &of) const override;
+};
+
+} // namespace ivypier::routing
--- a/libraries/routing/router.h
+++ b/libraries/routing/router.h
@@ -21,6 +21,7 @@
     std::string failureDomain;
     std::string machineClass;
     double pricePerHour = 0.0;
+    bool reportsLoad = true; ///< false: a plain service, which nobody can ask
 
     auto operator<=>(const candidate &) const = default;
 };
@@ -32,6 +33,7 @@
     std::string account;
     std::string conversation; ///< empty: none
     std::vector<std::string> prefixes; ///< digests of the prompt's prefixes, shortest first; empty: none
+    std::vector<std::uint64_t> prefixTokens; ///< tokens up to the end of each of `prefixes`
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0; ///< the most it may generate
     std::vector<endpoint> excluded; ///< upstreams that failed this request already
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -10,11 +10,12 @@
 #include "configuration/document_store.h"
 #include "entry/entry_directory.h"
 #include "gateway/caller_api.h"
+#include "load_poller.h"
 #include "membership/exchange_membership.h"
 #include "platform/http_platform.h"
 #include "requests/request_service.h"
 #include "requests/rpc_peer_channel.h"
-#include "routing/least_dispatched_router.h"
+#include "routing/expected_time_router.h"
 #include "rpc/peer_server.h"
 #include "upstream/http_model_engine.h"
 #include "upstream/http_plain_service.h"
@@ -40,6 +41,12 @@
     return self;
 }
 
+bool reportsLoad(const configuration::versioned_document &current, const std::string &service)
+{
+    const configuration::service *found = current.content.findService(service);
+    return found && found->kind == configuration::service_kind::model;
+}
+
 } // namespace
 
 struct node::parts
@@ -67,11 +74,13 @@
     configuration::configuration_follower follower{tasks, randomness, documents,
                                                    settings.configurationInterval};
     entry::entry_directory entries{members, fleetKey};
-    routing::least_dispatched_router router;
+    routing::expected_time_router router{
+        tasks, randomness, {.node = settings.name, .failureDomain = settings.failureDomain}};
     admission::open_admission admission;
     admission::budget_retry retries{randomness};
     upstream::http_model_engine engines{tasks, transport};
     upstream::http_plain_service services{tasks, transport};
+    load_poller loads{tasks, randomness, router, engines};
     requests::rpc_peer_channel channel{members, peers};
     requests::witness_ledger ledger;
     requests::request_service requestService{
@@ -147,11 +156,12 @@
     std::vector<routing::candidate> candidates;
     for (const configuration::upstream &each : current->content.upstreams)
         candidates.push_back({each.name, each.service, each.address, each.failureDomain, each.machineClass,
-                              each.pricePerHour});
+                              each.pricePerHour, reportsLoad(*current, each.service)});
     for (const platform::vm_record &each : listedVms) {
         if (!current->content.findService(each.role))
             continue;
-        candidates.push_back({each.id, each.role, each.address, each.failureDomain, each.machineClass, 0.0});
+        candidates.push_back({each.id, each.role, each.address, each.failureDomain, each.machineClass, 0.0,
+                              reportsLoad(*current, each.role)});
         if (each.state == platform::vm_state::leaving)
             members.publish({"leaving/" + each.address.text(), 1, each.id});
     }
@@ -216,6 +226,7 @@
     raw->members.start();
     raw->follower.start();
     raw->pollVmList();
+    raw->loads.start();
     log_event(log_level::info, "node.started")
         .with("name", settings.name)
         .with("address", settings.address.text())
