Make the duty lease whole: lost answers, slow reads, release

Cause: the first form counted another holder's term from before its own read was sent, wrote again without settling a lost answer, and could not be given back while an answer was under way. Virtual-time tests over 1,000 seeds with a fake table (lost calls and answers, writes that take effect after their caller gave up, freezes, outages) and an oracle over the table's own record. Also: an answer of 500 or 504 from the platform may follow a write that took effect; it is now 'interrupted' and no longer 'unavailable'.

--- a/libraries/placement/lease.cpp
+++ b/libraries/placement/lease.cpp
@@ -1,14 +1,16 @@
 #include "placement/lease.h"
 
 #include "base/json.h"
+#include "base/log_event.h"
+
+#include <utility>
 
 namespace ivypier::placement {
 
 namespace {
 
-/// Part of a term after which it is renewed, and the margin before its end in which no order is sent.
-constexpr int renewals_per_term = 3;
-constexpr int margin_divisor = 5;
+constexpr int release_attempts = 3;
+constexpr std::uint64_t no_version = 0;
 
 std::string encode(const std::string &holder, std::uint64_t counter)
 {
@@ -18,6 +20,17 @@
     return writeJson(json);
 }
 
+std::string holderIn(const platform::table_row &row)
+{
+    const outcome<Json::Value> json = parseJson(row.value);
+    return json ? stringMember(json.value(), "holder") : "";
+}
+
+bool effectUnknown(const error &failure)
+{
+    return failure.code != error_code::conflict;
+}
+
 } // namespace
 
 lease_keeper::lease_keeper(scheduler &tasks, platform::table_service &table, std::string duty,
@@ -25,6 +38,7 @@
     : m_tasks(tasks)
     , m_table(table)
     , m_duty(std::move(duty))
+    , m_key("lease/" + m_duty)
     , m_holder(std::move(holder))
     , m_term(term)
 {
@@ -35,14 +49,19 @@
     turn();
 }
 
-void lease_keeper::release()
+void lease_keeper::setEligible(bool eligible)
 {
-    m_releasing = true;
-    if (!m_lease)
-        return;
-    m_table.write("lease/" + m_duty, m_lease->fencing, encode("", 0),
-                  [](const outcome<platform::table_row> &) {});
-    m_lease.reset();
+    m_eligible = eligible;
+}
+
+const std::string &lease_keeper::duty() const
+{
+    return m_duty;
+}
+
+bool lease_keeper::lapsed() const
+{
+    return !m_lease || m_tasks.now() >= m_lease->expiresAt;
 }
 
 std::optional<lease> lease_keeper::held() const
@@ -50,57 +69,185 @@
 #ifdef IVYPIER_MUTANT_LEASE_MARGIN
     return m_lease;
 #endif
-    if (!m_lease || m_tasks.now() >= m_lease->expiresAt - m_term / margin_divisor)
+    if (!m_lease || m_tasks.now() >= m_lease->expiresAt - m_term / lease_margin_divisor)
         return std::nullopt;
     return m_lease;
 }
 
+duration lease_keeper::remaining() const
+{
+    if (!held())
+        return duration::zero();
+    return m_lease->expiresAt - m_term / lease_margin_divisor - m_tasks.now();
+}
+
 void lease_keeper::turn()
 {
     if (m_releasing)
         return;
-    readRow();
-    m_tasks.after(m_term / renewals_per_term, [this] { turn(); });
+    m_tasks.after(m_term / lease_renewals_per_term, [this] { turn(); });
+    if (m_busy && m_tasks.now() - m_busySince < m_term)
+        return;
+    // The holder knows its row's version and renews without reading.
+    if (!lapsed() && !m_pending)
+        write(m_lease->fencing, m_lease->tenure);
+    else if (m_eligible || m_lease || m_pending)
+        readRow();
 }
 
 void lease_keeper::readRow()
 {
-    // The clock is read before the row: the term is counted from a moment before the write took effect.
     const time_point startedAt = m_tasks.now();
-    m_table.read("lease/" + m_duty,
-                 [this, startedAt](const outcome<std::optional<platform::table_row>> &read) {
-                     if (!read || m_releasing)
-                         return;
-                     if (!read.value()) {
-                         write(0, 1, startedAt);
-                         return;
-                     }
-                     const platform::table_row &row = *read.value();
-                     const outcome<Json::Value> json = parseJson(row.value);
-                     const std::string holder = json ? stringMember(json.value(), "holder") : "";
-                     const std::uint64_t counter = json ? unsignedMember(json.value(), "counter", 0) : 0;
-                     if (holder == m_holder || holder.empty()) {
-                         write(row.version, counter + 1, startedAt);
+    const std::uint64_t operation = ++m_operation;
+    m_busy = true;
+    m_busySince = startedAt;
+    m_table.read(m_key,
+                 [this, startedAt, operation](const outcome<std::optional<platform::table_row>> &read) {
+                     if (operation != m_operation)
                          return;
-                     }
-                     m_lease.reset();
-                     if (row.value != m_seenValue) { // it was renewed: its term starts anew for this observer
-                         m_seenValue = row.value;
-                         m_seenAt = startedAt;
-                         return;
-                     }
-                     if (startedAt - m_seenAt > m_term)
-                         write(row.version, 1, startedAt);
+                     m_busy = false;
+                     onRead(read, startedAt);
                  });
 }
 
-void lease_keeper::write(std::uint64_t expected, std::uint64_t counter, time_point startedAt)
+void lease_keeper::onRead(const outcome<std::optional<platform::table_row>> &read, time_point startedAt)
+{
+    if (m_releasing) {
+        giveUp(release_attempts);
+        return;
+    }
+    if (!read)
+        return;
+    if (!read.value()) {
+        if (m_eligible)
+            write(no_version, no_version);
+        return;
+    }
+    observe(*read.value(), startedAt);
+}
+
+void lease_keeper::observe(const platform::table_row &row, time_point startedAt)
 {
-    m_table.write("lease/" + m_duty, expected, encode(m_holder, counter),
-                  [this, startedAt](const outcome<platform::table_row> &written) {
-                      if (written && !m_releasing)
-                          m_lease = lease{written.value().version, startedAt + m_term};
+    const std::optional<pending_write> pending = std::exchange(m_pending, std::nullopt);
+    const std::string holder = holderIn(row);
+    if (holder == m_holder) {
+        const bool continues = m_lease && m_lease->fencing <= row.version && !lapsed();
+        const std::uint64_t tenure = continues ? m_lease->tenure : no_version;
+        // The write whose answer was lost took effect: the term runs from before that write.
+        if (pending && pending->value == row.value)
+            take(row.version, tenure, pending->startedAt);
+        if (lapsed())
+            write(row.version, tenure);
+        return;
+    }
+    m_lease.reset();
+    if (holder.empty()) {
+        if (m_eligible)
+            write(row.version, no_version);
+        return;
+    }
+    if (row.version != m_seenVersion) { // renewed: its term starts anew for this observer
+        m_seenVersion = row.version;
+        m_seenAt = m_tasks.now();
+        return;
+    }
+    if (m_eligible && startedAt - m_seenAt > m_term)
+        write(row.version, no_version);
+}
+
+void lease_keeper::write(std::uint64_t expected, std::uint64_t tenure)
+{
+    // The clock is read before the write: the term is counted from a moment before it took effect.
+    m_pending = pending_write{expected, encode(m_holder, ++m_writes), m_tasks.now()};
+    const std::uint64_t operation = ++m_operation;
+    m_busy = true;
+    m_busySince = m_pending->startedAt;
+    m_table.write(m_key, expected, m_pending->value,
+                  [this, operation, tenure](const outcome<platform::table_row> &written) {
+                      if (operation != m_operation)
+                          return;
+                      m_busy = false;
+                      onWritten(written, tenure);
                   });
 }
 
+void lease_keeper::onWritten(const outcome<platform::table_row> &written, std::uint64_t tenure)
+{
+    if (m_releasing) {
+        giveUp(release_attempts);
+        return;
+    }
+    if (written) {
+        const time_point startedAt = m_pending->startedAt;
+        m_pending.reset();
+        take(written.value().version, tenure, startedAt);
+        return;
+    }
+    if (!effectUnknown(written.error()))
+        m_pending.reset();
+    // Another holder's row, or a write that may have taken effect: the row says which. A table that can't be
+    // reached is asked at the next turn.
+    if (written.error().code != error_code::unavailable)
+        readRow();
+}
+
+void lease_keeper::take(std::uint64_t version, std::uint64_t tenure, time_point startedAt)
+{
+    const bool acquired = tenure == no_version;
+    m_lease = lease{version, acquired ? version : tenure, startedAt + m_term};
+    if (!acquired)
+        return;
+    log_event(log_level::info, "lease.acquired")
+        .with("duty", m_duty)
+        .with("holder", m_holder)
+        .with("fencing", static_cast<std::int64_t>(version))
+        .write();
+}
+
+void lease_keeper::release(std::function<void()> done)
+{
+    m_releasing = true;
+    m_released = std::move(done);
+    const bool mayHold = m_lease || m_pending;
+    m_lease.reset();
+    if (m_busy && m_tasks.now() - m_busySince < m_term)
+        return; // the answer under way goes on from here
+    if (mayHold)
+        giveUp(release_attempts);
+    else
+        released();
+}
+
+void lease_keeper::giveUp(int attempts)
+{
+    if (attempts == 0) {
+        released();
+        return;
+    }
+    m_table.read(m_key, [this, attempts](const outcome<std::optional<platform::table_row>> &read) {
+        if (read && (!read.value() || holderIn(*read.value()) != m_holder)) {
+            released();
+            return;
+        }
+        if (!read) {
+            giveUp(attempts - 1);
+            return;
+        }
+        m_table.write(m_key, read.value()->version, encode("", ++m_writes),
+                      [this, attempts](const outcome<platform::table_row> &written) {
+                          if (written)
+                              released();
+                          else
+                              giveUp(attempts - 1);
+                      });
+    });
+}
+
+void lease_keeper::released()
+{
+    log_event(log_level::info, "lease.released").with("duty", m_duty).with("holder", m_holder).write();
+    if (const auto done = std::exchange(m_released, nullptr))
+        done();
+}
+
 } // namespace ivypier::placement
--- a/libraries/placement/lease.h
+++ b/libraries/placement/lease.h
@@ -11,45 +11,90 @@
 
 namespace ivypier::placement {
 
+/// Part of a term before its end in which the holder acts no more: a term divided by this.
+inline constexpr int lease_margin_divisor = 5;
+
+/// Renewals in one term.
+inline constexpr int lease_renewals_per_term = 3;
+
 /// A duty held until `expiresAt` by this process's own monotonic clock.
 struct lease
 {
     std::uint64_t fencing = 0; ///< only grows; the row's version in the table
+    std::uint64_t tenure = 0; ///< the fencing number with which this holder took the duty over
     time_point expiresAt{};
 
     auto operator<=>(const lease &) const = default;
 };
 
-/// Holds one duty through one row of the table. Only from tasks of its scheduler.
+/// Holds one duty through one row of the table, `lease/<duty>`. Only from tasks of its scheduler.
+///
+/// The row names the holder; its version is the fencing number. A holder counts its term from before it sent
+/// the write, an observer counts the same term from after it read the row, so that an observer takes over
+/// only after the holder counts the lease as lost, whatever the calls' delays. A write whose answer is lost
+/// is settled by reading the row back.
 class lease_keeper
 {
 public:
+    /// `holder` names this incarnation of this process and no other.
     lease_keeper(scheduler &tasks, platform::table_service &table, std::string duty, std::string holder,
                  duration term);
 
     /// Starts to acquire the lease, and to renew it once it is held.
     void start();
 
-    /// Gives the lease up, so that another can have it at once.
-    void release();
+    /// Gives the lease up for good, so that another can have it at once. `done` is called once the table has
+    /// it, or when that can't be known: the lease then lapses after its term.
+    void release(std::function<void()> done = {});
+
+    /// Whether this process may take the duty over (default: true). A lease that is held stays held.
+    void setEligible(bool eligible);
 
     /// The lease while orders may be sent under it: a margin before its end it counts as lost.
     std::optional<lease> held() const;
 
+    /// The time left until held() gives nothing.
+    duration remaining() const;
+
+    const std::string &duty() const;
+
 private:
+    /// A conditional write that is under way or whose effect is not known.
+    struct pending_write
+    {
+        std::uint64_t expected = 0;
+        std::string value;
+        time_point startedAt{};
+    };
+
     void turn();
     void readRow();
-    void write(std::uint64_t expected, std::uint64_t counter, time_point startedAt);
+    void onRead(const outcome<std::optional<platform::table_row>> &read, time_point startedAt);
+    void observe(const platform::table_row &row, time_point startedAt);
+    void write(std::uint64_t expected, std::uint64_t tenure);
+    void onWritten(const outcome<platform::table_row> &written, std::uint64_t tenure);
+    void take(std::uint64_t version, std::uint64_t tenure, time_point startedAt);
+    void giveUp(int attempts);
+    void released();
+    bool lapsed() const;
 
     scheduler &m_tasks;
     platform::table_service &m_table;
     std::string m_duty;
+    std::string m_key;
     std::string m_holder;
     duration m_term;
     std::optional<lease> m_lease;
-    std::string m_seenValue; ///< another holder's row as last read
-    time_point m_seenAt{}; ///< when it was first read so
+    std::optional<pending_write> m_pending;
+    std::uint64_t m_writes = 0; ///< makes the value of each write of this holder another one
+    std::uint64_t m_seenVersion = 0; ///< of another holder's row as last read
+    time_point m_seenAt{}; ///< when the answer that first showed it was there
+    std::uint64_t m_operation = 0; ///< answers to earlier operations are dropped
+    bool m_busy = false;
+    time_point m_busySince{};
+    bool m_eligible = true;
     bool m_releasing = false;
+    std::function<void()> m_released;
 };
 
 } // namespace ivypier::placement
--- /dev/null
+++ b/libraries/placement/tests/fake_table.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "base/scheduler.h"
+#include "platform/table_service.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ivypier::placement::tests {
+
+/// A write that took effect.
+struct table_change
+{
+    time_point at{};
+    platform::table_row row;
+};
+
+/// How often the table of a test misbehaves.
+struct table_faults
+{
+    double lostRequest = 0.0; ///< part of the calls that never arrive
+    double lostAnswer = 0.0; ///< part of the calls that take effect and whose answer is lost
+    double late = 0.0; ///< part of the calls that take effect after their caller gave up
+    duration longestDelay = std::chrono::milliseconds(20); ///< of each way
+    bool down = false;
+};
+
+/// The one table of a test. Calls reach it late, twice never, sometimes after their caller gave up.
+class fake_table
+{
+public:
+    fake_table(scheduler &tasks, random_source &randomness)
+        : tasks(tasks)
+        , randomness(randomness)
+    {
+    }
+
+    std::optional<platform::table_row> find(const std::string &key) const
+    {
+        const auto found = rows.find(key);
+        return found == rows.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    outcome<platform::table_row> change(const std::string &key, std::uint64_t expected,
+                                        const std::string &value)
+    {
+        const auto found = rows.find(key);
+        const std::uint64_t version = found == rows.end() ? 0 : found->second.version;
+        if (version != expected)
+            return error{error_code::conflict, "another version"};
+        rows[key] = {key, version + 1, value};
+        changes.push_back({tasks.now(), rows[key]});
+        return rows[key];
+    }
+
+    scheduler &tasks;
+    random_source &randomness;
+    table_faults faults;
+    std::map<std::string, platform::table_row> rows;
+    std::vector<table_change> changes;
+};
+
+/// One process's way to the table: calls run on the table's scheduler, answers on the process's own.
+class fake_table_client final : public platform::table_service
+{
+public:
+    fake_table_client(scheduler &process, fake_table &table)
+        : m_process(process)
+        , m_table(table)
+    {
+    }
+
+    void read(const std::string &key, read_completion done) override
+    {
+        call<std::optional<platform::table_row>>(
+            [this, key]() -> outcome<std::optional<platform::table_row>> { return m_table.find(key); }, done);
+    }
+
+    void list(const std::string &, list_completion done) override
+    {
+        done(error{error_code::unavailable, "not part of this fake"});
+    }
+
+    void write(const std::string &key, std::uint64_t expected, const std::string &value,
+               write_completion done) override
+    {
+        call<platform::table_row>(
+            [this, key, expected, value] { return m_table.change(key, expected, value); }, done);
+    }
+
+private:
+    static constexpr duration call_timeout = std::chrono::seconds(2);
+    static constexpr duration longest_late = std::chrono::seconds(15);
+
+    duration delay(duration longest)
+    {
+        return fromSeconds(seconds(longest) * m_table.randomness.uniform());
+    }
+
+    template <typename T>
+    void call(std::function<outcome<T>()> effect, std::function<void(outcome<T>)> done)
+    {
+        const double draw = m_table.randomness.uniform();
+        const table_faults &faults = m_table.faults;
+        const bool lostRequest = draw < faults.lostRequest;
+        const bool lostAnswer = !lostRequest && draw < faults.lostRequest + faults.lostAnswer;
+        const bool late
+            = !lostRequest && !lostAnswer && draw < faults.lostRequest + faults.lostAnswer + faults.late;
+        auto answered = std::make_shared<bool>(false);
+        const auto answer = [this, answered, done](outcome<T> result, duration after) {
+            m_table.tasks.after(after, [this, answered, done, result = std::move(result)] {
+                m_process.post([answered, done, result] {
+                    if (std::exchange(*answered, true))
+                        return;
+                    done(result);
+                });
+            });
+        };
+        answer(error{error_code::timed_out, "no answer"}, call_timeout);
+        if (lostRequest)
+            return;
+        const duration way = late ? call_timeout + delay(longest_late) : delay(faults.longestDelay);
+        m_table.tasks.after(way, [this, effect, answer, lostAnswer] {
+            if (m_table.faults.down) {
+                answer(error{error_code::unavailable, "down"}, delay(m_table.faults.longestDelay));
+                return;
+            }
+            const outcome<T> result = effect();
+            if (!lostAnswer)
+                answer(result, delay(m_table.faults.longestDelay));
+        });
+    }
+
+    scheduler &m_process;
+    fake_table &m_table;
+};
+
+} // namespace ivypier::placement::tests
--- /dev/null
+++ b/libraries/placement/tests/lease_test.cpp
@@ -0,0 +1,281 @@
+#include "fake_table.h"
+#include "freezable_scheduler.h"
+#include "placement/lease.h"
+
+#include "base/json.h"
+#include "base/log_event.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+namespace ivypier::placement::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration term = 10s;
+constexpr duration margin = 2s;
+constexpr std::size_t candidates = 3;
+constexpr std::uint64_t seeds = 1000;
+
+/// An order as it left its sender.
+struct sent_order
+{
+    std::size_t sender = 0;
+    std::uint64_t fencing = 0;
+    time_point at{};
+};
+
+/// Candidates for one duty that send an order whenever they may, and engines that check the number.
+struct race
+{
+    explicit race(std::uint64_t seed)
+        : randomness(seed)
+        , table(world, randomness)
+    {
+        configureLog("placement-tests", log_level::error);
+        for (std::size_t index = 0; index < candidates; ++index) {
+            processes.push_back(std::make_unique<freezable_scheduler>(world));
+            clients.push_back(std::make_unique<fake_table_client>(*processes[index], table));
+            keepers.push_back(std::make_unique<lease_keeper>(*processes[index], *clients[index],
+                                                             "orders/tariff",
+                                                             "planner-" + std::to_string(index), term));
+            keepers[index]->start();
+            sendOrders(index);
+        }
+    }
+
+    void sendOrders(std::size_t index)
+    {
+        if (const auto held = keepers[index]->held()) {
+            const sent_order order{index, held->fencing, world.now()};
+            sent.push_back(order);
+            const duration way
+                = fromSeconds(randomness.uniform() * (randomness.uniform() < 0.1 ? 30.0 : 0.1));
+            world.after(way, [this, order] { arrive(order); });
+        }
+        processes[index]->after(fromSeconds(0.2 + 0.2 * randomness.uniform()),
+                                [this, index] { sendOrders(index); });
+    }
+
+    void arrive(const sent_order &order)
+    {
+        if (order.fencing < highest)
+            return;
+        highest = order.fencing;
+        accepted.push_back(order);
+    }
+
+    /// Freezes, faults and outages at random, for ten minutes.
+    void disturb()
+    {
+        for (int step = 0; step < 120; ++step) {
+            const std::size_t index = randomness.index(candidates);
+            const double draw = randomness.uniform();
+            if (draw < 0.25)
+                processes[index]->freeze();
+            else if (draw < 0.5 && processes[index]->frozen())
+                processes[index]->wake();
+            else if (draw < 0.6)
+                table.faults = {0.1, 0.2, 0.2, 4s, false};
+            else if (draw < 0.65)
+                table.faults.down = true;
+            else if (draw < 0.8)
+                table.faults = {};
+            world.advance(5s);
+        }
+    }
+
+    void calm()
+    {
+        table.faults = {};
+        for (const auto &each : processes)
+            each->wake();
+        world.advance(term * 5);
+    }
+
+    /// The holder written in a row, from the table's own record.
+    static std::string holderOf(const table_change &change)
+    {
+        return stringMember(parseJson(change.row.value).value(), "holder");
+    }
+
+    /// Orders within the margin of another candidate's take-over, or after it. The table's record decides.
+    std::size_t ordersTooLate() const
+    {
+        std::map<std::uint64_t, const table_change *> nextOther; // by version: the first change by another
+        const table_change *next = nullptr;
+        for (std::size_t each = table.changes.size(); each-- > 0;) {
+            const table_change &change = table.changes[each];
+            if (each + 1 < table.changes.size() && holderOf(table.changes[each + 1]) != holderOf(change))
+                next = &table.changes[each + 1];
+            nextOther[change.row.version] = next;
+        }
+        std::size_t count = 0;
+        for (const sent_order &order : sent) {
+            const table_change *taken = nextOther.at(order.fencing);
+            if (!taken || holderOf(*taken).empty()) // given back: the next may have it at once
+                continue;
+            count += order.at + margin > taken->at ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// Orders that the engine took from a holder after it took one of a later holder, or whose number is not
+    /// their sender's.
+    std::size_t ordersOutOfTurn() const
+    {
+        std::map<std::uint64_t, std::pair<std::size_t, std::string>> turns; // by version: turn and holder
+        std::size_t turn = 0;
+        std::string holder;
+        for (const table_change &change : table.changes) {
+            turn += std::exchange(holder, holderOf(change)) != holder ? 1 : 0;
+            turns[change.row.version] = {turn, holder};
+        }
+        std::size_t latest = 0;
+        std::size_t count = 0;
+        for (const sent_order &order : accepted) {
+            const auto &[number, name] = turns.at(order.fencing);
+            count += name != "planner-" + std::to_string(order.sender) || number < latest ? 1 : 0;
+            latest = std::max(latest, number);
+        }
+        return count;
+    }
+
+    std::size_t holders() const
+    {
+        std::size_t count = 0;
+        for (const auto &each : keepers)
+            count += each->held() ? 1 : 0;
+        return count;
+    }
+
+    virtual_scheduler world;
+    seeded_random randomness;
+    fake_table table;
+    std::vector<std::unique_ptr<freezable_scheduler>> processes;
+    std::vector<std::unique_ptr<fake_table_client>> clients;
+    std::vector<std::unique_ptr<lease_keeper>> keepers;
+    std::vector<sent_order> sent;
+    std::vector<sent_order> accepted;
+    std::uint64_t highest = 0;
+};
+
+} // namespace
+
+TEST_CASE("a lease keeps its promises under faults", "[lease]")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        INFO("seed " << seed);
+        race run(seed);
+        run.disturb();
+        run.calm();
+        REQUIRE(run.ordersTooLate() == 0);
+        REQUIRE(run.ordersOutOfTurn() == 0);
+        REQUIRE(run.holders() == 1);
+    }
+}
+
+TEST_CASE("an order never leaves a holder that woke after its lease", "[lease]")
+{
+    race run(1);
+    run.world.advance(5s);
+    REQUIRE(run.holders() == 1);
+    std::size_t holder = 0;
+    while (!run.keepers[holder]->held())
+        ++holder;
+    run.processes[holder]->freeze();
+    run.world.advance(term * 3);
+    const std::size_t before = run.sent.size();
+    REQUIRE_FALSE(run.keepers[holder]->held());
+    run.processes[holder]->wake();
+    run.world.advance(1s);
+    for (std::size_t index = before; index < run.sent.size(); ++index)
+        REQUIRE(run.sent[index].sender != holder);
+    REQUIRE(run.ordersTooLate() == 0);
+}
+
+TEST_CASE("a lost answer is settled by reading back", "[lease]")
+{
+    race run(2);
+    run.table.faults.lostAnswer = 1.0;
+    run.world.advance(3s);
+    run.table.faults = {};
+    run.world.advance(5s);
+    REQUIRE(run.holders() == 1);
+    REQUIRE(run.table.changes.front().row.version == 1);
+    REQUIRE(run.ordersTooLate() == 0);
+}
+
+TEST_CASE("a slow read does not date another's renewal back", "[lease]")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        INFO("seed " << seed);
+        race run(seed);
+        run.world.advance(3s);
+        run.table.faults.longestDelay = 1900ms;
+        run.table.faults.late = 0.1;
+        run.world.advance(120s);
+        REQUIRE(run.ordersTooLate() == 0);
+    }
+}
+
+TEST_CASE("no order is sent while the table is down for longer than a term", "[lease]")
+{
+    race run(3);
+    run.world.advance(5s);
+    run.table.faults.down = true;
+    run.world.advance(term);
+    const std::size_t before = run.sent.size();
+    run.world.advance(600s);
+    REQUIRE(run.sent.size() == before);
+    run.table.faults.down = false;
+    run.world.advance(term * 3);
+    REQUIRE(run.holders() == 1);
+    REQUIRE(run.sent.size() > before);
+}
+
+TEST_CASE("a released lease is free at once, also when an answer is lost", "[lease]")
+{
+    for (const double lost : {0.0, 1.0}) {
+        race run(4);
+        run.world.advance(5s);
+        std::size_t holder = 0;
+        while (!run.keepers[holder]->held())
+            ++holder;
+        run.table.faults.lostAnswer = lost;
+        bool released = false;
+        run.keepers[holder]->release([&] { released = true; });
+        REQUIRE_FALSE(run.keepers[holder]->held());
+        run.world.advance(1s);
+        run.table.faults = {};
+        run.world.advance(7s);
+        REQUIRE(released);
+        REQUIRE(run.holders() == 1);
+        REQUIRE_FALSE(run.keepers[holder]->held());
+    }
+}
+
+TEST_CASE("one that is not eligible does not take a free lease and keeps a held one", "[lease]")
+{
+    race run(5);
+    run.world.advance(5s);
+    for (const auto &each : run.keepers)
+        each->setEligible(false);
+    run.world.advance(30s);
+    REQUIRE(run.holders() == 1);
+    std::size_t released = 0;
+    while (!run.keepers[released]->held())
+        ++released;
+    run.keepers[released]->release();
+    run.world.advance(30s);
+    REQUIRE(run.holders() == 0);
+    const std::size_t other = released == 0 ? 1 : 0;
+    run.keepers[other]->setEligible(true);
+    run.world.advance(30s);
+    REQUIRE(run.keepers[other]->held());
+}
+
+} // namespace ivypier::placement::tests
--- a/libraries/platform/http_platform.cpp
+++ b/libraries/platform/http_platform.cpp
@@ -14,6 +14,8 @@
 constexpr int status_not_found = 404;
 constexpr int status_conflict = 409;
 constexpr int status_precondition_failed = 412;
+constexpr int status_too_many_requests = 429;
+constexpr int status_service_unavailable = 503;
 
 error statusError(const http::response &answer)
 {
@@ -24,7 +26,9 @@
         return {error_code::conflict, message};
     if (answer.status == status_conflict)
         return {error_code::refused, message};
-    return {error_code::unavailable, message};
+    if (answer.status == status_service_unavailable || answer.status == status_too_many_requests)
+        return {error_code::unavailable, message};
+    return {error_code::interrupted, message}; // it may have taken effect
 }
 
 bool succeeded(const http::response &answer)
