--- a/libraries/base/settings_reader.cpp
+++ b/libraries/base/settings_reader.cpp
@@ -1,5 +1,7 @@
 #include "base/settings_reader.h"
 
+#include "base/key_depth.h"
+
 #include <algorithm>
 #include <set>
 #include <sstream>
@@ -116,13 +118,22 @@
     text += ": ";
     if (!fault.path.empty())
         text += fault.path + ' ';
-    return text + fault.message;
+    text += fault.message;
+    // A name or value of the document may hold line breaks or terminal sequences.
+    std::replace_if(
+        text.begin(), text.end(),
+        [](char character) { return static_cast<unsigned char>(character) < ' ' || character == 0x7f; }, '?');
+    return text;
 }
 
 settings_reader settings_reader::parse(std::string_view text)
 {
     auto initial = std::make_unique<state>();
     initial->faults = std::make_shared<std::vector<settings_error>>();
+    if (const auto deepLine = findDeepKey(text)) {
+        initial->faults->push_back({"", *deepLine, "has a key of more than 32 parts"});
+        return settings_reader(std::move(initial));
+    }
     try {
         initial->document = std::make_shared<toml::table>(toml::parse(text));
         initial->table = initial->document.get();
@@ -288,6 +299,11 @@
     return m_state->table && m_state->table->contains(key);
 }
 
+bool settings_reader::isReadable() const
+{
+    return m_state->document != nullptr;
+}
+
 void settings_reader::fault(std::string_view key, std::string message)
 {
     const toml::node *node = m_state->table ? m_state->table->get(key) : nullptr;
--- a/libraries/base/settings_reader.h
+++ b/libraries/base/settings_reader.h
@@ -60,6 +60,9 @@
     /// True when the field stands in the table.
     bool has(std::string_view key) const;
 
+    /// False after a syntax error, when no field could be read.
+    bool isReadable() const;
+
     /// Adds a fault of the caller's own at a field of this table.
     void fault(std::string_view key, std::string message);
 
--- /dev/null
+++ b/libraries/base/tests/settings_reader_test.cpp
@@ -0,0 +1,55 @@
+#include "base/key_depth.h"
+#include "base/settings_reader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+
+TEST_CASE("a key of very many parts is a fault and does not exhaust the stack", "[settings]")
+{
+    std::string key = "a";
+    for (int part = 0; part < 400'000; ++part)
+        key += ".a";
+    for (const std::string &text : {key + " = 1", '[' + key + ']', "x = {" + key + " = 1}"}) {
+        const settings_reader root = settings_reader::parse(text);
+        REQUIRE_FALSE(root.isReadable());
+        REQUIRE(root.faults().size() == 1);
+        CHECK(root.faults().front().line == 1);
+    }
+}
+
+TEST_CASE("the deepest nesting that is let through is read and freed", "[settings]")
+{
+    std::string dotted = "a";
+    for (std::size_t part = 0; part < key_depth_limit; ++part)
+        dotted += ".a";
+    std::string text;
+    for (int line = 0; line < 120; ++line)
+        text += (line == 0 ? "" : "{") + dotted + " = [\n";
+    REQUIRE_FALSE(findDeepKey(text));
+    CHECK_FALSE(settings_reader::parse(text).isReadable()); // it is cut, so not TOML
+    std::string end;
+    for (int line = 0; line < 119; ++line)
+        end += "]}";
+    CHECK(settings_reader::parse(text + end + "]\n").isReadable());
+}
+
+TEST_CASE("dots inside strings and comments are no depth", "[settings]")
+{
+    const std::string dots(100, '.');
+    CHECK_FALSE(findDeepKey("a = \"" + dots + "\""));
+    CHECK_FALSE(findDeepKey("a = '" + dots + "'"));
+    CHECK_FALSE(findDeepKey("a = \"\\\"" + dots + "\""));
+    CHECK_FALSE(findDeepKey("# " + dots));
+    CHECK(findDeepKey("b = 1\na = '\"', " + dots) == 2u);
+    CHECK(findDeepKey("x\"\"\", " + dots) == 1u);
+}
+
+TEST_CASE("a message is one line whatever the text holds", "[settings]")
+{
+    settings_reader root = settings_reader::parse("kind = \"a\\nb\\u001b[2J\"");
+    root.choice("kind", {"model", "plain"});
+    REQUIRE(root.faults().size() == 1);
+    const std::string line = describe(root.faults().front(), "file.toml");
+    CHECK(line == "file.toml:1: kind is \"a?b?[2J\"; expected one of model, plain");
+}
--- a/libraries/configuration/document.cpp
+++ b/libraries/configuration/document.cpp
@@ -13,6 +13,23 @@
 constexpr std::int64_t most_concurrent_requests = 1'000'000;
 constexpr std::size_t digest_digits = 64;
 constexpr std::size_t name_limit = 64;
+constexpr std::size_t text_limit = 128;
+constexpr std::size_t most_services = 256;
+constexpr std::size_t most_classes = 32;
+constexpr std::size_t most_accounts = 10'000;
+constexpr std::size_t most_upstreams = 10'000;
+constexpr std::size_t most_operators = 1'000;
+
+/// What has to be unique in a document and was read so far.
+struct taken_names
+{
+    std::set<std::string> services;
+    std::set<std::string> accounts;
+    std::set<std::string> upstreams;
+    std::set<std::string> operators;
+    std::set<std::string> digests;
+    std::set<endpoint> addresses;
+};
 
 bool isName(std::string_view text)
 {
@@ -47,14 +64,37 @@
     return value;
 }
 
-std::string readDigest(settings_reader &table)
+/// Reads the digest of a key. Two holders of one key could not be told apart.
+std::string readDigest(settings_reader &table, std::set<std::string> &taken)
 {
     std::string value = table.requiredString("key_sha256");
     if (!value.empty() && !isDigest(value))
         table.fault("key_sha256", "is not a SHA-256 digest of 64 lower-case hexadecimal digits");
+    else if (!value.empty() && !taken.insert(value).second)
+        table.fault("key_sha256", "belongs to another account or operator too");
     return value;
 }
 
+/// A text that stands in messages and headers: no control characters.
+void checkText(settings_reader &table, std::string_view key, const std::string &value)
+{
+    const bool printable = std::none_of(value.begin(), value.end(), [](char character) {
+        return static_cast<unsigned char>(character) < ' ' || character == 0x7f;
+    });
+    if (!printable || value.size() > text_limit)
+        table.fault(key, "is too long or has control characters; expected at most 128 printable bytes");
+}
+
+std::vector<settings_reader> readTables(settings_reader &table, std::string_view key, std::size_t most)
+{
+    std::vector<settings_reader> found = table.tables(key);
+    if (found.size() <= most)
+        return found;
+    table.fault(key,
+                "has " + std::to_string(found.size()) + " entries; expected at most " + std::to_string(most));
+    return {};
+}
+
 duration readMilliseconds(settings_reader &table, std::string_view key)
 {
     return std::chrono::milliseconds(table.requiredInteger(key, 1, most_milliseconds));
@@ -64,7 +104,7 @@
 {
     std::vector<request_class> classes;
     std::set<std::string> names;
-    for (settings_reader &each : table.tables("classes")) {
+    for (settings_reader &each : readTables(table, "classes", most_classes)) {
         request_class result;
         result.name = readUniqueName(each, names);
         result.worth = each.optionalNumber("worth", 1.0, 0.0, most_money);
@@ -86,6 +126,8 @@
     if (result.kind == service_kind::model) {
         result.model = table.requiredString("model");
         result.modelVersion = table.optionalString("model_version", "1");
+        checkText(table, "model", result.model);
+        checkText(table, "model_version", result.modelVersion);
         result.firstTokenTarget = readMilliseconds(table, "first_token_ms");
         result.betweenTokensTarget = readMilliseconds(table, "between_tokens_ms");
     } else {
@@ -99,32 +141,49 @@
     return result;
 }
 
-client_account readAccount(settings_reader &table, std::set<std::string> &names,
-                           const std::set<std::string> &services)
+bool hasClass(const document &parsed, const std::string &wanted)
+{
+    return std::any_of(parsed.services.begin(), parsed.services.end(), [&](const service &each) {
+        return std::any_of(each.classes.begin(), each.classes.end(),
+                           [&](const request_class &one) { return one.name == wanted; });
+    });
+}
+
+std::vector<std::string> readServices(settings_reader &table, const std::set<std::string> &services)
+{
+    std::vector<std::string> result = table.optionalStrings("services");
+    std::set<std::string> seen;
+    for (const std::string &each : result) {
+        if (!seen.insert(each).second)
+            table.fault("services", "names \"" + each + "\" twice");
+        else if (!services.contains(each))
+            table.fault("services", "names \"" + each + "\", which is not a service of this document");
+    }
+    return result;
+}
+
+client_account readAccount(settings_reader &table, taken_names &taken, const document &parsed)
 {
     client_account result;
-    result.name = readUniqueName(table, names);
-    result.keySha256 = readDigest(table);
+    result.name = readUniqueName(table, taken.accounts);
+    result.keySha256 = readDigest(table, taken.digests);
     result.requestClass = table.optionalString("class", "");
+    if (!result.requestClass.empty() && !hasClass(parsed, result.requestClass))
+        table.fault("class", "is \"" + result.requestClass + "\", a class that no service has");
     result.requestsPerSecond = table.requiredNumber("requests_per_second", 0.0, most_requests_per_second);
     result.concurrentRequests = static_cast<std::uint32_t>(
         table.requiredInteger("concurrent_requests", 0, most_concurrent_requests));
-    result.services = table.optionalStrings("services");
-    for (const std::string &each : result.services) {
-        if (!services.contains(each))
-            table.fault("services", "names \"" + each + "\", which is not a service of this document");
-    }
+    result.services = readServices(table, taken.services);
     table.finish();
     return result;
 }
 
-upstream readUpstream(settings_reader &table, std::set<std::string> &names,
-                      const std::set<std::string> &services)
+upstream readUpstream(settings_reader &table, taken_names &taken)
 {
     upstream result;
-    result.name = readUniqueName(table, names);
+    result.name = readUniqueName(table, taken.upstreams);
     result.service = table.requiredString("service");
-    if (!result.service.empty() && !services.contains(result.service))
+    if (!result.service.empty() && !taken.services.contains(result.service))
         table.fault("service", "names \"" + result.service + "\", which is not a service of this document");
     const std::string address = table.requiredString("address");
     const outcome<endpoint> parsed = endpoint::parse(address);
@@ -132,29 +191,23 @@
         result.address = parsed.value();
     else if (!address.empty())
         table.fault("address", parsed.error().message);
+    if (parsed && !taken.addresses.insert(parsed.value()).second)
+        table.fault("address", "belongs to another upstream too");
     result.failureDomain = readName(table, "failure_domain");
     result.machineClass = table.optionalString("machine_class", "");
+    checkText(table, "machine_class", result.machineClass);
     result.pricePerHour = table.optionalNumber("price_per_hour", 0.0, 0.0, most_money);
     table.finish();
     return result;
 }
 
-void checkClasses(settings_reader &root, const document &parsed)
-{
-    for (const client_account &account : parsed.clientAccounts) {
-        if (account.requestClass.empty())
-            continue;
-        const bool known
-            = std::any_of(parsed.services.begin(), parsed.services.end(), [&](const service &each) {
-                  return std::any_of(each.classes.begin(), each.classes.end(), [&](const request_class &one) {
-                      return one.name == account.requestClass;
-                  });
-              });
-        if (!known)
-            root.fault("client_accounts",
-                       "of " + account.name + " name the class \"" + account.requestClass
-                           + "\", which no service has");
-    }
+operator_account readOperator(settings_reader &table, taken_names &taken)
+{
+    operator_account result;
+    result.name = readUniqueName(table, taken.operators);
+    result.keySha256 = readDigest(table, taken.digests);
+    table.finish();
+    return result;
 }
 
 } // namespace
@@ -184,33 +237,27 @@
 
 parsed_document parseDocument(std::string_view text)
 {
+    if (text.size() > document_limit)
+        return std::vector<settings_error>{
+            {"", 0, "has " + std::to_string(text.size()) + " bytes; expected at most 1048576"}};
     settings_reader root = settings_reader::parse(text);
     document parsed;
-    std::set<std::string> serviceNames;
-    std::set<std::string> accountNames;
-    std::set<std::string> upstreamNames;
-    std::set<std::string> operatorNames;
+    taken_names taken;
 
     settings_reader deployment = root.table("deployment");
     parsed.deployment = readName(deployment, "name");
     deployment.finish();
-    for (settings_reader &each : root.tables("services"))
-        parsed.services.push_back(readService(each, serviceNames));
-    for (settings_reader &each : root.tables("client_accounts"))
-        parsed.clientAccounts.push_back(readAccount(each, accountNames, serviceNames));
-    for (settings_reader &each : root.tables("upstreams"))
-        parsed.upstreams.push_back(readUpstream(each, upstreamNames, serviceNames));
-    for (settings_reader &each : root.tables("operators")) {
-        operator_account result;
-        result.name = readUniqueName(each, operatorNames);
-        result.keySha256 = readDigest(each);
-        each.finish();
-        parsed.operators.push_back(std::move(result));
-    }
+    for (settings_reader &each : readTables(root, "services", most_services))
+        parsed.services.push_back(readService(each, taken.services));
+    for (settings_reader &each : readTables(root, "client_accounts", most_accounts))
+        parsed.clientAccounts.push_back(readAccount(each, taken, parsed));
+    for (settings_reader &each : readTables(root, "upstreams", most_upstreams))
+        parsed.upstreams.push_back(readUpstream(each, taken));
+    for (settings_reader &each : readTables(root, "operators", most_operators))
+        parsed.operators.push_back(readOperator(each, taken));
     root.finish();
-    if (!root.has("deployment") && root.faults().empty())
+    if (!root.has("deployment") && root.isReadable())
         root.fault("deployment", "is missing; expected a table");
-    checkClasses(root, parsed);
 
     std::vector<settings_error> faults = root.faults();
     if (!faults.empty())
--- a/libraries/configuration/document.h
+++ b/libraries/configuration/document.h
@@ -101,6 +101,9 @@
     request_class classOf(const client_account &account, const service &of) const;
 };
 
+/// Longest text of a document, in bytes.
+inline constexpr std::size_t document_limit = std::size_t{1024} * 1024;
+
 /// A document, or every fault of it.
 using parsed_document = std::variant<document, std::vector<settings_error>>;
 
