--- a/libraries/entry/entry_directory.cpp
+++ b/libraries/entry/entry_directory.cpp
@@ -14,8 +14,22 @@
 /// Addresses given in one answer.
 constexpr std::size_t address_limit = 3;
 
-/// The epoch of the tickets that are handed out now.
-constexpr std::uint64_t current_epoch = 1;
+/// The epoch of a home that has published none yet.
+constexpr std::uint64_t first_epoch = 1;
+
+std::string epochFact(membership::incarnation home)
+{
+    return "epoch/" + toHex(home);
+}
+
+/// Sorts members by their rendezvous weight for a key, the greatest first.
+void sortByWeight(std::vector<membership::member> &members, const std::string &key)
+{
+    std::sort(members.begin(), members.end(),
+              [&](const membership::member &left, const membership::member &right) {
+                  return rendezvousWeight(key, left.name) > rendezvousWeight(key, right.name);
+              });
+}
 
 std::vector<membership::member> takingWork(const std::vector<membership::member> &members)
 {
@@ -27,34 +41,81 @@
 
 } // namespace
 
-entry_directory::entry_directory(const membership::membership_view &members, secret_key fleetKey)
+entry_directory::entry_directory(membership::membership_view &members, secret_key fleetKey)
     : m_members(members)
     , m_fleetKey(fleetKey)
 {
 }
 
-entry_answer entry_directory::look(const std::string &key) const
+entry_answer entry_directory::look(const std::string &account, const std::string &conversation,
+                                   std::uint64_t salt) const
 {
     std::vector<membership::member> members = takingWork(m_members.members());
-    std::sort(members.begin(), members.end(),
-              [&](const membership::member &left, const membership::member &right) {
-                  return rendezvousWeight(key, left.name) > rendezvousWeight(key, right.name);
-              });
+    const std::string spread = conversation.empty() ? '/' + toHex(salt) : std::string();
+    sortByWeight(members, account + '/' + conversation + spread);
     entry_answer answer;
     answer.keepFor = keep_for;
     for (const membership::member &each : members) {
         if (answer.addresses.size() == address_limit)
             break;
-        const ticket prefix{each.id, witnessFor(each, members), current_epoch, ""};
+        const ticket prefix{each.id, witnessFor(each, members), epochOf(each.id), ""};
         answer.addresses.push_back({each.address, prefix.prefix(m_fleetKey)});
     }
     return answer;
 }
 
+std::vector<membership::incarnation> entry_directory::successors(const std::string &account,
+                                                                 const std::string &conversation,
+                                                                 const std::string &requestKey) const
+{
+    if (conversation.empty())
+        return otherDomainsFirst(requestKey);
+    std::vector<membership::member> members = takingWork(m_members.members());
+    sortByWeight(members, account + '/' + conversation);
+    std::vector<membership::incarnation> result;
+    for (const membership::member &each : members) {
+        if (each.id != m_members.self().id)
+            result.push_back(each.id);
+    }
+    return result;
+}
+
+std::vector<membership::incarnation> entry_directory::witnessSuccessors() const
+{
+    return otherDomainsFirst("witness");
+}
+
+std::vector<membership::incarnation> entry_directory::otherDomainsFirst(const std::string &key) const
+{
+    const membership::member self = m_members.self();
+    std::vector<membership::member> members = takingWork(m_members.members());
+    sortByWeight(members, key + '/' + self.name);
+    std::stable_partition(members.begin(), members.end(), [&](const membership::member &each) {
+        return each.failureDomain != self.failureDomain;
+    });
+    std::vector<membership::incarnation> result;
+    for (const membership::member &each : members) {
+        if (each.id != self.id)
+            result.push_back(each.id);
+    }
+    return result;
+}
+
+void entry_directory::publishEpoch(std::uint64_t epoch)
+{
+    m_members.publish({epochFact(m_members.self().id), epoch, ""});
+}
+
+std::uint64_t entry_directory::epochOf(membership::incarnation home) const
+{
+    const auto published = m_members.findFact(epochFact(home));
+    return published ? published->version : first_epoch;
+}
+
 ticket entry_directory::ownTicket(const std::string &callerPart) const
 {
     const membership::member self = m_members.self();
-    return {self.id, witnessFor(self, takingWork(m_members.members())), current_epoch, callerPart};
+    return {self.id, witnessFor(self, takingWork(m_members.members())), epochOf(self.id), callerPart};
 }
 
 membership::incarnation entry_directory::witnessFor(const membership::member &home,
--- a/libraries/entry/entry_directory.h
+++ b/libraries/entry/entry_directory.h
@@ -32,11 +32,25 @@
 class entry_directory
 {
 public:
-    entry_directory(const membership::membership_view &members, secret_key fleetKey);
+    entry_directory(membership::membership_view &members, secret_key fleetKey);
 
-    /// The addresses for a key, in rendezvous order; nodes that leave are left out. Requests with the same
-    /// key get the same first address as long as the members do not change.
-    entry_answer look(const std::string &key) const;
+    /// The addresses for a conversation of an account, in rendezvous order; nodes that leave are left out.
+    /// Requests of one conversation get the same first address as long as the members do not change; with an
+    /// empty conversation they are spread by `salt`.
+    entry_answer look(const std::string &account, const std::string &conversation, std::uint64_t salt) const;
+
+    /// The nodes that may take over a request of this node, the best first: for a conversation those that
+    /// look() names for it, so that later requests of it meet it there; else other failure domains first,
+    /// spread by the request's key.
+    std::vector<membership::incarnation> successors(const std::string &account,
+                                                    const std::string &conversation,
+                                                    const std::string &requestKey) const;
+
+    /// The nodes that may speak for this node as a witness when it leaves, the best first.
+    std::vector<membership::incarnation> witnessSuccessors() const;
+
+    /// Sets the epoch of the tickets that name this node as home, and tells the other nodes.
+    void publishEpoch(std::uint64_t epoch);
 
     /// A new ticket whose home is this node.
     ticket ownTicket(const std::string &callerPart) const;
@@ -46,7 +60,10 @@
     membership::incarnation witnessFor(const membership::member &home,
                                        const std::vector<membership::member> &members) const;
 
-    const membership::membership_view &m_members;
+    std::uint64_t epochOf(membership::incarnation home) const;
+    std::vector<membership::incarnation> otherDomainsFirst(const std::string &key) const;
+
+    membership::membership_view &m_members;
     secret_key m_fleetKey;
 };
 
--- a/libraries/gateway/answer_writer.cpp
+++ b/libraries/gateway/answer_writer.cpp
@@ -38,11 +38,27 @@
     return json;
 }
 
+std::string locationAt(const std::string &address, const std::string &requestId)
+{
+    return "http://" + address + "/v1/requests/" + requestId;
+}
+
 } // namespace
 
-http::response outcomeResponse(const std::string &requestId, const requests::final_answer &answer)
+std::string movedEvent(const std::string &address, const std::string &requestId)
+{
+    Json::Value json(Json::objectValue);
+    json["location"] = locationAt(address, requestId);
+    return "event: moved\ndata: " + writeJson(json) + "\n\n";
+}
+
+http::response outcomeResponse(const std::string &requestId, const requests::final_answer &answer,
+                               const std::vector<std::string> &alternatives)
 {
-    http::response result = http::jsonResponse(answer.status, writeJson(outcomeJson(requestId, answer)));
+    Json::Value json = outcomeJson(requestId, answer);
+    for (const std::string &each : alternatives)
+        json["addresses"].append(each);
+    http::response result = http::jsonResponse(answer.status, writeJson(json));
     result.headers["Ivypier-Request"] = requestId;
     result.headers["Ivypier-Outcome"] = requests::name(answer.outcome);
     if (answer.outcome == requests::request_outcome::not_run)
@@ -50,10 +66,12 @@
     return result;
 }
 
-answer_writer::answer_writer(answer_form form, std::string requestId, std::shared_ptr<http::responder> caller)
+answer_writer::answer_writer(answer_form form, std::string requestId, std::shared_ptr<http::responder> caller,
+                             std::vector<std::string> alternatives)
     : m_form(form)
     , m_requestId(std::move(requestId))
     , m_caller(std::move(caller))
+    , m_alternatives(std::move(alternatives))
 {
 }
 
@@ -82,7 +100,9 @@
         return;
     }
     if (answer.outcome != requests::request_outcome::answered || !answer.cause.empty()) {
-        m_caller->respond(outcomeResponse(m_requestId, answer));
+        const bool leaving = answer.cause == "leaving";
+        m_caller->respond(
+            outcomeResponse(m_requestId, answer, leaving ? m_alternatives : std::vector<std::string>()));
         return;
     }
     m_caller->respond(wholeResponse(answer));
@@ -90,16 +110,13 @@
 
 void answer_writer::onMoved(const std::string &address)
 {
-    const std::string location = "http://" + address + "/v1/requests/" + m_requestId;
     if (m_begun) {
-        Json::Value json(Json::objectValue);
-        json["location"] = location;
-        m_caller->write("event: moved\ndata: " + writeJson(json) + "\n\n");
+        m_caller->write(movedEvent(address, m_requestId));
         m_caller->finish();
         return;
     }
     http::response answer = http::jsonResponse(status_see_other, R"({"outcome":"moved"})");
-    answer.headers["Location"] = location;
+    answer.headers["Location"] = locationAt(address, m_requestId);
     answer.headers["Ivypier-Request"] = m_requestId;
     m_caller->respond(std::move(answer));
 }
--- a/libraries/gateway/answer_writer.h
+++ b/libraries/gateway/answer_writer.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace ivypier::gateway {
 
@@ -17,13 +18,19 @@
 };
 
 /// An outcome without an answer, or a refusal, as a response.
-http::response outcomeResponse(const std::string &requestId, const requests::final_answer &answer);
+/// `alternatives` are addresses that the caller may use instead.
+http::response outcomeResponse(const std::string &requestId, const requests::final_answer &answer,
+                               const std::vector<std::string> &alternatives = {});
+
+/// The event that sends a streaming caller to the node that goes on with its request.
+std::string movedEvent(const std::string &address, const std::string &requestId);
 
 /// Writes a request's answer to its caller.
 class answer_writer final : public requests::answer_listener
 {
 public:
-    answer_writer(answer_form form, std::string requestId, std::shared_ptr<http::responder> caller);
+    answer_writer(answer_form form, std::string requestId, std::shared_ptr<http::responder> caller,
+                  std::vector<std::string> alternatives = {});
 
     void onPiece(std::uint64_t offset, const std::string &text) override;
     void onFinal(const requests::final_answer &answer) override;
@@ -37,6 +44,7 @@
     answer_form m_form;
     std::string m_requestId;
     std::shared_ptr<http::responder> m_caller;
+    std::vector<std::string> m_alternatives;
     std::string m_text;
     bool m_begun = false;
 };
--- a/libraries/gateway/caller_api.h
+++ b/libraries/gateway/caller_api.h
@@ -6,13 +6,17 @@
 #include "entry/entry_directory.h"
 #include "gateway/answer_writer.h"
 #include "gateway/forwarder.h"
+#include "gateway/request_reader.h"
 #include "http/server.h"
 #include "membership/membership_view.h"
+#include "requests/idempotency_claims.h"
 #include "requests/peer_channel.h"
 #include "requests/request_service.h"
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace ivypier::gateway {
 
@@ -26,6 +30,7 @@
     requests::request_service &requests;
     requests::peer_channel &peers;
     forwarder &forwards;
+    requests::idempotency_claims &claims;
     secret_key fleetKey;
 };
 
@@ -47,14 +52,28 @@
                 const caller_pointer &caller);
     void run(const http::request &incoming, const configuration::client_account &account,
              const caller_pointer &caller);
+    void claimKey(const http::request &incoming, read_request read, const caller_pointer &caller);
     void route(const http::request &incoming, requests::incoming_request request, answer_form form,
                const caller_pointer &caller);
     void submitHere(requests::incoming_request request, answer_form form, std::uint64_t from,
                     const caller_pointer &caller);
-    void homeIsSilent(const requests::incoming_request &request, answer_form form,
-                      const caller_pointer &caller);
-    void answerVerdict(const requests::incoming_request &request, answer_form form,
-                       const outcome<requests::witness_verdict> &verdict, const caller_pointer &caller);
+    bool follow(const std::string &key, answer_form form, const std::string &idText, std::uint64_t from,
+                const caller_pointer &caller);
+    void detachWhenClosed(const std::string &key, const std::shared_ptr<answer_writer> &writer,
+                          const caller_pointer &caller);
+    void homeIsSilent(const http::request &incoming, const requests::incoming_request &request,
+                      answer_form form, const caller_pointer &caller);
+    void runAsOwn(requests::incoming_request request, answer_form form, const caller_pointer &caller);
+    void answerVerdict(const http::request &incoming, const requests::incoming_request &request,
+                       answer_form form, const outcome<requests::witness_verdict> &verdict,
+                       const caller_pointer &caller);
+    void askHolderAndGo(const http::request &incoming, const requests::request_name &request,
+                        const caller_pointer &caller, const std::function<void()> &otherwise);
+    void goToHolder(const http::request &incoming, membership::incarnation holder,
+                    membership::incarnation home, const caller_pointer &caller,
+                    const std::function<void()> &otherwise);
+    bool mayForward(const http::request &incoming, membership::incarnation node) const;
+    std::vector<std::string> alternatives() const;
 
     caller_api_parts m_parts;
 };
--- a/libraries/gateway/forwarder.h
+++ b/libraries/gateway/forwarder.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "base/scheduler.h"
-#include "http/client.h"
+#include "base/clock.h"
+#include "base/endpoint.h"
+#include "base/error.h"
 #include "http/server.h"
 
 #include <functional>
@@ -9,25 +10,29 @@
 
 namespace ivypier::gateway {
 
-/// Marks a request that another node forwarded, so that it is not forwarded again.
+/// Says how many nodes forwarded a request already, in hexadecimal digits.
 inline constexpr const char *forwarded_header = "Ivypier-Forwarded";
 
-/// Passes a request on to the node that is its home, and the answer back, piece by piece.
+/// Passes a request on to the node that has it, and the answer back, piece by piece.
 class forwarder
 {
 public:
-    /// The home gave no answer at all; `incoming` is the request again.
+    /// The node gave no answer at all; `incoming` is the request again.
     using silence = std::function<void(const http::request &incoming, const error &failure)>;
 
-    forwarder(scheduler &tasks, std::shared_ptr<http::client> transport);
+    virtual ~forwarder() = default;
 
-    /// `onSilence` runs as a task of the scheduler, unless the home began to answer.
-    void forward(const endpoint &home, const http::request &incoming, std::shared_ptr<http::responder> caller,
-                 duration patience, silence onSilence);
+    /// `incoming` goes on as it is. `onSilence` runs as a task of the scheduler, unless the node began to
+    /// answer.
+    virtual void forward(const endpoint &node, const http::request &incoming,
+                         std::shared_ptr<http::responder> caller, duration patience, silence onSilence)
+        = 0;
 
-private:
-    scheduler &m_tasks;
-    std::shared_ptr<http::client> m_transport;
+    /// Sends every caller whose answer passes through here to the node that has the request: this node stops.
+    virtual void redirectAll() = 0;
+
+    /// Answers that pass through here now.
+    virtual std::size_t active() const = 0;
 };
 
 } // namespace ivypier::gateway
--- /dev/null
+++ b/libraries/gateway/http_forwarder.cpp
@@ -0,0 +1,167 @@
+#include "gateway/http_forwarder.h"
+
+#include "gateway/answer_writer.h"
+
+#include <mutex>
+
+namespace ivypier::gateway {
+
+namespace {
+
+constexpr std::string_view requests_path = "/v1/requests/";
+constexpr std::string_view event_end = "\n\n";
+
+std::string idOf(const http::request &incoming)
+{
+    return incoming.path.starts_with(requests_path) ? incoming.path.substr(requests_path.size())
+                                                    : incoming.header("Ivypier-Request");
+}
+
+} // namespace
+
+/// Copies a node's answer to the caller.
+class http_forwarder::forwarded_answer final : public http::stream_observer
+{
+public:
+    forwarded_answer(scheduler &tasks, endpoint node, http::request incoming,
+                     std::shared_ptr<http::responder> caller, silence onSilence)
+        : m_tasks(tasks)
+        , m_node(std::move(node))
+        , m_incoming(std::move(incoming))
+        , m_onSilence(std::move(onSilence))
+        , m_caller(std::move(caller))
+    {
+    }
+
+    void onBegin(int status, const http::header_map &headers) override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_caller)
+            return;
+        m_begun = true;
+        http::header_map kept = headers;
+        kept.erase("Transfer-Encoding");
+        kept.erase("Content-Length");
+        kept.erase("Connection");
+        const auto type = headers.find(std::string_view("Content-Type"));
+        m_isEventStream = type != headers.end() && type->second.starts_with("text/event-stream");
+        m_caller->begin(status, std::move(kept));
+    }
+
+    void onData(std::string piece) override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_caller)
+            return;
+        m_tail = (m_tail + piece)
+                     .substr(std::max(m_tail.size() + piece.size(), event_end.size()) - event_end.size());
+        m_caller->write(std::move(piece));
+        redirectAtBoundary();
+    }
+
+    void onEnd() override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_caller)
+            m_caller->finish();
+        m_caller.reset();
+    }
+
+    void onFailed(const error &failure) override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_caller)
+            return;
+        const bool begun = m_begun;
+        m_caller.reset(); // after a beginning this cuts the connection: no part is taken for the whole
+        if (!begun)
+            m_tasks.post(
+                [onSilence = m_onSilence, incoming = m_incoming, failure] { onSilence(incoming, failure); });
+    }
+
+    /// Sends the caller on as soon as what it has is a number of whole events.
+    void redirect()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_redirecting = true;
+        if (!m_caller || idOf(m_incoming).empty())
+            return;
+        if (!m_begun) {
+            answer_writer(answer_form::plain, idOf(m_incoming), m_caller).onMoved(m_node.text());
+            m_caller.reset();
+            return;
+        }
+        redirectAtBoundary();
+    }
+
+    bool isActive() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_caller != nullptr;
+    }
+
+private:
+    void redirectAtBoundary()
+    {
+        const bool atBoundary = m_tail.empty() || m_tail == event_end;
+        if (!m_redirecting || !m_isEventStream || !atBoundary)
+            return;
+        m_caller->write(movedEvent(m_node.text(), idOf(m_incoming)));
+        m_caller->finish();
+        m_caller.reset();
+    }
+
+    scheduler &m_tasks;
+    endpoint m_node;
+    http::request m_incoming;
+    silence m_onSilence;
+    mutable std::mutex m_mutex;
+    std::shared_ptr<http::responder> m_caller; ///< null: ended
+    std::string m_tail; ///< the last bytes written
+    bool m_begun = false;
+    bool m_isEventStream = false;
+    bool m_redirecting = false;
+};
+
+http_forwarder::http_forwarder(scheduler &tasks, std::shared_ptr<http::client> transport)
+    : m_tasks(tasks)
+    , m_transport(std::move(transport))
+{
+}
+
+void http_forwarder::forward(const endpoint &node, const http::request &incoming,
+                             std::shared_ptr<http::responder> caller, duration patience, silence onSilence)
+{
+    const auto answer = std::make_shared<forwarded_answer>(m_tasks, node, incoming, std::move(caller),
+                                                           std::move(onSilence));
+    forgetEnded();
+    m_answers.push_back(answer);
+    m_transport->stream(node, incoming, {patience, http::repeatability::repeatable}, answer);
+}
+
+void http_forwarder::redirectAll()
+{
+    for (const std::weak_ptr<forwarded_answer> &each : m_answers) {
+        const std::shared_ptr<forwarded_answer> answer = each.lock();
+        if (answer)
+            answer->redirect();
+    }
+}
+
+std::size_t http_forwarder::active() const
+{
+    std::size_t count = 0;
+    for (const std::weak_ptr<forwarded_answer> &each : m_answers) {
+        const std::shared_ptr<forwarded_answer> answer = each.lock();
+        if (answer && answer->isActive())
+            ++count;
+    }
+    return count;
+}
+
+void http_forwarder::forgetEnded()
+{
+    std::erase_if(m_answers, [](const std::weak_ptr<forwarded_answer> &each) { return each.expired(); });
+}
+
+} // namespace ivypier::gateway
--- /dev/null
+++ b/libraries/gateway/http_forwarder.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/scheduler.h"
+#include "gateway/forwarder.h"
+#include "http/client.h"
+
+#include <memory>
+#include <vector>
+
+namespace ivypier::gateway {
+
+/// Forwards over HTTP.
+class http_forwarder final : public forwarder
+{
+public:
+    http_forwarder(scheduler &tasks, std::shared_ptr<http::client> transport);
+
+    void forward(const endpoint &node, const http::request &incoming, std::shared_ptr<http::responder> caller,
+                 duration patience, silence onSilence) override;
+    void redirectAll() override;
+    std::size_t active() const override;
+
+private:
+    class forwarded_answer;
+
+    void forgetEnded();
+
+    scheduler &m_tasks;
+    std::shared_ptr<http::client> m_transport;
+    std::vector<std::weak_ptr<forwarded_answer>> m_answers;
+};
+
+} // namespace ivypier::gateway
--- a/libraries/membership/membership_view.h
+++ b/libraries/membership/membership_view.h
@@ -13,6 +13,7 @@
 
 /// A small versioned value that every node learns: the newest version of a key wins everywhere. Keys in use:
 /// `configuration` (the newest head), `leaving/<upstream address>`, `witness/<incarnation>` (its successor),
+/// `epoch/<incarnation>` (the version is the epoch of its tickets),
 /// `share/<account>/<node>` (limit shares).
 struct fact
 {
--- /dev/null
+++ b/libraries/requests/conversation_queue.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace ivypier::requests {
+
+/// Lets the requests of one conversation go one after another, in the order received. Requests that another
+/// node handed over go before those received here.
+class conversation_queue
+{
+public:
+    /// Adds a request received here; true when it may go at once.
+    bool enter(const std::string &conversation, const std::string &request);
+
+    /// Adds a request that was handed over; true when it may go at once.
+    bool enterHanded(const std::string &conversation, const std::string &request);
+
+    /// Takes a request out; gives the next one when that may go now.
+    std::optional<std::string> leave(const std::string &conversation, const std::string &request);
+
+    /// Keeps the requests received here back until release(), while another node still has earlier ones.
+    void hold(const std::string &conversation);
+
+    /// Gives the request that may go now, if any waited for this.
+    std::optional<std::string> release(const std::string &conversation);
+
+    /// True while the conversation has requests here.
+    bool contains(const std::string &conversation) const;
+
+    /// True when a request is the first of its conversation.
+    bool isFirst(const std::string &conversation, const std::string &request) const;
+
+private:
+    struct waiting_line
+    {
+        std::deque<std::string> requests;
+        std::size_t handed = 0; ///< the first of them, that were handed over
+        bool held = false;
+    };
+
+    std::map<std::string, waiting_line> m_lines;
+};
+
+} // namespace ivypier::requests
--- a/libraries/requests/dispatch_right.cpp
+++ b/libraries/requests/dispatch_right.cpp
@@ -4,19 +4,27 @@
 
 namespace ivypier::requests {
 
-dispatch_right::dispatch_right(std::string request, incarnation self, incarnation previous)
+dispatch_right::dispatch_right(request_name request, incarnation self, std::vector<incarnation> previous)
     : m_request(std::move(request))
     , m_self(self)
-    , m_previous(previous)
+    , m_previous(std::move(previous))
 {
 }
 
+dispatch_right dispatch_right::ofDispatched(request_name request, incarnation self,
+                                            std::vector<incarnation> previous)
+{
+    dispatch_right right(std::move(request), self, std::move(previous));
+    right.m_phase = right_phase::granted;
+    return right;
+}
+
 right_phase dispatch_right::phase() const
 {
     return m_phase;
 }
 
-incarnation dispatch_right::previous() const
+const std::vector<incarnation> &dispatch_right::previous() const
 {
     return m_previous;
 }
@@ -26,7 +34,11 @@
     if (m_phase != right_phase::idle && m_phase != right_phase::asked)
         return std::nullopt;
     m_phase = right_phase::asked;
-    return dispatch_intent{m_request, m_self, m_previous};
+#ifdef IVYPIER_MUTANT_WITNESS_GRANT
+    m_phase = right_phase::granted;
+    return std::nullopt;
+#endif
+    return intent();
 }
 
 bool dispatch_right::takeGrant(incarnation holder)
@@ -57,7 +69,12 @@
 
 bool dispatch_right::closedMeansNotRun() const
 {
-    return m_phase == right_phase::closed && m_previous == 0;
+    return m_phase == right_phase::closed && m_previous.empty();
+}
+
+dispatch_intent dispatch_right::intent() const
+{
+    return {m_request, m_self, m_previous, 0};
 }
 
 } // namespace ivypier::requests
--- a/libraries/requests/dispatch_right.h
+++ b/libraries/requests/dispatch_right.h
@@ -1,21 +1,20 @@
 #pragma once
 
-#include "membership/member.h"
+#include "requests/request_name.h"
 
 #include <compare>
 #include <optional>
-#include <string>
+#include <vector>
 
 namespace ivypier::requests {
 
-using membership::incarnation;
-
 /// Asks the witness for the right to dispatch a request.
 struct dispatch_intent
 {
-    std::string request; ///< the ticket's key, with the client account
+    request_name request;
     incarnation holder = 0; ///< who asks
-    incarnation previous = 0; ///< who handed the request over; 0: the holder is the home
+    std::vector<incarnation> previous; ///< who held the request before, the home first; empty: the home asks
+    std::uint64_t forgottenBelow = 0; ///< the home starts nothing of its epochs under this one any more
 
     auto operator<=>(const dispatch_intent &) const = default;
 };
@@ -26,7 +25,7 @@
     asked, ///< sent the intent, and may have been granted
     granted, ///< dispatches; stays so for good
     closed, ///< will never dispatch
-    frozen, ///< handed over; will never dispatch
+    frozen, ///< being handed over; will never dispatch
 };
 
 /// One node's side of the at-most-once rule for one request. Every transition is a step of the protocol in
@@ -34,11 +33,17 @@
 class dispatch_right
 {
 public:
-    /// The right of the home (`previous` 0) or of the successor to whom `previous` handed the request over.
-    dispatch_right(std::string request, incarnation self, incarnation previous);
+    /// The right of the home (`previous` empty) or of the last successor in a chain of handovers.
+    dispatch_right(request_name request, incarnation self, std::vector<incarnation> previous);
+
+    /// The right of a successor to a request that was dispatched before the handover.
+    static dispatch_right ofDispatched(request_name request, incarnation self,
+                                       std::vector<incarnation> previous);
 
     right_phase phase() const;
-    incarnation previous() const;
+
+    /// The nodes that held the request before this one.
+    const std::vector<incarnation> &previous() const;
 
     /// The intent to send, also again after a lost answer; nothing once the right is granted, closed or
     /// frozen.
@@ -50,16 +55,22 @@
     /// Gives up for good; false when it is too late, because the request was dispatched or handed over.
     bool close();
 
-    /// Gives the request up to a successor; false when it is too late.
+    /// Stops this node from dispatching, before the request is offered to a successor; false when it is too
+    /// late. Offering it again, also to another successor, is allowed.
     bool freeze();
 
-    /// True when `not_run` is true of a closed request: nobody else ever held it.
+    /// True when `not_run` is true of a closed request without the witness's word: nobody else ever held it.
     bool closedMeansNotRun() const;
 
+    /// This node as the witness is to know it, whatever the phase.
+    dispatch_intent intent() const;
+
+    auto operator<=>(const dispatch_right &) const = default;
+
 private:
-    std::string m_request;
+    request_name m_request;
     incarnation m_self;
-    incarnation m_previous;
+    std::vector<incarnation> m_previous;
     right_phase m_phase = right_phase::idle;
 };
 
--- /dev/null
+++ b/libraries/requests/handed_request.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "requests/incoming_request.h"
+#include "routing/router.h"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ivypier::requests {
+
+/// A stream that runs at an engine and that another node can take over.
+struct running_stream
+{
+    routing::candidate target;
+    std::string stream; ///< the engine's name for it
+
+    auto operator<=>(const running_stream &) const = default;
+};
+
+/// All that a successor needs to go on with a request.
+struct handed_request
+{
+    incoming_request request; ///< its timeout is what remains of it
+    std::vector<incarnation> previous; ///< who held it, the home first, the sender last
+    bool dispatched = false; ///< an upstream has had it; one that may not be repeated is not dispatched again
+    bool mayHaveRun = false; ///< an attempt ended without word whether it ran
+    unsigned attempts = 0;
+    std::optional<running_stream> running;
+    std::vector<std::string> pieces; ///< of the answer so far
+    std::vector<endpoint> excluded; ///< upstreams that failed it
+
+    auto operator<=>(const handed_request &) const = default;
+};
+
+} // namespace ivypier::requests
--- a/libraries/requests/incoming_request.h
+++ b/libraries/requests/incoming_request.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "configuration/document.h"
 #include "entry/ticket.h"
+#include "requests/request_name.h"
 
 #include <compare>
 #include <cstdint>
@@ -35,6 +36,12 @@
     {
         return account + '/' + id.key();
     }
+
+    /// The same with what its ticket says.
+    request_name name() const
+    {
+        return {key(), id.home, id.witness, id.epoch};
+    }
 };
 
 } // namespace ivypier::requests
--- a/libraries/requests/request_service.cpp
+++ b/libraries/requests/request_service.cpp
@@ -16,12 +16,16 @@
 constexpr int status_service_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
-/// How long a finished answer can be picked up again.
-constexpr duration answer_kept_for = std::chrono::seconds(60);
-
 /// When a caller whose request could not get its grant or upstream may come back.
 constexpr duration short_retry_after = std::chrono::seconds(1);
 
+/// A witness that is silent, or that passes its records on, is asked again.
+constexpr unsigned grant_tries = 8;
+constexpr duration grant_pause = std::chrono::milliseconds(150);
+
+/// How often a leaving node is asked whether it still has a conversation.
+constexpr duration conversation_pause = std::chrono::milliseconds(50);
+
 int statusOf(admission::refusal_cause cause)
 {
     const bool overLimit
@@ -29,52 +33,21 @@
     return overLimit ? status_too_many_requests : status_service_unavailable;
 }
 
-std::string conversationKey(const incoming_request &request)
+std::string conversationOf(const request_record &record)
 {
-    return request.account + '/' + request.conversation;
+    return record.request.account + '/' + record.request.conversation;
 }
 
 } // namespace
 
-/// Passes an engine's events on, with the attempt they belong to.
-class request_service::attempt_observer final : public upstream::generation_observer
-{
-public:
-    attempt_observer(request_service &owner, record_pointer record, std::string attempt)
-        : m_owner(owner)
-        , m_record(std::move(record))
-        , m_attempt(std::move(attempt))
-    {
-    }
-
-    void onStarted(const std::string &stream) override
-    {
-        m_owner.attemptStarted(m_record, m_attempt, stream);
-    }
-
-    void onToken(std::uint64_t index, const std::string &text) override
-    {
-        m_owner.attemptPiece(m_record, m_attempt, index, text);
-    }
-
-    void onFinished(const upstream::token_usage &usage) override
-    {
-        m_owner.attemptFinished(m_record, m_attempt, usage);
-    }
-
-    void onFailed(const error &failure) override
-    {
-        m_owner.attemptFailed(m_record, m_attempt, failure);
-    }
-
-private:
-    request_service &m_owner;
-    record_pointer m_record;
-    std::string m_attempt;
-};
-
 request_service::request_service(request_service_parts parts)
     : m_parts(parts)
+    , m_self(parts.members.self().id)
+    , m_table(parts.tasks, m_self, parts.limits)
+    , m_attempts({parts.tasks, parts.metrics, parts.router, parts.retries, parts.engines, parts.services,
+                  *this, m_self})
+    , m_handover(
+          {parts.tasks, parts.metrics, m_table, m_conversations, m_attempts, parts.peers, *this, m_self})
 {
 }
 
@@ -86,45 +59,134 @@
     const std::string key = request.key();
     if (attach(key, from, listener))
         return;
-    auto record = std::make_shared<request_record>(std::move(request), dispatch_right(key, m_parts.self, 0),
-                                                   m_parts.tasks.now());
+    const id_standing standing = m_table.standing(request.name());
+    if (standing != id_standing::fresh) {
+        refuseUnknownId(request, standing, listener);
+        return;
+    }
+    dispatch_right right(request.name(), m_self, {});
+    const record_pointer record = create(std::move(request), std::move(right));
     addListener(*record, from, std::move(listener));
-    m_records.emplace(key, record);
-    ++m_unfinished;
     if (!m_accepting) {
-        refuse(record, {admission::refusal_cause::leaving, duration::zero()});
+        refuse(record, {admission::refusal_cause::leaving, short_retry_after});
         return;
     }
     accept(record);
 }
 
+record_pointer request_service::create(incoming_request request, dispatch_right right)
+{
+    auto record = std::make_shared<request_record>(std::move(request), std::move(right), m_parts.tasks.now());
+    m_table.add(record);
+    return record;
+}
+
+void request_service::refuseUnknownId(const incoming_request &request, id_standing standing,
+                                      const std::shared_ptr<answer_listener> &listener) const
+{
+    // An expired ticket's id is still known when it ran, so this one did not run.
+    const bool expired = standing == id_standing::expired;
+    final_answer answer{.outcome = expired ? request_outcome::not_run : request_outcome::unknown,
+                        .status = status_gone,
+                        .cause = expired ? "ticket_expired" : "id_forgotten"};
+    log_event(log_level::info, "request.old_ticket")
+        .with("request", request.key())
+        .with("cause", answer.cause)
+        .write();
+    listener->onFinal(answer);
+}
+
 bool request_service::attach(const std::string &key, std::uint64_t from,
                              std::shared_ptr<answer_listener> listener)
 {
-    const auto found = m_records.find(key);
-    if (found == m_records.end())
+    const record_pointer record = m_table.find(key);
+    if (!record)
         return false;
-    addListener(*found->second, from, std::move(listener));
+    addListener(*record, from, std::move(listener));
     return true;
 }
 
+std::optional<configuration::service_kind> request_service::kindOf(const std::string &key) const
+{
+    const record_pointer record = m_table.find(key);
+    return record ? std::optional(record->request.service.kind) : std::nullopt;
+}
+
 void request_service::detach(const std::string &key, const answer_listener *listener)
 {
-    const auto found = m_records.find(key);
-    if (found == m_records.end())
+    const record_pointer record = m_table.find(key);
+    if (!record)
         return;
-    std::erase_if(found->second->listeners,
+    std::erase_if(record->listeners,
                   [&](const listener_position &each) { return each.listener.get() == listener; });
 }
 
+outcome<void> request_service::takeOver(const handed_request &handed)
+{
+    const request_name name = handed.request.name();
+    if (m_table.find(name.key))
+        return success();
+    if (!m_accepting || name.home == m_self || m_table.standing(name) != id_standing::fresh)
+        return error{error_code::refused, "this node takes no requests over"};
+    dispatch_right right = handed.dispatched ? dispatch_right::ofDispatched(name, m_self, handed.previous)
+                                             : dispatch_right(name, m_self, handed.previous);
+    const record_pointer record = create(handed.request, std::move(right));
+    record->pieces = handed.pieces;
+    record->excluded = handed.excluded;
+    // Another successor may have a repeatable one too, when an answer to its offer was lost.
+    record->mayHaveRun = handed.mayHaveRun || handed.request.repeatable;
+    record->attempt.number = handed.attempts;
+    if (handed.mayHaveRun)
+        record->attempt.recompute = recompute_cause::handover;
+    log_event(log_level::info, "request.taken_over")
+        .with("request", record->key)
+        .with("pieces", static_cast<std::int64_t>(record->pieces.size()))
+        .with("stream", handed.running ? handed.running->stream : "")
+        .write();
+    record->admitted = !m_parts.admission.admit(admissionRequest(*record, duration::zero()));
+    watchDeadline(record);
+    if (name.witness != 0) // lets callers find the request by its witness
+        m_parts.peers.askGrant(record->right.intent(), [](const outcome<bool> &) {});
+    const bool first = record->request.conversation.empty()
+        || m_conversations.enterHanded(conversationOf(*record), record->key);
+    if (handed.running) {
+        record->begun = true;
+        m_attempts.resume(record, handed.running->target, handed.running->stream);
+    } else if (first) {
+        beginLater(record->key);
+    }
+    return success();
+}
+
+bool request_service::hasConversation(const std::string &conversation) const
+{
+    return m_conversations.contains(conversation);
+}
+
+void request_service::upstreamLeaving(const endpoint &upstream)
+{
+    m_attempts.moveStreams(upstream, m_table.open());
+}
+
+void request_service::countEpochs(std::function<void(std::uint64_t)> changed)
+{
+    m_table.countEpochs(std::move(changed));
+}
+
 void request_service::stopAccepting()
 {
     m_accepting = false;
 }
 
+void request_service::handOver(successor_choice successors, time_point end)
+{
+    stopAccepting();
+    m_handover.start(std::move(successors), end);
+}
+
 std::size_t request_service::unfinished() const
 {
-    return m_unfinished;
+    return m_table.openCount();
 }
 
 void request_service::accept(const record_pointer &record)
@@ -141,266 +203,172 @@
         return;
     }
     record->admitted = true;
-    record->deadlineTimer
-        = m_parts.tasks.after(record->request.timeout, [this, record] { deadlinePassed(record); });
     log_event(log_level::info, "request.accepted")
-        .with("request", record->request.key())
+        .with("request", record->key)
         .with("account", record->request.account)
         .with("service", record->request.service.name)
         .write();
+    watchDeadline(record);
     enterConversation(record);
 }
 
+void request_service::watchDeadline(const record_pointer &record)
+{
+    record->deadlineTimer
+        = m_parts.tasks.after(record->request.timeout, [this, record] { deadlinePassed(record); });
+}
+
 void request_service::enterConversation(const record_pointer &record)
 {
     if (record->request.conversation.empty()) {
         begin(record);
         return;
     }
-    auto &queue = m_conversations[conversationKey(record->request)];
-    queue.push_back(record->request.key());
-    if (queue.size() == 1)
+    const std::string conversation = conversationOf(*record);
+    if (!m_conversations.contains(conversation))
+        holdConversation(conversation);
+    if (m_conversations.enter(conversation, record->key))
         begin(record);
 }
 
-void request_service::leaveConversation(const request_record &record)
+void request_service::holdConversation(const std::string &conversation)
 {
-    if (record.request.conversation.empty())
-        return;
-    const auto found = m_conversations.find(conversationKey(record.request));
-    if (found == m_conversations.end())
-        return;
-    auto &queue = found->second;
-    const bool wasFirst = !queue.empty() && queue.front() == record.request.key();
-    std::erase(queue, record.request.key());
-    if (queue.empty()) {
-        m_conversations.erase(found);
-        return;
+    std::vector<incarnation> leaving;
+    for (const membership::member &each : m_parts.members.members()) {
+        if (each.state == membership::member_state::leaving && each.id != m_self)
+            leaving.push_back(each.id);
     }
-    if (!wasFirst)
-        return;
-    const auto next = m_records.find(queue.front());
-    if (next != m_records.end())
-        m_parts.tasks.post([this, waiting = next->second] { begin(waiting); });
-}
-
-void request_service::begin(const record_pointer &record)
-{
-    if (record->final)
-        return;
-    const bool needsGrant = !record->request.repeatable && record->request.id.witness != 0;
-    if (needsGrant)
-        askGrant(record);
-    else
-        dispatch(record);
-}
-
-void request_service::askGrant(const record_pointer &record)
-{
-    const std::optional<dispatch_intent> intent = record->right.ask();
-    if (!intent)
+    if (leaving.empty())
         return;
-#ifdef IVYPIER_MUTANT_WITNESS_GRANT
-    record->right.takeGrant(m_parts.self);
-    dispatch(record);
-    return;
-#endif
-    m_parts.peers.askGrant(record->request.id.witness, *intent, [this, record](const outcome<bool> &granted) {
-        if (granted && granted.value()) {
-            if (record->right.takeGrant(m_parts.self))
-                dispatch(record);
-            return;
-        }
-        closeNotRun(record, granted ? "witness_refused" : "witness_silent", short_retry_after);
-    });
+    m_conversations.hold(conversation);
+    awaitLeavingNodes(conversation, std::move(leaving));
 }
 
-void request_service::dispatch(const record_pointer &record)
+void request_service::awaitLeavingNodes(const std::string &conversation, std::vector<incarnation> nodes)
 {
-    if (record->final)
-        return;
-    const outcome<routing::routing_choice> choice = m_parts.router.choose(routingRequest(*record));
-    if (!choice) {
-        final_answer answer{.outcome = request_outcome::not_run, .status = status_service_unavailable};
-        answer.cause = "no_upstream";
-        answer.retryAfter = short_retry_after;
-        finish(record, std::move(answer));
+    if (nodes.empty()) {
+        const std::optional<std::string> next = m_conversations.release(conversation);
+        if (next)
+            beginLater(*next);
         return;
     }
-    request_attempt &attempt = record->attempt;
-    attempt = {.number = attempt.number + 1, .target = choice.value().target, .sentAt = m_parts.tasks.now()};
-    attempt.id = record->request.id.key() + '/' + toHex(m_parts.self) + '/' + std::to_string(attempt.number);
-    if (attempt.number == 1)
-        m_parts.retries.dispatched(record->request.service.name);
-    m_parts.router.dispatched(attempt.target.address, attempt.id, routingRequest(*record));
-    if (record->request.service.kind == configuration::service_kind::model)
-        sendToEngine(record);
-    else
-        sendToPlainService(record);
-}
-
-void request_service::sendToEngine(const record_pointer &record)
-{
-    upstream::generation_request message;
-    message.attempt = record->attempt.id;
-    message.body = record->request.body;
-    message.priority = record->request.requestClass.priority;
-    message.deliveredTokens = record->pieces.size();
-    for (const std::string &piece : record->pieces)
-        message.delivered += piece;
-    record->attempt.generation
-        = m_parts.engines.start(record->attempt.target.address, message,
-                                std::make_shared<attempt_observer>(*this, record, message.attempt));
+    const incarnation asked = nodes.back();
+    m_parts.peers.askConversation(
+        asked, conversation, [this, conversation, nodes, asked](const outcome<bool> &busy) mutable {
+            const bool gone = !busy
+                && (busy.error().code == error_code::unavailable || busy.error().code == error_code::refused
+                    || !isMember(asked));
+            const bool wait = busy ? busy.value() : !gone;
+            if (!wait)
+                nodes.pop_back();
+            m_parts.tasks.after(wait ? conversation_pause : duration::zero(),
+                                [this, conversation, nodes] { awaitLeavingNodes(conversation, nodes); });
+        });
 }
 
-void request_service::sendToPlainService(const record_pointer &record)
+bool request_service::isMember(incarnation node) const
 {
-    upstream::plain_call call;
-    call.attempt = record->attempt.id;
-    call.requestId = record->request.key();
-    call.method = record->request.method;
-    call.path = record->request.path;
-    call.query = record->request.query;
-    call.contentType = record->request.contentType;
-    call.body = record->request.body;
-    call.repeat
-        = record->request.repeatable ? http::repeatability::repeatable : http::repeatability::not_repeatable;
-    call.timeout = remaining(*record);
-    m_parts.services.call(record->attempt.target.address, call,
-                          [this, record, attempt = call.attempt](const outcome<http::response> &answer) {
-                              plainAnswered(record, attempt, answer);
-                          });
+    const auto member = m_parts.members.find(node);
+    return member && member->state != membership::member_state::dead;
 }
 
-bool request_service::isCurrent(const request_record &record, const std::string &attempt)
+void request_service::leaveConversation(const request_record &record)
 {
-#ifdef IVYPIER_MUTANT_ATTEMPT_CHECK
-    return !record.final;
-#endif
-    if (!record.final && record.attempt.id == attempt)
-        return true;
-    m_parts.metrics.add("ivypier_late_events_total", {});
-    return false;
+    if (record.request.conversation.empty())
+        return;
+    const std::optional<std::string> next = m_conversations.leave(conversationOf(record), record.key);
+    if (next)
+        beginLater(*next);
 }
 
-void request_service::attemptStarted(const record_pointer &record, const std::string &attempt,
-                                     const std::string &stream)
+void request_service::beginLater(const std::string &key)
 {
-    if (isCurrent(*record, attempt))
-        record->attempt.stream = stream;
+    const record_pointer record = m_table.find(key);
+    if (record)
+        m_parts.tasks.post([this, record] { begin(record); });
 }
 
-void request_service::attemptPiece(const record_pointer &record, const std::string &attempt,
-                                   std::uint64_t index, const std::string &text)
+void request_service::begin(const record_pointer &record)
 {
-    if (!isCurrent(*record, attempt))
+    if (m_handover.keeps(*record) || !record->isOpen() || std::exchange(record->begun, true))
         return;
-    if (index
-        != record->pieces.size()) { // repeated after a resume, or a gap that only a new attempt can mend
-        if (index > record->pieces.size())
-            attemptFailed(record, attempt, {error_code::interrupted, "the stream has a gap"});
+    if (!record->request.repeatable && record->attempt.number > 0) { // dispatched before the handover
+        finish(record,
+               {.outcome = request_outcome::unknown, .status = status_bad_gateway, .cause = "handed_over"});
         return;
     }
-    const time_point now = m_parts.tasks.now();
-    if (record->pieces.empty()) {
-        m_parts.metrics.observe("ivypier_first_token_seconds", labels(*record),
-                                seconds(now - record->acceptedAt));
-        m_parts.router.firstToken(attempt, now - record->attempt.sentAt);
-    } else {
-        m_parts.metrics.observe("ivypier_between_tokens_seconds", labels(*record),
-                                seconds(now - record->lastPieceAt));
-    }
-    record->lastPieceAt = now;
-    record->pieces.push_back(text);
-    for (listener_position &each : record->listeners) {
-        if (each.next != index)
-            continue;
-        ++each.next;
-        each.listener->onPiece(index, text);
-    }
-}
-
-void request_service::attemptFinished(const record_pointer &record, const std::string &attempt,
-                                      const upstream::token_usage &usage)
-{
-    if (!isCurrent(*record, attempt))
-        return;
-    m_parts.router.finished(attempt, routing::attempt_result::answered);
-    final_answer answer{.outcome = request_outcome::answered};
-    answer.usage = usage;
-    answer.usage.generatedTokens = record->pieces.size();
-    answer.servedBy = record->attempt.target.name;
-    finish(record, std::move(answer));
+    const bool needsGrant = !record->request.repeatable && record->request.id.witness != 0;
+    if (needsGrant)
+        askGrant(record, grant_tries);
+    else
+        m_attempts.dispatch(record);
 }
 
-void request_service::plainAnswered(const record_pointer &record, const std::string &attempt,
-                                    const outcome<http::response> &answer)
+void request_service::askGrant(const record_pointer &record, unsigned tries)
 {
-    if (!answer) {
-        attemptFailed(record, attempt, answer.error());
+    std::optional<dispatch_intent> intent = record->right.ask();
+    if (!intent) {
+        if (record->right.phase() == right_phase::granted && record->attempt.number == 0)
+            m_attempts.dispatch(record);
         return;
     }
-    if (!isCurrent(*record, attempt))
-        return;
-    m_parts.router.finished(attempt, routing::attempt_result::answered);
-    final_answer result{.outcome = request_outcome::answered, .status = answer.value().status};
-    result.contentType = answer.value().header("Content-Type");
-    result.body = answer.value().body;
-    result.servedBy = record->attempt.target.name;
-    finish(record, std::move(result));
+    if (record->request.id.home == m_self)
+        intent->forgottenBelow = m_table.epochs().forgottenBelow();
+    m_parts.peers.askGrant(*intent, [this, record, tries](const outcome<bool> &granted) {
+        if (granted && granted.value()) {
+            if (record->right.takeGrant(m_self))
+                m_attempts.dispatch(record);
+            return;
+        }
+        if (granted) {
+            grantRefused(record, "witness_refused");
+            return;
+        }
+        if (tries <= 1 || !record->isOpen()) {
+            grantRefused(record, "witness_silent");
+            return;
+        }
+        m_parts.tasks.after(grant_pause, [this, record, tries] {
+            if (record->isOpen())
+                askGrant(record, tries - 1);
+        });
+    });
 }
 
-void request_service::attemptFailed(const record_pointer &record, const std::string &attempt,
-                                    const error &failure)
+void request_service::grantRefused(const record_pointer &record, const std::string &cause)
 {
-    if (!isCurrent(*record, attempt))
+    if (!record->isOpen() || !record->right.close())
         return;
-    m_parts.router.finished(attempt, routing::attempt_result::failed);
-    record->excluded.push_back(record->attempt.target.address);
-    if (record->attempt.generation)
-        record->attempt.generation->cancel();
-    record->attempt.id.clear();
-    log_event(log_level::warning, "attempt.failed")
-        .with("request", record->request.key())
-        .with("upstream", record->attempt.target.name)
-        .with("reason", name(failure.code))
-        .with("detail", failure.message)
-        .write();
-
-    // A refusal or a connection that never came about: the upstream did not run it.
-    const bool didNotRun = failure.code == error_code::unavailable || failure.code == error_code::refused;
-    if (!record->request.repeatable && !didNotRun) {
-        finish(
-            record,
-            {.outcome = request_outcome::unknown, .status = status_bad_gateway, .cause = "upstream_failed"});
-        return;
-    }
-    const auto pause = m_parts.retries.repeat(record->request.service.name, record->attempt.number + 1,
-                                              remaining(*record));
-    if (pause) {
-        m_parts.metrics.add("ivypier_retries_total", {{"service", record->request.service.name}});
-        m_parts.tasks.after(*pause, [this, record] { dispatch(record); });
+    if (record->right.closedMeansNotRun()) {
+        closeNotRun(record, cause);
         return;
     }
-    final_answer answer{
-        .status = status_bad_gateway, .cause = "upstream_failed", .retryAfter = short_retry_after};
-    answer.outcome
-        = didNotRun && record->attempt.number == 1 ? request_outcome::not_run : request_outcome::unknown;
-    finish(record, std::move(answer));
+    // Only the witness can say whether another holder ran it.
+    m_parts.peers.askVerdict(record->request.name(),
+                             [this, record, cause](const outcome<witness_verdict> &verdict) {
+                                 if (verdict && verdict.value().answer) {
+                                     finish(record, *verdict.value().answer);
+                                     return;
+                                 }
+                                 final_answer answer{.status = status_bad_gateway, .cause = cause};
+                                 if (verdict)
+                                     answer.outcome = verdict.value().outcome;
+                                 answer.retryAfter = short_retry_after;
+                                 finish(record, std::move(answer));
+                             });
 }
 
 void request_service::deadlinePassed(const record_pointer &record)
 {
     record->deadlineTimer = 0;
-    if (record->final)
+    if (!record->isOpen())
         return;
-    if (record->attempt.number == 0) {
-        closeNotRun(record, "deadline", short_retry_after);
+    const bool untouched = record->attempt.number == 0 && !record->everOffered;
+    if (untouched && record->right.previous().empty()) {
+        closeNotRun(record, "deadline");
         return;
     }
-    if (record->attempt.generation)
-        record->attempt.generation->cancel();
-    m_parts.router.finished(record->attempt.id, routing::attempt_result::cancelled);
+    m_attempts.cancel(*record);
     finish(record,
            {.outcome = request_outcome::unknown, .status = status_gateway_timeout, .cause = "deadline"});
 }
@@ -416,29 +384,25 @@
     finish(record, std::move(answer));
 }
 
-void request_service::closeNotRun(const record_pointer &record, const std::string &cause, duration retryAfter)
+void request_service::closeNotRun(const record_pointer &record, const std::string &cause)
 {
-    if (record->final || !record->right.close())
+    if (!record->isOpen() || !record->right.close())
         return;
     final_answer answer{.outcome = request_outcome::not_run, .status = status_service_unavailable};
     answer.cause = cause;
-    answer.retryAfter = retryAfter;
+    answer.retryAfter = short_retry_after;
     finish(record, std::move(answer));
 }
 
 void request_service::finish(const record_pointer &record, final_answer answer)
 {
-    if (record->final)
+    if (!record->isOpen())
         return;
-    m_parts.tasks.cancel(record->deadlineTimer);
-    if (record->admitted)
-        m_parts.admission.finished(admissionRequest(*record, duration::zero()));
-    --m_unfinished;
-    metric_labels withOutcome = labels(*record);
-    withOutcome.emplace_back("outcome", name(answer.outcome));
-    m_parts.metrics.add("ivypier_requests_total", withOutcome);
+    metric_labels labels = labelsOf(*record);
+    labels.emplace_back("outcome", name(answer.outcome));
+    m_parts.metrics.add("ivypier_requests_total", labels);
     log_event(log_level::info, "request.finished")
-        .with("request", record->request.key())
+        .with("request", record->key)
         .with("account", record->request.account)
         .with("outcome", name(answer.outcome))
         .with("cause", answer.cause)
@@ -447,72 +411,62 @@
         .write();
     record->attempt.generation.reset();
     record->final = std::move(answer);
+    settle(record);
     const bool tellWitness = !record->request.repeatable && record->request.id.witness != 0
         && record->final->outcome == request_outcome::answered;
     if (tellWitness)
-        m_parts.peers.passAnswer(record->request.id.witness, record->request.key(), *record->final);
+        m_parts.peers.passAnswer(record->request.name(), *record->final);
     for (const listener_position &each : std::exchange(record->listeners, {}))
         each.listener->onFinal(*record->final);
     leaveConversation(*record);
-
     // A repeatable request that did not run may be tried again under its id.
-    const std::string key = record->request.key();
     if (record->request.repeatable && record->final->outcome == request_outcome::not_run)
-        m_records.erase(key);
+        m_table.remove(record->key);
     else
-        forgetLater(key);
+        m_table.retain(record);
 }
 
-void request_service::forgetLater(const std::string &key)
+void request_service::moved(const record_pointer &record, incarnation successor)
 {
-    m_parts.tasks.after(answer_kept_for, [this, key] {
-        const auto found = m_records.find(key);
-        if (found == m_records.end())
-            return;
-        // FIXME: the id itself is kept until the epoch ends, which nothing ends yet.
-        request_record &record = *found->second;
-        record.pieces.clear();
-        if (record.final->outcome == request_outcome::answered)
-            record.final = final_answer{.outcome = request_outcome::answered,
-                                        .status = status_gone,
-                                        .cause = "answer_no_longer_kept"};
-    });
-}
-
-void request_service::addListener(request_record &record, std::uint64_t from,
-                                  std::shared_ptr<answer_listener> listener)
-{
-    for (std::uint64_t index = from; index < record.pieces.size(); ++index)
-        listener->onPiece(index, record.pieces[index]);
-    if (record.final) {
-        listener->onFinal(*record.final);
+    const auto member = m_parts.members.find(successor);
+    if (!member) { // already gone again
+        record->handover = handover_phase::none;
         return;
     }
-    record.listeners.push_back({std::move(listener), std::max<std::uint64_t>(from, record.pieces.size())});
-}
-
-duration request_service::remaining(const request_record &record) const
-{
-    return std::max(duration::zero(), record.acceptedAt + record.request.timeout - m_parts.tasks.now());
+    log_event(log_level::info, "request.moved")
+        .with("request", record->key)
+        .with("successor", member->name)
+        .with("pieces", static_cast<std::int64_t>(record->pieces.size()))
+        .write();
+    record->movedTo = member->address.text();
+    record->handover = handover_phase::moved;
+    m_attempts.release(*record);
+    settle(record);
+    for (const listener_position &each : std::exchange(record->listeners, {}))
+        each.listener->onMoved(record->movedTo);
+    leaveConversation(*record);
+    m_table.retain(record);
 }
 
-metric_labels request_service::labels(const request_record &record) const
+void request_service::settle(const record_pointer &record)
 {
-    return {{"account", record.request.account},
-            {"class", record.request.requestClass.name},
-            {"service", record.request.service.name}};
+    m_parts.tasks.cancel(record->deadlineTimer);
+    if (std::exchange(record->admitted, false))
+        m_parts.admission.finished(admissionRequest(*record, duration::zero()));
 }
 
-routing::routing_request request_service::routingRequest(const request_record &record) const
+void request_service::addListener(request_record &record, std::uint64_t from,
+                                  std::shared_ptr<answer_listener> listener)
 {
-    routing::routing_request request;
-    request.service = record.request.service.name;
-    request.account = record.request.account;
-    request.conversation = record.request.conversation;
-    request.promptTokens = record.request.promptTokens;
-    request.outputTokens = record.request.outputTokens;
-    request.excluded = record.excluded;
-    return request;
+    for (std::uint64_t index = from; index < record.pieces.size(); ++index)
+        listener->onPiece(index, record.pieces[index]);
+    if (record.handover == handover_phase::moved)
+        listener->onMoved(record.movedTo);
+    else if (record.final)
+        listener->onFinal(*record.final);
+    else
+        record.listeners.push_back(
+            {std::move(listener), std::max<std::uint64_t>(from, record.pieces.size())});
 }
 
 admission::admission_request request_service::admissionRequest(const request_record &record,
--- a/libraries/requests/request_service.h
+++ b/libraries/requests/request_service.h
@@ -4,17 +4,24 @@
 #include "admission/retry_policy.h"
 #include "base/metrics_registry.h"
 #include "base/scheduler.h"
+#include "membership/membership_view.h"
 #include "requests/answer.h"
+#include "requests/attempt_runner.h"
+#include "requests/conversation_queue.h"
+#include "requests/handed_request.h"
+#include "requests/handover_sender.h"
 #include "requests/peer_channel.h"
 #include "requests/request_record.h"
+#include "requests/request_table.h"
 #include "routing/router.h"
 #include "upstream/model_engine.h"
 #include "upstream/plain_service.h"
 
-#include <deque>
-#include <map>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace ivypier::requests {
 
@@ -29,16 +36,17 @@
     upstream::model_engine &engines;
     upstream::plain_service &services;
     peer_channel &peers;
-    incarnation self = 0;
+    const membership::membership_view &members;
+    retention_limits limits;
 };
 
-/// The home of requests: accepts, orders, dispatches, repeats and answers them. Only from tasks of its
-/// scheduler.
-class request_service
+/// Accepts requests whose home is this node or that were handed to it, orders, dispatches, repeats and
+/// answers them, and hands them over when the node stops. Only from tasks of its scheduler.
+class request_service final : private record_owner
 {
 public:
     explicit request_service(request_service_parts parts);
-    ~request_service();
+    ~request_service() override;
 
     /// Takes a request whose home is this node, or joins the one that has the same id. `from` is the first
     /// piece that the listener wants. The listener gets its final answer in every case.
@@ -47,55 +55,66 @@
     /// Follows a known request from piece `from` on; false when it is not known here.
     bool attach(const std::string &key, std::uint64_t from, std::shared_ptr<answer_listener> listener);
 
+    /// What kind of service a known request is for.
+    std::optional<configuration::service_kind> kindOf(const std::string &key) const;
+
     /// Forgets a listener; the request goes on.
     void detach(const std::string &key, const answer_listener *listener);
 
+    /// Takes over a request from a node that stops; the same request again is taken as well. `refused` when
+    /// this node does not take it.
+    outcome<void> takeOver(const handed_request &handed);
+
+    /// True while this node has unfinished requests of a conversation (`<account>/<conversation>`).
+    bool hasConversation(const std::string &conversation) const;
+
+    /// An upstream leaves: its streams go on elsewhere.
+    void upstreamLeaving(const endpoint &upstream);
+
+    /// Starts to count epochs; `changed` hears of each new one.
+    void countEpochs(std::function<void(std::uint64_t)> changed);
+
     /// Refuses every new request from now on.
     void stopAccepting();
 
+    /// Hands the open requests over; what can't move has its answer by `end`.
+    void handOver(successor_choice successors, time_point end);
+
     /// Requests that have no final answer yet.
     std::size_t unfinished() const;
 
 private:
-    class attempt_observer;
-    using record_pointer = std::shared_ptr<request_record>;
-
+    record_pointer create(incoming_request request, dispatch_right right);
+    void refuseUnknownId(const incoming_request &request, id_standing standing,
+                         const std::shared_ptr<answer_listener> &listener) const;
     void accept(const record_pointer &record);
+    void watchDeadline(const record_pointer &record);
     void enterConversation(const record_pointer &record);
+    void holdConversation(const std::string &conversation);
+    void awaitLeavingNodes(const std::string &conversation, std::vector<incarnation> nodes);
+    bool isMember(incarnation node) const;
     void leaveConversation(const request_record &record);
+    void beginLater(const std::string &key);
     void begin(const record_pointer &record);
-    void askGrant(const record_pointer &record);
-    void dispatch(const record_pointer &record);
-    void sendToEngine(const record_pointer &record);
-    void sendToPlainService(const record_pointer &record);
-
-    void attemptStarted(const record_pointer &record, const std::string &attempt, const std::string &stream);
-    void attemptPiece(const record_pointer &record, const std::string &attempt, std::uint64_t index,
-                      const std::string &text);
-    void attemptFinished(const record_pointer &record, const std::string &attempt,
-                         const upstream::token_usage &usage);
-    void attemptFailed(const record_pointer &record, const std::string &attempt, const error &failure);
-    void plainAnswered(const record_pointer &record, const std::string &attempt,
-                       const outcome<http::response> &answer);
-    bool isCurrent(const request_record &record, const std::string &attempt);
+    void askGrant(const record_pointer &record, unsigned tries);
+    void grantRefused(const record_pointer &record, const std::string &cause);
 
     void deadlinePassed(const record_pointer &record);
     void refuse(const record_pointer &record, const admission::refusal &why);
-    void closeNotRun(const record_pointer &record, const std::string &cause, duration retryAfter);
-    void finish(const record_pointer &record, final_answer answer);
-    void forgetLater(const std::string &key);
+    void closeNotRun(const record_pointer &record, const std::string &cause);
+    void finish(const record_pointer &record, final_answer answer) override;
+    void moved(const record_pointer &record, incarnation successor) override;
+    void settle(const record_pointer &record);
     void addListener(request_record &record, std::uint64_t from, std::shared_ptr<answer_listener> listener);
-
-    duration remaining(const request_record &record) const;
-    metric_labels labels(const request_record &record) const;
-    routing::routing_request routingRequest(const request_record &record) const;
     admission::admission_request admissionRequest(const request_record &record, duration expected) const;
 
     request_service_parts m_parts;
+    incarnation m_self;
+    request_table m_table;
+    conversation_queue m_conversations;
+    attempt_runner m_attempts;
+    handover_sender m_handover;
     bool m_accepting = true;
-    std::size_t m_unfinished = 0;
-    std::map<std::string, record_pointer> m_records;
-    std::map<std::string, std::deque<std::string>> m_conversations;
 };
 
 } // namespace ivypier::requests
--- /dev/null
+++ b/libraries/requests/request_table.cpp
@@ -0,0 +1,191 @@
+#include "requests/request_table.h"
+
+#include <algorithm>
+
+namespace ivypier::requests {
+
+namespace {
+
+constexpr int status_gone = 410;
+
+std::size_t bytesOf(const request_record &record)
+{
+    std::size_t total = record.final ? record.final->body.size() : 0;
+    for (const std::string &each : record.pieces)
+        total += each.size();
+    return total;
+}
+
+} // namespace
+
+request_table::request_table(scheduler &tasks, incarnation self, retention_limits limits)
+    : m_tasks(tasks)
+    , m_self(self)
+    , m_limits(limits)
+{
+}
+
+request_table::~request_table()
+{
+    m_tasks.cancel(m_rotation);
+    m_tasks.cancel(m_sweep);
+}
+
+void request_table::countEpochs(std::function<void(std::uint64_t)> changed)
+{
+    m_epochChanged = std::move(changed);
+    m_epochChanged(m_window.current());
+    rotateLater();
+}
+
+const epoch_window &request_table::epochs() const
+{
+    return m_window;
+}
+
+record_pointer request_table::find(const std::string &key) const
+{
+    const auto found = m_byKey.find(key);
+    return found == m_byKey.end() ? nullptr : found->second;
+}
+
+id_standing request_table::standing(const request_name &request) const
+{
+    if (request.home != m_self) {
+        const auto floor = m_floors.find(request.home);
+        return floor != m_floors.end() && request.epoch < floor->second ? id_standing::forgotten
+                                                                        : id_standing::fresh;
+    }
+    if (request.epoch < m_window.forgottenBelow())
+        return id_standing::forgotten;
+    return m_window.accepts(request.epoch) ? id_standing::fresh : id_standing::expired;
+}
+
+void request_table::add(const record_pointer &record)
+{
+    m_byKey[record->key] = record;
+    m_open[m_nextNumber] = record;
+    m_openNumbers[record->key] = m_nextNumber++;
+    epoch_group &group = groupOf(*record);
+    group.records[record->key] = record;
+    group.lastUsed = m_tasks.now();
+    const bool own = record->request.id.home == m_self;
+    if (own && m_epochChanged && group.records.size() >= m_limits.idsPerEpoch)
+        rotate();
+}
+
+void request_table::remove(const std::string &key)
+{
+    const auto found = m_byKey.find(key);
+    if (found == m_byKey.end())
+        return;
+    groupOf(*found->second).records.erase(key);
+    m_byKey.erase(found);
+    const auto number = m_openNumbers.find(key);
+    if (number == m_openNumbers.end())
+        return;
+    m_open.erase(number->second);
+    m_openNumbers.erase(number);
+}
+
+void request_table::retain(const record_pointer &record)
+{
+    const auto number = m_openNumbers.find(record->key);
+    if (number != m_openNumbers.end()) {
+        m_open.erase(number->second);
+        m_openNumbers.erase(number);
+    }
+    groupOf(*record).lastUsed = m_tasks.now();
+    record->request.body.clear();
+    const std::size_t bytes = bytesOf(*record);
+    m_answers.push_back({record, m_tasks.now() + m_limits.answerKeptFor, bytes});
+    m_answerBytes += bytes;
+    while (m_answerBytes > m_limits.answerBytes)
+        dropAnswer();
+    if (m_sweep == 0)
+        m_sweep = m_tasks.after(m_limits.answerKeptFor, [this] { sweep(); });
+}
+
+std::vector<record_pointer> request_table::open() const
+{
+    std::vector<record_pointer> result;
+    for (const auto &[number, record] : m_open)
+        result.push_back(record);
+    return result;
+}
+
+std::size_t request_table::openCount() const
+{
+    return m_open.size();
+}
+
+std::size_t request_table::size() const
+{
+    return m_byKey.size();
+}
+
+void request_table::rotateLater()
+{
+    m_rotation = m_tasks.after(m_limits.epochLength, [this] { rotate(); });
+}
+
+void request_table::rotate()
+{
+    m_tasks.cancel(m_rotation);
+    m_window.rotate();
+    auto &own = m_groups[m_self];
+    while (!own.empty() && own.begin()->first < m_window.forgottenBelow()) {
+        for (const auto &[key, record] : own.begin()->second.records) {
+            if (!m_openNumbers.contains(key))
+                m_byKey.erase(key);
+        }
+        own.erase(own.begin());
+    }
+    m_epochChanged(m_window.current());
+    rotateLater();
+}
+
+void request_table::sweep()
+{
+    m_sweep = 0;
+    while (!m_answers.empty() && m_answers.front().until <= m_tasks.now())
+        dropAnswer();
+    const duration idsKeptFor = m_limits.epochLength * epoch_window::remembered_epochs;
+    for (auto &[home, groups] : m_groups) {
+        if (home == m_self)
+            continue;
+        while (!groups.empty() && m_tasks.now() - groups.begin()->second.lastUsed > idsKeptFor) {
+            const bool stillRuns
+                = std::any_of(groups.begin()->second.records.begin(), groups.begin()->second.records.end(),
+                              [&](const auto &each) { return m_openNumbers.contains(each.first); });
+            if (stillRuns)
+                break;
+            for (const auto &[key, record] : groups.begin()->second.records)
+                m_byKey.erase(key);
+            m_floors[home] = groups.begin()->first + 1;
+            groups.erase(groups.begin());
+        }
+    }
+    if (!m_answers.empty())
+        m_sweep = m_tasks.after(m_answers.front().until - m_tasks.now(), [this] { sweep(); });
+}
+
+void request_table::dropAnswer()
+{
+    const kept_answer oldest = std::move(m_answers.front());
+    m_answers.pop_front();
+    m_answerBytes -= oldest.bytes;
+    request_record &record = *oldest.record;
+    record.pieces.clear();
+    record.pieces.shrink_to_fit();
+    if (record.final && record.final->outcome == request_outcome::answered)
+        record.final = final_answer{
+            .outcome = request_outcome::answered, .status = status_gone, .cause = "answer_no_longer_kept"};
+}
+
+request_table::epoch_group &request_table::groupOf(const request_record &record)
+{
+    return m_groups[record.request.id.home][record.request.id.epoch];
+}
+
+} // namespace ivypier::requests
--- a/libraries/requests/rpc_peer_channel.cpp
+++ b/libraries/requests/rpc_peer_channel.cpp
@@ -2,8 +2,11 @@
 
 #include "base/hash.h"
 #include "base/json.h"
+#include "requests/handover_codec.h"
 #include "requests/message_codec.h"
 
+#include <algorithm>
+
 namespace ivypier::requests {
 
 namespace {
@@ -11,39 +14,173 @@
 constexpr duration peer_timeout = std::chrono::seconds(1);
 constexpr const char *grant_method = "requests.grant";
 constexpr const char *verdict_method = "requests.verdict";
+constexpr const char *holder_method = "requests.holder";
 constexpr const char *answer_method = "requests.answer";
+constexpr const char *handover_method = "requests.handover";
+constexpr const char *conversation_method = "requests.conversation";
+constexpr const char *records_method = "requests.records";
+constexpr const char *activate_method = "requests.activate";
+
+using method = rpc::peer_server::method;
+
+/// A method that answers only calls for this incarnation.
+method forSelf(incarnation self, method handler)
+{
+    return [self, handler = std::move(handler)](const Json::Value &parameters) -> outcome<Json::Value> {
+        if (fromHex(stringMember(parameters, "to")) != self)
+            return error{error_code::refused, "this is another incarnation"};
+        return handler(parameters);
+    };
+}
+
+outcome<Json::Value> nothing(const outcome<void> &done)
+{
+    if (!done)
+        return done.error();
+    return Json::Value(Json::objectValue);
+}
+
+void serveWitness(rpc::peer_server &methods, incarnation self, witness_ledger &ledger)
+{
+    methods.add(grant_method, forSelf(self, [&ledger](const Json::Value &parameters) -> outcome<Json::Value> {
+                    const outcome<dispatch_intent> intent = decodeIntent(parameters["intent"]);
+                    if (!intent)
+                        return intent.error();
+                    const outcome<bool> granted = ledger.grant(intent.value());
+                    if (!granted)
+                        return granted.error();
+                    Json::Value answer(Json::objectValue);
+                    answer["granted"] = granted.value();
+                    return answer;
+                }));
+    methods.add(verdict_method,
+                forSelf(self, [&ledger](const Json::Value &parameters) -> outcome<Json::Value> {
+                    const outcome<request_name> request = decodeName(parameters["request"]);
+                    if (!request)
+                        return request.error();
+                    const outcome<witness_verdict> verdict = ledger.ask(request.value());
+                    if (!verdict)
+                        return verdict.error();
+                    return encode(verdict.value());
+                }));
+    methods.add(holder_method,
+                forSelf(self, [&ledger](const Json::Value &parameters) -> outcome<Json::Value> {
+                    const outcome<request_name> request = decodeName(parameters["request"]);
+                    if (!request)
+                        return request.error();
+                    Json::Value answer(Json::objectValue);
+                    answer["holder"] = toHex(ledger.holderOf(request.value()));
+                    return answer;
+                }));
+    methods.add(answer_method,
+                forSelf(self, [&ledger](const Json::Value &parameters) -> outcome<Json::Value> {
+                    const outcome<request_name> request = decodeName(parameters["request"]);
+                    const outcome<final_answer> answer = decodeAnswer(parameters["answer"]);
+                    if (!request || !answer)
+                        return error{error_code::invalid_argument, "no request or answer"};
+                    ledger.keepAnswer(request.value(), answer.value());
+                    return Json::Value(Json::objectValue);
+                }));
+}
+
+outcome<witness_records> decodeRecords(const Json::Value &json)
+{
+    witness_records result;
+    for (const Json::Value &each : json["records"]) {
+        const outcome<witness_record> record = decodeRecord(each);
+        if (!record)
+            return record.error();
+        result.records.push_back(record.value());
+    }
+    for (const Json::Value &each : json["floors"]) {
+        const outcome<epoch_floor> floor = decodeFloor(each);
+        if (!floor)
+            return floor.error();
+        result.floors.push_back(floor.value());
+    }
+    return result;
+}
+
+/// Speaks for other witnesses from now on, and tells every node.
+void activate(membership::membership_view &members, witness_ledger &ledger, const Json::Value &witnesses)
+{
+    for (const Json::Value &each : witnesses) {
+        const incarnation witness = each.isString() ? fromHex(each.asString()) : 0;
+        if (witness == 0)
+            continue;
+        ledger.activate(witness);
+        const std::string key = witnessFact(witness);
+        const auto known = members.findFact(key);
+        const std::string self = toHex(members.self().id);
+        if (!known || known->value != self)
+            members.publish({key, (known ? known->version : 0) + 1, self});
+    }
+}
+
+bool speaksForAll(const witness_ledger &ledger, const Json::Value &witnesses)
+{
+    const std::vector<incarnation> known = ledger.speaksFor();
+    return std::all_of(witnesses.begin(), witnesses.end(), [&](const Json::Value &each) {
+        const incarnation witness = each.isString() ? fromHex(each.asString()) : 0;
+        return std::find(known.begin(), known.end(), witness) != known.end();
+    });
+}
+
+void serveSuccession(rpc::peer_server &methods, membership::membership_view &members, witness_ledger &ledger)
+{
+    const incarnation self = members.self().id;
+    methods.add(records_method,
+                forSelf(self, [&ledger](const Json::Value &parameters) -> outcome<Json::Value> {
+                    const outcome<witness_records> passed = decodeRecords(parameters);
+                    if (!passed)
+                        return passed.error();
+                    ledger.stage(passed.value().records, passed.value().floors);
+                    return Json::Value(Json::objectValue);
+                }));
+    methods.add(activate_method,
+                forSelf(self, [&members, &ledger](const Json::Value &parameters) -> outcome<Json::Value> {
+                    const bool leaves = members.self().state == membership::member_state::leaving;
+                    // A refusal lets the leaving witness try another, so it must be true of every repetition.
+                    if (leaves && !speaksForAll(ledger, parameters["witnesses"]))
+                        return error{error_code::refused, "this node leaves too"};
+                    if (!leaves)
+                        activate(members, ledger, parameters["witnesses"]);
+                    return Json::Value(Json::objectValue);
+                }));
+}
 
 } // namespace
 
-rpc_peer_channel::rpc_peer_channel(const membership::membership_view &members, rpc::peer_client &peers)
+std::string witnessFact(incarnation witness)
+{
+    return "witness/" + toHex(witness);
+}
+
+rpc_peer_channel::rpc_peer_channel(membership::membership_view &members, rpc::peer_client &peers)
     : m_members(members)
     , m_peers(peers)
 {
 }
 
-void rpc_peer_channel::serve(rpc::peer_server &methods, witness_ledger &ledger)
+void rpc_peer_channel::serve(rpc::peer_server &methods, membership::membership_view &members,
+                             witness_ledger &ledger, request_service &requests)
 {
-    methods.add(grant_method, [&ledger](const Json::Value &parameters) -> outcome<Json::Value> {
-        const outcome<dispatch_intent> intent = decodeIntent(parameters);
-        if (!intent)
-            return intent.error();
-        Json::Value answer(Json::objectValue);
-        answer["granted"] = ledger.grant(intent.value());
-        return answer;
-    });
-    methods.add(verdict_method, [&ledger](const Json::Value &parameters) -> outcome<Json::Value> {
-        const std::string request = stringMember(parameters, "request");
-        if (request.empty())
-            return error{error_code::invalid_argument, "no request"};
-        return encode(ledger.ask(request));
-    });
-    methods.add(answer_method, [&ledger](const Json::Value &parameters) -> outcome<Json::Value> {
-        const outcome<final_answer> answer = decodeAnswer(parameters["answer"]);
-        if (!answer)
-            return answer.error();
-        ledger.keepAnswer(stringMember(parameters, "request"), answer.value());
-        return Json::Value(Json::objectValue);
-    });
+    const incarnation self = members.self().id;
+    serveWitness(methods, self, ledger);
+    serveSuccession(methods, members, ledger);
+    methods.add(handover_method,
+                forSelf(self, [&requests](const Json::Value &parameters) -> outcome<Json::Value> {
+                    const outcome<handed_request> handed = decodeHanded(parameters["handed"]);
+                    if (!handed)
+                        return handed.error();
+                    return nothing(requests.takeOver(handed.value()));
+                }));
+    methods.add(conversation_method,
+                forSelf(self, [&requests](const Json::Value &parameters) -> outcome<Json::Value> {
+                    Json::Value answer(Json::objectValue);
+                    answer["busy"] = requests.hasConversation(stringMember(parameters, "conversation"));
+                    return answer;
+                }));
 }
 
 void rpc_peer_channel::call(incarnation to, const std::string &method, Json::Value parameters,
@@ -54,26 +191,36 @@
         done(error{error_code::unavailable, "no such member: " + toHex(to)});
         return;
     }
+    parameters["to"] = toHex(to);
     m_peers.call(target->address, method, std::move(parameters), peer_timeout, std::move(done));
 }
 
-void rpc_peer_channel::askGrant(incarnation witness, const dispatch_intent &intent,
-                                std::function<void(outcome<bool>)> done)
+incarnation rpc_peer_channel::speakerFor(incarnation witness) const
 {
-    call(witness, grant_method, encode(intent), [done = std::move(done)](const outcome<Json::Value> &answer) {
-        if (!answer)
-            done(answer.error());
-        else
-            done(booleanMember(answer.value(), "granted"));
-    });
+    const auto successor = m_members.findFact(witnessFact(witness));
+    const incarnation named = successor ? fromHex(successor->value) : 0;
+    return named != 0 ? named : witness;
 }
 
-void rpc_peer_channel::askVerdict(incarnation witness, const std::string &request,
+void rpc_peer_channel::askGrant(const dispatch_intent &intent, std::function<void(outcome<bool>)> done)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["intent"] = encode(intent);
+    call(speakerFor(intent.request.witness), grant_method, std::move(parameters),
+         [done = std::move(done)](const outcome<Json::Value> &answer) {
+             if (!answer)
+                 done(answer.error());
+             else
+                 done(booleanMember(answer.value(), "granted"));
+         });
+}
+
+void rpc_peer_channel::askVerdict(const request_name &request,
                                   std::function<void(outcome<witness_verdict>)> done)
 {
     Json::Value parameters(Json::objectValue);
-    parameters["request"] = request;
-    call(witness, verdict_method, std::move(parameters),
+    parameters["request"] = encode(request);
+    call(speakerFor(request.witness), verdict_method, std::move(parameters),
          [done = std::move(done)](const outcome<Json::Value> &answer) {
              if (!answer)
                  done(answer.error());
@@ -82,12 +229,89 @@
          });
 }
 
-void rpc_peer_channel::passAnswer(incarnation witness, const std::string &request, const final_answer &answer)
+void rpc_peer_channel::askHolder(const request_name &request, std::function<void(outcome<incarnation>)> done)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["request"] = encode(request);
+    call(speakerFor(request.witness), holder_method, std::move(parameters),
+         [done = std::move(done)](const outcome<Json::Value> &answer) {
+             if (!answer)
+                 done(answer.error());
+             else
+                 done(fromHex(stringMember(answer.value(), "holder")));
+         });
+}
+
+void rpc_peer_channel::passAnswer(const request_name &request, const final_answer &answer)
 {
     Json::Value parameters(Json::objectValue);
-    parameters["request"] = request;
+    parameters["request"] = encode(request);
     parameters["answer"] = encode(answer);
-    call(witness, answer_method, std::move(parameters), [](const outcome<Json::Value> &) {});
+    call(speakerFor(request.witness), answer_method, std::move(parameters),
+         [](const outcome<Json::Value> &) {});
+}
+
+void rpc_peer_channel::handOver(incarnation successor, const handed_request &handed,
+                                std::function<void(outcome<void>)> done)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["handed"] = encode(handed);
+    call(successor, handover_method, std::move(parameters),
+         [done = std::move(done)](const outcome<Json::Value> &answer) {
+             if (!answer)
+                 done(answer.error());
+             else
+                 done(success());
+         });
+}
+
+void rpc_peer_channel::askConversation(incarnation node, const std::string &conversation,
+                                       std::function<void(outcome<bool>)> done)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["conversation"] = conversation;
+    call(node, conversation_method, std::move(parameters),
+         [done = std::move(done)](const outcome<Json::Value> &answer) {
+             if (!answer)
+                 done(answer.error());
+             else
+                 done(booleanMember(answer.value(), "busy"));
+         });
+}
+
+void rpc_peer_channel::passRecords(incarnation successor, const witness_records &records,
+                                   std::function<void(outcome<void>)> done)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["records"] = Json::Value(Json::arrayValue);
+    for (const witness_record &each : records.records)
+        parameters["records"].append(encode(each));
+    parameters["floors"] = Json::Value(Json::arrayValue);
+    for (const epoch_floor &each : records.floors)
+        parameters["floors"].append(encode(each));
+    call(successor, records_method, std::move(parameters),
+         [done = std::move(done)](const outcome<Json::Value> &answer) {
+             if (!answer)
+                 done(answer.error());
+             else
+                 done(success());
+         });
+}
+
+void rpc_peer_channel::activateWitness(incarnation successor, const std::vector<incarnation> &witnesses,
+                                       std::function<void(outcome<void>)> done)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["witnesses"] = Json::Value(Json::arrayValue);
+    for (const incarnation each : witnesses)
+        parameters["witnesses"].append(toHex(each));
+    call(successor, activate_method, std::move(parameters),
+         [done = std::move(done)](const outcome<Json::Value> &answer) {
+             if (!answer)
+                 done(answer.error());
+             else
+                 done(success());
+         });
 }
 
 } // namespace ivypier::requests
--- a/libraries/requests/rpc_peer_channel.h
+++ b/libraries/requests/rpc_peer_channel.h
@@ -2,31 +2,46 @@
 
 #include "membership/membership_view.h"
 #include "requests/peer_channel.h"
+#include "requests/request_service.h"
+#include "requests/witness_ledger.h"
 #include "rpc/peer_client.h"
 #include "rpc/peer_server.h"
 
 namespace ivypier::requests {
 
-/// The peer channel over JSON-RPC, with addresses from the membership.
+/// Name of the membership fact that tells who speaks for a witness that left.
+std::string witnessFact(incarnation witness);
+
+/// The requests slice's messages over JSON-RPC. Every message names the incarnation that it is for, so that a
+/// node which started again at an address never answers for the one before it.
 class rpc_peer_channel final : public peer_channel
 {
 public:
-    rpc_peer_channel(const membership::membership_view &members, rpc::peer_client &peers);
-
-    /// Adds the methods that answer other nodes from this node's ledger.
-    static void serve(rpc::peer_server &methods, witness_ledger &ledger);
-
-    void askGrant(incarnation witness, const dispatch_intent &intent,
-                  std::function<void(outcome<bool>)> done) override;
-    void askVerdict(incarnation witness, const std::string &request,
-                    std::function<void(outcome<witness_verdict>)> done) override;
-    void passAnswer(incarnation witness, const std::string &request, const final_answer &answer) override;
+    rpc_peer_channel(membership::membership_view &members, rpc::peer_client &peers);
+
+    /// Adds the methods that other nodes call to a node's server. All parameters outlive it.
+    static void serve(rpc::peer_server &methods, membership::membership_view &members, witness_ledger &ledger,
+                      request_service &requests);
+
+    void askGrant(const dispatch_intent &intent, std::function<void(outcome<bool>)> done) override;
+    void askVerdict(const request_name &request, std::function<void(outcome<witness_verdict>)> done) override;
+    void askHolder(const request_name &request, std::function<void(outcome<incarnation>)> done) override;
+    void passAnswer(const request_name &request, const final_answer &answer) override;
+    void handOver(incarnation successor, const handed_request &handed,
+                  std::function<void(outcome<void>)> done) override;
+    void askConversation(incarnation node, const std::string &conversation,
+                         std::function<void(outcome<bool>)> done) override;
+    void passRecords(incarnation successor, const witness_records &records,
+                     std::function<void(outcome<void>)> done) override;
+    void activateWitness(incarnation successor, const std::vector<incarnation> &witnesses,
+                         std::function<void(outcome<void>)> done) override;
 
 private:
     void call(incarnation to, const std::string &method, Json::Value parameters,
               rpc::peer_client::completion done);
+    incarnation speakerFor(incarnation witness) const;
 
-    const membership::membership_view &m_members;
+    membership::membership_view &m_members;
     rpc::peer_client &m_peers;
 };
 
--- a/libraries/requests/witness_ledger.cpp
+++ b/libraries/requests/witness_ledger.cpp
@@ -1,40 +1,191 @@
 #include "requests/witness_ledger.h"
 
+#include <algorithm>
+
 namespace ivypier::requests {
 
-bool witness_ledger::grant(const dispatch_intent &intent)
+namespace {
+
+const error not_the_witness{error_code::unavailable, "this node does not speak for the request's witness"};
+
+} // namespace
+
+witness_ledger::witness_ledger(incarnation self, std::size_t recordLimit)
+    : m_self(self)
+    , m_limit(recordLimit)
+    , m_witnesses{self}
 {
-    entry &known = m_entries[intent.request];
-    if (known.fenced)
+}
+
+outcome<bool> witness_ledger::grant(const dispatch_intent &intent)
+{
+    if (!canSpeakFor(intent.request))
+        return not_the_witness;
+    if (intent.forgottenBelow > 0)
+        forgetBelow(intent.request.witness, intent.request.home, intent.forgottenBelow);
+    entry *known = entryOf(intent.request);
+    if (!known)
+        return false;
+#ifndef IVYPIER_MUTANT_WITNESS_FENCE
+    if (known->fenced)
         return false;
-    const bool passed = intent.previous != 0 && known.holder == intent.previous;
-    if (known.holder != 0 && known.holder != intent.holder && !passed)
+#endif
+#ifndef IVYPIER_MUTANT_WITNESS_HOLDER
+    const bool passed
+        = std::find(intent.previous.begin(), intent.previous.end(), known->holder) != intent.previous.end();
+    if (known->holder != 0 && known->holder != intent.holder && !passed)
         return false;
-    known.holder = intent.holder;
+#endif
+    known->holder = intent.holder;
+    keepWithinLimit();
     return true;
 }
 
-witness_verdict witness_ledger::ask(const std::string &request)
+outcome<witness_verdict> witness_ledger::ask(const request_name &request)
+{
+    if (!canSpeakFor(request))
+        return not_the_witness;
+    entry *known = entryOf(request);
+    if (!known)
+        return witness_verdict{};
+    if (known->answer)
+        return witness_verdict{request_outcome::answered, known->answer, known->holder};
+    if (known->holder != 0)
+        return witness_verdict{request_outcome::unknown, std::nullopt, known->holder};
+    known->fenced = true;
+    keepWithinLimit();
+    return witness_verdict{request_outcome::not_run, std::nullopt, 0};
+}
+
+incarnation witness_ledger::holderOf(const request_name &request) const
 {
-    entry &known = m_entries[request];
-    if (known.answer)
-        return {request_outcome::answered, known.answer};
-    if (known.holder != 0)
-        return {request_outcome::unknown, std::nullopt};
-    known.fenced = true;
-    return {request_outcome::not_run, std::nullopt};
+    const entry *known = findEntry(request);
+    return known ? known->holder : 0;
 }
 
-void witness_ledger::keepAnswer(const std::string &request, const final_answer &answer)
+void witness_ledger::keepAnswer(const request_name &request, const final_answer &answer)
 {
-    const auto found = m_entries.find(request);
-    if (found != m_entries.end() && found->second.holder != 0)
-        found->second.answer = answer;
+    if (m_stopped || !findEntry(request))
+        return;
+    entry *known = entryOf(request);
+    if (known && known->holder != 0)
+        known->answer = answer;
+}
+
+void witness_ledger::forgetBelow(incarnation witness, incarnation home, std::uint64_t below)
+{
+    home_records &records = m_homes[{witness, home}];
+    records.floor = std::max(records.floor, below);
+    while (!records.epochs.empty() && records.epochs.begin()->first < records.floor) {
+        m_size -= records.epochs.begin()->second.size();
+        records.epochs.erase(records.epochs.begin());
+    }
 }
 
 std::size_t witness_ledger::size() const
 {
-    return m_entries.size();
+    return m_size;
+}
+
+void witness_ledger::stop()
+{
+    m_stopped = true;
+}
+
+std::vector<incarnation> witness_ledger::speaksFor() const
+{
+    return {m_witnesses.begin(), m_witnesses.end()};
+}
+
+std::vector<witness_record> witness_ledger::records() const
+{
+    std::vector<witness_record> result;
+    for (const auto &[owner, home] : m_homes) {
+        if (!m_witnesses.contains(owner.first))
+            continue;
+        for (const auto &[epoch, entries] : home.epochs) {
+            for (const auto &[key, known] : entries)
+                result.push_back(
+                    {{key, owner.second, owner.first, epoch}, known.holder, known.fenced, known.answer});
+        }
+    }
+    return result;
+}
+
+std::vector<epoch_floor> witness_ledger::floors() const
+{
+    std::vector<epoch_floor> result;
+    for (const auto &[owner, home] : m_homes) {
+        if (home.floor > 0 && m_witnesses.contains(owner.first))
+            result.push_back({owner.first, owner.second, home.floor});
+    }
+    return result;
+}
+
+void witness_ledger::stage(const std::vector<witness_record> &records, const std::vector<epoch_floor> &floors)
+{
+    for (const epoch_floor &each : floors) {
+        if (!m_witnesses.contains(each.witness))
+            forgetBelow(each.witness, each.home, each.below);
+    }
+    for (const witness_record &each : records) {
+        if (m_witnesses.contains(each.request.witness)) // active already: a late repetition
+            continue;
+        entry *known = entryOf(each.request);
+        if (known)
+            *known = {each.holder, each.fenced, each.answer};
+    }
+}
+
+void witness_ledger::activate(incarnation witness)
+{
+    m_witnesses.insert(witness);
+}
+
+bool witness_ledger::canSpeakFor(const request_name &request) const
+{
+    return !m_stopped && m_witnesses.contains(request.witness);
+}
+
+witness_ledger::entry *witness_ledger::entryOf(const request_name &request)
+{
+    home_records &home = m_homes[{request.witness, request.home}];
+    if (request.epoch < home.floor)
+        return nullptr;
+    const auto [place, added] = home.epochs[request.epoch].try_emplace(request.key);
+    if (added)
+        ++m_size;
+    return &place->second;
+}
+
+const witness_ledger::entry *witness_ledger::findEntry(const request_name &request) const
+{
+    const auto home = m_homes.find({request.witness, request.home});
+    if (home == m_homes.end())
+        return nullptr;
+    const auto epoch = home->second.epochs.find(request.epoch);
+    if (epoch == home->second.epochs.end())
+        return nullptr;
+    const auto known = epoch->second.find(request.key);
+    return known == epoch->second.end() ? nullptr : &known->second;
+}
+
+void witness_ledger::keepWithinLimit()
+{
+    while (m_size > m_limit) {
+        const auto largest
+            = std::max_element(m_homes.begin(), m_homes.end(), [](const auto &left, const auto &right) {
+                  const auto total = [](const home_records &home) {
+                      std::size_t count = 0;
+                      for (const auto &[epoch, entries] : home.epochs)
+                          count += entries.size();
+                      return count;
+                  };
+                  return total(left.second) < total(right.second);
+              });
+        const auto [witness, home] = largest->first;
+        forgetBelow(witness, home, largest->second.epochs.begin()->first + 1);
+    }
 }
 
 } // namespace ivypier::requests
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -10,10 +10,13 @@
 #include "configuration/document_store.h"
 #include "entry/entry_directory.h"
 #include "gateway/caller_api.h"
+#include "gateway/http_forwarder.h"
 #include "membership/exchange_membership.h"
 #include "platform/http_platform.h"
+#include "requests/idempotency_claims.h"
 #include "requests/request_service.h"
 #include "requests/rpc_peer_channel.h"
+#include "requests/witness_handover.h"
 #include "routing/least_dispatched_router.h"
 #include "rpc/peer_server.h"
 #include "upstream/http_model_engine.h"
@@ -25,6 +28,11 @@
 
 constexpr duration drain_check_interval = std::chrono::milliseconds(50);
 constexpr duration vm_list_interval = std::chrono::seconds(1);
+constexpr duration notice_interval = std::chrono::milliseconds(500);
+
+/// What still finishes here before a stop hands the rest over: a part of the notice, and no more than this.
+constexpr int finishing_share = 4;
+constexpr duration longest_finishing = std::chrono::seconds(2);
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 
@@ -73,22 +81,29 @@
     upstream::http_model_engine engines{tasks, transport};
     upstream::http_plain_service services{tasks, transport};
     requests::rpc_peer_channel channel{members, peers};
-    requests::witness_ledger ledger;
+    requests::witness_ledger ledger{members.self().id};
+    requests::witness_handover witnessHandover{tasks, channel, ledger};
     requests::request_service requestService{
-        {tasks, metrics, router, admission, retries, engines, services, channel, members.self().id}};
-    gateway::forwarder forwards{tasks, transport};
+        {tasks, metrics, router, admission, retries, engines, services, channel, members, {}}};
+    requests::idempotency_claims claims{platformServices};
+    gateway::http_forwarder forwards{tasks, transport};
     gateway::caller_api callers{
-        {tasks, follower, members, entries, requestService, channel, forwards, fleetKey}};
+        {tasks, follower, members, entries, requestService, channel, forwards, claims, fleetKey}};
     std::vector<platform::vm_record> listedVms;
     std::unique_ptr<http::server> listener;
     bool draining = false;
+    time_point stopBy{};
 
     void handle(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
     http::response status() const;
     void setFaults(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
     void refreshCandidates();
     void pollVmList();
+    void pollNotices();
+    void drain(duration within, std::string_view cause);
+    void handOver();
     void waitForRequests();
+    void stop();
 };
 
 void node::parts::handle(const http::request &incoming, const std::shared_ptr<http::responder> &caller)
@@ -169,17 +184,68 @@
     });
 }
 
+void node::parts::pollNotices()
+{
+    platformServices.listNotices(
+        settings.vm, [this](const outcome<std::vector<platform::reclaim_notice>> &listed) {
+            for (const platform::reclaim_notice &each :
+                 listed ? listed.value() : std::vector<platform::reclaim_notice>()) {
+                if (each.vm == settings.vm)
+                    drain(std::chrono::milliseconds(each.remainingMilliseconds), "notice");
+            }
+            tasks.after(notice_interval, [this] { pollNotices(); });
+        });
+}
+
+void node::parts::drain(duration within, std::string_view cause)
+{
+    const time_point end = tasks.now() + within;
+    const bool first = !std::exchange(draining, true);
+    if (!first && end >= stopBy)
+        return;
+    stopBy = end;
+    log_event(log_level::info, "node.draining")
+        .with("cause", cause)
+        .with("seconds", seconds(within))
+        .with("unfinished", static_cast<std::int64_t>(requestService.unfinished()))
+        .write();
+    if (first) {
+        members.leave();
+        requestService.stopAccepting();
+        witnessHandover.start(entries.witnessSuccessors());
+        waitForRequests();
+    }
+    const duration finishing = std::min<duration>(within / finishing_share, longest_finishing);
+    tasks.after(finishing, [this] { handOver(); });
+}
+
+void node::parts::handOver()
+{
+    forwards.redirectAll();
+    requestService.handOver(
+        [this](const requests::incoming_request &request) {
+            return entries.successors(request.account, request.conversation, request.key());
+        },
+        stopBy);
+}
+
 void node::parts::waitForRequests()
 {
-    if (requestService.unfinished() > 0) {
+    const bool done = requestService.unfinished() == 0 && forwards.active() == 0 && witnessHandover.isDone();
+    if (!done && tasks.now() < stopBy) {
         tasks.after(drain_check_interval, [this] { waitForRequests(); });
         return;
     }
     // The last answers are on their way through the library's threads.
-    tasks.after(drain_check_interval * 4, [this] {
-        log_event(log_level::info, "node.stopped").write();
-        tasks.stop();
-    });
+    tasks.after(drain_check_interval * 4, [this] { stop(); });
+}
+
+void node::parts::stop()
+{
+    log_event(log_level::info, "node.stopped")
+        .with("unfinished", static_cast<std::int64_t>(requestService.unfinished()))
+        .write();
+    tasks.stop();
 }
 
 outcome<std::unique_ptr<node>> node::start(event_loop &loop, const node_settings &settings)
@@ -189,15 +255,17 @@
         return key.error();
     auto assembled = std::make_unique<parts>(loop, settings, key.value());
     parts *raw = assembled.get();
-    requests::rpc_peer_channel::serve(raw->methods, raw->ledger);
+    requests::rpc_peer_channel::serve(raw->methods, raw->members, raw->ledger, raw->requestService);
     raw->follower.onChange([raw] { raw->refreshCandidates(); });
     raw->members.onFact([raw](const membership::fact &news) {
         constexpr std::string_view prefix = "leaving/";
         const bool leaving = news.key.starts_with(prefix);
         const outcome<endpoint> address
             = endpoint::parse(std::string_view(news.key).substr(leaving ? prefix.size() : 0));
-        if (leaving && address)
-            raw->router.markLeaving(address.value());
+        if (!leaving || !address)
+            return;
+        raw->router.markLeaving(address.value());
+        raw->requestService.upstreamLeaving(address.value());
     });
     outcome<std::unique_ptr<http::server>> listening = http::server::listen(
         {.address = settings.address, .tls = settings.tls},
@@ -216,6 +284,9 @@
     raw->members.start();
     raw->follower.start();
     raw->pollVmList();
+    if (!settings.vm.empty())
+        raw->pollNotices();
+    raw->requestService.countEpochs([raw](std::uint64_t epoch) { raw->entries.publishEpoch(epoch); });
     log_event(log_level::info, "node.started")
         .with("name", settings.name)
         .with("address", settings.address.text())
@@ -234,14 +305,7 @@
 
 void node::drain()
 {
-    if (std::exchange(m_parts->draining, true))
-        return;
-    log_event(log_level::info, "node.draining")
-        .with("unfinished", static_cast<std::int64_t>(m_parts->requestService.unfinished()))
-        .write();
-    m_parts->members.leave();
-    m_parts->requestService.stopAccepting();
-    m_parts->waitForRequests();
+    m_parts->drain(m_parts->settings.stopWithin, "signal");
 }
 
 } // namespace ivypier::node
--- a/services/node/node.h
+++ b/services/node/node.h
@@ -17,7 +17,7 @@
 
     ~node();
 
-    /// Leaves the fleet, finishes what runs, then stops the loop.
+    /// Leaves the fleet, finishes or hands over what runs, then stops the loop.
     void drain();
 
 private:
--- a/services/node/node_settings.h
+++ b/services/node/node_settings.h
@@ -24,6 +24,7 @@
     endpoint platform;
     std::vector<endpoint> seeds;
     duration configurationInterval{};
+    duration stopWithin{}; ///< time that a stop by signal may take; a reclaim notice gives its own
     std::optional<http::tls_files> tls;
     bool faultSwitch = false; ///< tests may cut this node's links; never in production
 
