--- a/libraries/membership/membership_view.h
+++ b/libraries/membership/membership_view.h
@@ -15,6 +15,7 @@
 /// writer for each version. Facts are forgotten an hour after they were published, `configuration` is not;
 /// one that has to last longer is published again under a greater version. Keys in use: `configuration` (the
 /// newest head), `leaving/<upstream address>`, `witness/<incarnation>` (its successor),
+/// `epoch/<incarnation>` (the version is the epoch of its tickets),
 /// `share/<account>/<node>` (limit shares), `domain/<region>/<failure domain>` (a domain_summary).
 struct fact
 {
