Node on gossip membership; notices and engines' own word spread as leaving facts; isolated nodes start nothing

Cause: the node still exchanged with every seed, and each learned of leaving VMs from the lagging list alone. Now each node polls list and notices at a rate that the fleet shares, tells the others at once, and believes an engine that says itself that it leaves. Ruled out: more sends of each fact (costs every fact; the hash costs 10 bytes a ping).

--- a/libraries/gateway/caller_api.cpp
+++ b/libraries/gateway/caller_api.cpp
@@ -22,6 +22,8 @@
 /// When a caller may come back to a node that has no configuration yet.
 constexpr duration not_ready_retry_after = std::chrono::seconds(1);
 
+const error isolated_error{error_code::unavailable, "this node reaches neither the platform nor a peer"};
+
 constexpr std::string_view entry_path = "/v1/entry";
 constexpr std::string_view requests_path = "/v1/requests/";
 
@@ -91,6 +93,10 @@
 void caller_api::answerEntry(const http::request &incoming, const configuration::client_account &account,
                              const caller_pointer &caller)
 {
+    if (m_parts.members.isolated()) {
+        reject(caller, status_service_unavailable, isolated_error);
+        return;
+    }
     const std::string conversation = incoming.parameter("conversation");
     const entry::entry_answer answer = m_parts.entries.look(account.name + '/' + conversation);
     Json::Value json(Json::objectValue);
@@ -130,6 +136,10 @@
 {
     const membership::incarnation home = request.id.home;
     if (home == m_parts.members.self().id) {
+        if (m_parts.members.isolated()) {
+            answerWhileIsolated(request, form, nextPiece(incoming), caller);
+            return;
+        }
         submitHere(std::move(request), form, nextPiece(incoming), caller);
         return;
     }
@@ -146,6 +156,15 @@
                              });
 }
 
+void caller_api::answerWhileIsolated(const requests::incoming_request &request, answer_form form,
+                                     std::uint64_t from, const caller_pointer &caller)
+{
+    // What this home has taken already is still its own to answer; nothing new starts.
+    const auto writer = std::make_shared<answer_writer>(form, request.id.text(m_parts.fleetKey), caller);
+    if (!m_parts.requests.attach(request.key(), from, writer))
+        reject(caller, status_service_unavailable, isolated_error);
+}
+
 void caller_api::submitHere(requests::incoming_request request, answer_form form, std::uint64_t from,
                             const caller_pointer &caller)
 {
@@ -160,7 +179,9 @@
 void caller_api::homeIsSilent(const requests::incoming_request &request, answer_form form,
                               const caller_pointer &caller)
 {
-    if (request.repeatable) { // it may run twice, and the caller at this connection gets one answer
+    if (request.repeatable
+        && !m_parts.members
+                .isolated()) { // it may run twice, and the caller at this connection gets one answer
         submitHere(request, form, 0, caller);
         return;
     }
--- a/libraries/gateway/caller_api.h
+++ b/libraries/gateway/caller_api.h
@@ -49,6 +49,8 @@
              const caller_pointer &caller);
     void route(const http::request &incoming, requests::incoming_request request, answer_form form,
                const caller_pointer &caller);
+    void answerWhileIsolated(const requests::incoming_request &request, answer_form form, std::uint64_t from,
+                             const caller_pointer &caller);
     void submitHere(requests::incoming_request request, answer_form form, std::uint64_t from,
                     const caller_pointer &caller);
     void homeIsSilent(const requests::incoming_request &request, answer_form form,
--- a/libraries/membership/fact_store.cpp
+++ b/libraries/membership/fact_store.cpp
@@ -3,6 +3,8 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 
 namespace ivypier::membership {
 
@@ -78,6 +80,11 @@
     return m_hashes;
 }
 
+std::uint32_t fact_store::overallHash() const
+{
+    return std::accumulate(m_hashes.begin(), m_hashes.end(), std::uint32_t{0}, std::bit_xor<>());
+}
+
 std::size_t fact_store::size() const
 {
     return m_facts.size();
--- a/libraries/membership/fact_store.h
+++ b/libraries/membership/fact_store.h
@@ -32,6 +32,9 @@
     /// One hash for each bucket, equal in stores that know the same.
     const std::vector<std::uint32_t> &hashes() const;
 
+    /// One hash over everything.
+    std::uint32_t overallHash() const;
+
     std::size_t size() const;
 
     static std::uint64_t hashOf(const std::string &key);
--- a/libraries/membership/gossip_membership.cpp
+++ b/libraries/membership/gossip_membership.cpp
@@ -14,6 +14,7 @@
 constexpr duration spread_interval = std::chrono::milliseconds(200);
 constexpr std::size_t spread_fanout = 3;
 constexpr duration compare_interval = std::chrono::seconds(5);
+constexpr duration quick_compare_interval = std::chrono::seconds(1);
 constexpr duration compare_again_interval = std::chrono::milliseconds(500);
 constexpr duration greeting_interval = std::chrono::seconds(2);
 constexpr duration first_greeting_interval = std::chrono::milliseconds(250);
@@ -47,7 +48,7 @@
     , m_random(randomness)
     , m_channel(channel)
     , m_members(std::move(self))
-    , m_sender(tasks, channel, fleetKey, m_members, m_queue)
+    , m_sender(tasks, channel, fleetKey, m_members, m_facts, m_queue)
     , m_compare(tasks, m_members, m_facts, m_sender)
     , m_detector({tasks, randomness, m_members, m_sender, m_health, [this](incarnation id) { accuse(id); },
                   [this](incarnation id) {
@@ -67,8 +68,8 @@
     m_channel.onReceive([this](const endpoint &from, std::string_view datagram) { receive(from, datagram); });
     m_queue.add(member_table::newsOf(m_members.self()));
     m_tickedAt = m_tasks.now();
-    for (time_point *each : {&m_nextSpread, &m_nextCompare, &m_nextGreetingAt, &m_nextRegionCompare,
-                             &m_nextSummary, &m_nextForget})
+    for (time_point *each : {&m_nextSpread, &m_nextCompare, &m_nextQuickCompare, &m_nextGreetingAt,
+                             &m_nextRegionCompare, &m_nextSummary, &m_nextForget})
         *each = m_tickedAt;
     tick();
 }
@@ -148,6 +149,19 @@
     return result;
 }
 
+std::size_t gossip_membership::memberCount() const
+{
+    return m_members.liveCount();
+}
+
+std::size_t gossip_membership::fleetSize() const
+{
+    std::size_t count = m_members.liveCount();
+    for (const domain_summary &each : otherRegions())
+        count += each.members;
+    return count;
+}
+
 const gossip_traffic &gossip_membership::traffic() const
 {
     return m_sender.traffic();
@@ -336,6 +350,7 @@
     bool differs = false;
     switch (message.kind) {
     case message_kind::ping:
+        compareIfDifferent(message, from);
         m_detector.onPing(message, from);
         return;
     case message_kind::ping_request:
@@ -366,6 +381,18 @@
         m_nextCompare = std::min(m_nextCompare, m_tasks.now() + compare_again_interval);
 }
 
+void gossip_membership::compareIfDifferent(const gossip_message &ping, const endpoint &from)
+{
+    // While news is on its way here, a difference is expected.
+    if (!m_queue.empty() || ping.memberHashes.size() != 1 || ping.factHashes.size() != 1)
+        return;
+    const bool sameRegion = !m_regions.isContact(from) && m_members.find(ping.sender);
+    const bool differs = ping.factHashes.front() != m_facts.overallHash()
+        || (sameRegion && ping.memberHashes.front() != m_members.overallHash());
+    if (differs && due(m_nextQuickCompare, quick_compare_interval))
+        m_compare.compare(from, sameRegion);
+}
+
 void gossip_membership::takeNews(const member_news &news, const gossip_message &message, const endpoint &from)
 {
     const member &own = m_members.self().entry;
--- a/libraries/membership/gossip_membership.h
+++ b/libraries/membership/gossip_membership.h
@@ -53,6 +53,12 @@
     /// Failure domains of other regions, as they were last told.
     std::vector<domain_summary> otherRegions() const;
 
+    /// Members of this region that are not dead, this node included.
+    std::size_t memberCount() const;
+
+    /// Nodes in all regions, as far as known.
+    std::size_t fleetSize() const;
+
     const gossip_traffic &traffic() const;
 
 private:
@@ -71,6 +77,7 @@
     void spread();
     void evenOut();
     void reachOut();
+    void compareIfDifferent(const gossip_message &ping, const endpoint &from);
     void linkRegions();
     void forgetOld();
     void tellNow();
@@ -100,6 +107,7 @@
     time_point m_tickedAt;
     time_point m_nextSpread;
     time_point m_nextCompare;
+    time_point m_nextQuickCompare;
     time_point m_nextGreetingAt;
     time_point m_nextRegionCompare;
     time_point m_nextSummary;
--- a/libraries/membership/gossip_message.h
+++ b/libraries/membership/gossip_message.h
@@ -81,7 +81,8 @@
     endpoint targetAddress;
     std::vector<member_news> members;
     std::vector<fact_news> facts;
-    std::vector<std::uint32_t> memberHashes; ///< one a bucket; empty: members are not compared
+    /// Of a digest: one a bucket; empty: members are not compared. Of a ping: one over everything.
+    std::vector<std::uint32_t> memberHashes;
     std::vector<std::uint32_t> factHashes;
     std::uint64_t memberBuckets = 0; ///< bit set of the buckets that a listing has whole
     std::uint64_t factBuckets = 0;
--- a/libraries/membership/gossip_sender.cpp
+++ b/libraries/membership/gossip_sender.cpp
@@ -27,11 +27,12 @@
 }
 
 gossip_sender::gossip_sender(const clock &time, datagram_channel &channel, const secret_key &fleetKey,
-                             const member_table &members, broadcast_queue &queue)
+                             const member_table &members, const fact_store &facts, broadcast_queue &queue)
     : m_time(time)
     , m_channel(channel)
     , m_codec(fleetKey)
     , m_members(members)
+    , m_facts(facts)
     , m_queue(queue)
     , m_credit(budget_burst_bytes)
     , m_creditAt(time.now())
@@ -41,6 +42,10 @@
 void gossip_sender::send(const endpoint &to, gossip_message message)
 {
     message.sender = m_members.self().entry.id;
+    if (message.kind == message_kind::ping) {
+        message.memberHashes = {m_members.overallHash()};
+        message.factHashes = {m_facts.overallHash()};
+    }
     m_queue.fill(message, roomIn(message), m_members.liveCount());
     const std::string datagram = m_codec.encode(message);
     assert(datagram.size() <= datagram_limit);
--- a/libraries/membership/gossip_sender.h
+++ b/libraries/membership/gossip_sender.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "membership/broadcast_queue.h"
 #include "membership/datagram_channel.h"
+#include "membership/fact_store.h"
 #include "membership/gossip_codec.h"
 #include "membership/member_table.h"
 
@@ -22,7 +23,7 @@
 {
 public:
     gossip_sender(const clock &time, datagram_channel &channel, const secret_key &fleetKey,
-                  const member_table &members, broadcast_queue &queue);
+                  const member_table &members, const fact_store &facts, broadcast_queue &queue);
 
     void send(const endpoint &to, gossip_message message);
 
@@ -37,6 +38,7 @@
     datagram_channel &m_channel;
     gossip_codec m_codec;
     const member_table &m_members;
+    const fact_store &m_facts;
     broadcast_queue &m_queue;
     gossip_traffic m_traffic;
     double m_credit;
--- a/libraries/membership/member_table.cpp
+++ b/libraries/membership/member_table.cpp
@@ -3,6 +3,8 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 #include <set>
 
 namespace ivypier::membership {
@@ -32,13 +34,8 @@
 member_table::member_table(member self)
     : m_selfId(self.id)
 {
-    m_records[m_selfId] = member_record{std::move(self)};
-}
-
-member_record &member_table::self()
-{
-    m_stale = true;
-    return m_records.at(m_selfId);
+    const auto own = m_records.emplace(m_selfId, member_record{std::move(self)}).first;
+    toggleHash(own->second);
 }
 
 const member_record &member_table::self() const
@@ -56,6 +53,7 @@
             return news_effect::none;
         member_record record{*news.details, news.generation, news.liveness, news.leaving, now};
         settle(record, now);
+        toggleHash(record);
         m_records.emplace(news.id, std::move(record));
         return news_effect::changed;
     }
@@ -65,12 +63,14 @@
     const bool leaves = news.leaving && !record.leaving;
     if (!newer && !worse && !leaves)
         return news_effect::none;
+    toggleHash(record);
     record.leaving = record.leaving || news.leaving;
     if (newer || worse) {
         record.generation = news.generation;
         record.liveness = news.liveness;
     }
     settle(record, now);
+    toggleHash(record);
     return news_effect::changed;
 }
 
@@ -134,10 +134,14 @@
 
 const std::vector<std::uint32_t> &member_table::hashes() const
 {
-    rebuild();
     return m_hashes;
 }
 
+std::uint32_t member_table::overallHash() const
+{
+    return std::accumulate(hashes().begin(), hashes().end(), std::uint32_t{0}, std::bit_xor<>());
+}
+
 std::size_t member_table::bucketOf(incarnation id)
 {
     return id % bucket_count;
@@ -158,18 +162,22 @@
     m_stale = true;
 }
 
+void member_table::toggleHash(const member_record &record)
+{
+    if (!record.dead())
+        m_hashes[bucketOf(record.entry.id)] ^= hashOf(record);
+}
+
 void member_table::rebuild() const
 {
     if (!m_stale)
         return;
     m_stale = false;
     m_others.clear();
-    m_hashes.assign(bucket_count, 0);
     std::set<std::string_view> domains;
     for (const auto &[id, record] : m_records) {
         if (record.dead())
             continue;
-        m_hashes[bucketOf(id)] ^= hashOf(record);
         if (id == m_selfId)
             continue;
         m_others.push_back(id);
--- a/libraries/membership/member_table.h
+++ b/libraries/membership/member_table.h
@@ -41,7 +41,6 @@
 
     explicit member_table(member self);
 
-    member_record &self();
     const member_record &self() const;
 
     /// The greater generation wins; at the same one, the greater liveness. Leaving is never taken back.
@@ -72,6 +71,9 @@
     /// One hash for each bucket, equal in tables that know the same.
     const std::vector<std::uint32_t> &hashes() const;
 
+    /// One hash over everything.
+    std::uint32_t overallHash() const;
+
     static std::size_t bucketOf(incarnation id);
 
     /// Forgets members that died before `limit`.
@@ -79,13 +81,14 @@
 
 private:
     void settle(member_record &record, time_point now);
+    void toggleHash(const member_record &record);
     void rebuild() const;
 
     incarnation m_selfId;
     std::map<incarnation, member_record> m_records;
     mutable bool m_stale = true;
     mutable std::vector<incarnation> m_others;
-    mutable std::vector<std::uint32_t> m_hashes;
+    std::vector<std::uint32_t> m_hashes = std::vector<std::uint32_t>(bucket_count, 0);
     mutable std::size_t m_answeringDomains = 0;
 };
 
--- a/libraries/membership/tests/gossip_fleet.h
+++ b/libraries/membership/tests/gossip_fleet.h
@@ -80,7 +80,7 @@
     bool allKnow(std::size_t count) const
     {
         for (std::size_t index = 0; index < nodes.size(); ++index) {
-            if (running(index) && nodes[index]->membership.members().size() != count)
+            if (running(index) && nodes[index]->membership.memberCount() != count)
                 return false;
         }
         return true;
--- /dev/null
+++ b/libraries/membership/vm_watch.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "base/scheduler.h"
+#include "membership/membership_view.h"
+#include "platform/cloud_service.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ivypier::membership {
+
+/// What a vm_watch works with; every reference outlives it.
+struct vm_watch_parts
+{
+    scheduler &tasks;
+    random_source &randomness;
+    platform::cloud_service &cloud;
+    membership_view &members;
+    std::function<std::size_t()> fleetSize; ///< nodes that poll as this one does
+};
+
+/// Follows the platform's list of VMs and its notices, and tells the fleet which upstreams leave, as facts
+/// `leaving/<address>` whose value is the VM. An empty value takes it back: another VM has the address now.
+/// Each node polls so seldom that the fleet as a whole stays under fixed rates.
+class vm_watch
+{
+public:
+    explicit vm_watch(vm_watch_parts parts);
+
+    /// Starts to poll, at once and then at jittered intervals.
+    void start();
+
+    /// The VMs as they were last listed.
+    const std::vector<platform::vm_record> &vms() const;
+
+    /// Addresses of upstreams that the configuration names, by name; a notice may be for one of them.
+    void setNamedUpstreams(std::map<std::string, endpoint> upstreams);
+
+    /// Publishes that an upstream leaves, by its own word.
+    void reportLeaving(const endpoint &upstream);
+
+    /// Calls `observer` after the list changed.
+    void onVmsChanged(std::function<void()> observer);
+
+    /// Calls `observer` with each answer of the platform.
+    void onPlatformAnswered(std::function<void()> observer);
+
+    /// The upstream that a fact says is leaving; nothing for other facts and for those that take it back.
+    static std::optional<endpoint> leavingUpstream(const fact &news);
+
+private:
+    void pollVms();
+    void pollNotices();
+    duration interval(double fleetReadsPerSecond) const;
+    void takeVms(std::vector<platform::vm_record> listed);
+    void takeNotices(const std::vector<platform::reclaim_notice> &notices);
+    void publishLeaving(const endpoint &upstream, const std::string &vm);
+    void takeBack(const platform::vm_record &live);
+    std::optional<endpoint> addressOf(const std::string &vm) const;
+
+    vm_watch_parts m_parts;
+    std::vector<platform::vm_record> m_vms;
+    std::map<std::string, endpoint> m_named;
+    std::set<std::string> m_noticed; ///< VMs with a notice, as of the last answer
+    std::vector<std::function<void()>> m_vmObservers;
+    std::vector<std::function<void()>> m_answerObservers;
+};
+
+} // namespace ivypier::membership
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -10,7 +10,9 @@
 #include "configuration/document_store.h"
 #include "entry/entry_directory.h"
 #include "gateway/caller_api.h"
-#include "membership/exchange_membership.h"
+#include "membership/gossip_membership.h"
+#include "membership/udp_channel.h"
+#include "membership/vm_watch.h"
 #include "platform/http_platform.h"
 #include "requests/request_service.h"
 #include "requests/rpc_peer_channel.h"
@@ -18,13 +20,14 @@
 #include "rpc/peer_server.h"
 #include "upstream/http_model_engine.h"
 #include "upstream/http_plain_service.h"
+#include "upstream/leaving_watch.h"
 
 namespace ivypier::node {
 
 namespace {
 
 constexpr duration drain_check_interval = std::chrono::milliseconds(50);
-constexpr duration vm_list_interval = std::chrono::seconds(1);
+constexpr std::string_view node_role = "node";
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 
@@ -44,10 +47,13 @@
 
 struct node::parts
 {
-    parts(event_loop &loop, const node_settings &given, secret_key key)
+    parts(event_loop &loop, const node_settings &given, secret_key key,
+          std::unique_ptr<membership::udp_channel> opened, std::shared_ptr<fault_switch> cuts)
         : tasks(loop)
         , settings(given)
         , fleetKey(key)
+        , faults(std::move(cuts))
+        , datagrams(std::move(opened))
     {
     }
 
@@ -56,13 +62,16 @@
     secret_key fleetKey;
     seeded_random randomness = seeded_random::fromSystem();
     metrics_registry metrics;
-    std::shared_ptr<fault_switch> faults = std::make_shared<fault_switch>();
+    std::shared_ptr<fault_switch> faults;
+    std::unique_ptr<membership::udp_channel> datagrams;
     std::shared_ptr<http::client> transport = std::make_shared<http::client>(faults);
     platform::http_platform platformServices{tasks, transport, settings.platform};
     rpc::http_peer_client peers{tasks, transport, fleetKey};
     rpc::peer_server methods{tasks, fleetKey};
-    membership::exchange_membership members{tasks, peers, methods, describeSelf(settings, randomness),
-                                            settings.seeds};
+    membership::gossip_membership members{
+        tasks, randomness, *datagrams, fleetKey, describeSelf(settings, randomness), settings.seeds};
+    membership::vm_watch vms{
+        {tasks, randomness, platformServices, members, [this] { return members.fleetSize(); }}};
     configuration::document_store documents{platformServices, platformServices};
     configuration::configuration_follower follower{tasks, randomness, documents,
                                                    settings.configurationInterval};
@@ -70,7 +79,8 @@
     routing::least_dispatched_router router;
     admission::open_admission admission;
     admission::budget_retry retries{randomness};
-    upstream::http_model_engine engines{tasks, transport};
+    upstream::http_model_engine engineClient{tasks, transport};
+    upstream::leaving_watch engines{engineClient, [this](const endpoint &each) { vms.reportLeaving(each); }};
     upstream::http_plain_service services{tasks, transport};
     requests::rpc_peer_channel channel{members, peers};
     requests::witness_ledger ledger;
@@ -79,7 +89,6 @@
     gateway::forwarder forwards{tasks, transport};
     gateway::caller_api callers{
         {tasks, follower, members, entries, requestService, channel, forwards, fleetKey}};
-    std::vector<platform::vm_record> listedVms;
     std::unique_ptr<http::server> listener;
     bool draining = false;
 
@@ -87,7 +96,7 @@
     http::response status() const;
     void setFaults(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
     void refreshCandidates();
-    void pollVmList();
+    void followVms();
     void waitForRequests();
 };
 
@@ -126,6 +135,7 @@
     json["failure_domain"] = settings.failureDomain;
     json["state"] = std::string(membership::name(members.self().state));
     json["configuration_version"] = Json::UInt64{current ? current->version : 0};
+    json["isolated"] = members.isolated();
     json["requests_unfinished"] = Json::UInt64{requestService.unfinished()};
     json["members"] = Json::Value(Json::arrayValue);
     for (const membership::member &each : members.members()) {
@@ -145,28 +155,38 @@
     if (!current)
         return;
     std::vector<routing::candidate> candidates;
-    for (const configuration::upstream &each : current->content.upstreams)
+    std::map<std::string, endpoint> named;
+    for (const configuration::upstream &each : current->content.upstreams) {
+        named[each.name] = each.address;
         candidates.push_back({each.name, each.service, each.address, each.failureDomain, each.machineClass,
                               each.pricePerHour});
-    for (const platform::vm_record &each : listedVms) {
+    }
+    vms.setNamedUpstreams(std::move(named));
+    for (const platform::vm_record &each : vms.vms()) {
         if (!current->content.findService(each.role))
             continue;
         candidates.push_back({each.id, each.role, each.address, each.failureDomain, each.machineClass, 0.0});
-        if (each.state == platform::vm_state::leaving)
-            members.publish({"leaving/" + each.address.text(), 1, each.id});
     }
     router.setCandidates(std::move(candidates));
 }
 
-void node::parts::pollVmList()
+void node::parts::followVms()
 {
-    platformServices.listVms([this](const outcome<std::vector<platform::vm_record>> &listed) {
-        if (listed && listed.value() != listedVms) {
-            listedVms = listed.value();
-            refreshCandidates();
+    members.onFact([this](const membership::fact &news) {
+        if (const auto address = membership::vm_watch::leavingUpstream(news))
+            router.markLeaving(*address);
+    });
+    vms.onPlatformAnswered([this] { members.platformAnswered(); });
+    vms.onVmsChanged([this] {
+        std::vector<endpoint> seeds = settings.seeds;
+        for (const platform::vm_record &each : vms.vms()) {
+            if (each.role == node_role)
+                seeds.push_back(each.address);
         }
-        tasks.after(vm_list_interval, [this] { pollVmList(); });
+        members.setSeeds(std::move(seeds));
+        refreshCandidates();
     });
+    vms.start();
 }
 
 void node::parts::waitForRequests()
@@ -177,6 +197,7 @@
     }
     // The last answers are on their way through the library's threads.
     tasks.after(drain_check_interval * 4, [this] {
+        members.depart();
         log_event(log_level::info, "node.stopped").write();
         tasks.stop();
     });
@@ -187,18 +208,15 @@
     const outcome<secret_key> key = secret_key::fromPassphrase(settings.fleetKey);
     if (!key)
         return key.error();
-    auto assembled = std::make_unique<parts>(loop, settings, key.value());
+    auto faults = std::make_shared<fault_switch>();
+    auto datagrams = membership::udp_channel::bind(loop, settings.address, faults);
+    if (!datagrams)
+        return datagrams.error();
+    auto assembled = std::make_unique<parts>(loop, settings, key.value(), std::move(datagrams.value()),
+                                             std::move(faults));
     parts *raw = assembled.get();
     requests::rpc_peer_channel::serve(raw->methods, raw->ledger);
     raw->follower.onChange([raw] { raw->refreshCandidates(); });
-    raw->members.onFact([raw](const membership::fact &news) {
-        constexpr std::string_view prefix = "leaving/";
-        const bool leaving = news.key.starts_with(prefix);
-        const outcome<endpoint> address
-            = endpoint::parse(std::string_view(news.key).substr(leaving ? prefix.size() : 0));
-        if (leaving && address)
-            raw->router.markLeaving(address.value());
-    });
     outcome<std::unique_ptr<http::server>> listening = http::server::listen(
         {.address = settings.address, .tls = settings.tls},
         [raw](http::request incoming, std::shared_ptr<http::responder> caller) {
@@ -215,7 +233,7 @@
     raw->listener = std::move(listening.value());
     raw->members.start();
     raw->follower.start();
-    raw->pollVmList();
+    raw->followVms();
     log_event(log_level::info, "node.started")
         .with("name", settings.name)
         .with("address", settings.address.text())
