--- a/libraries/gateway/caller_api.cpp
+++ b/libraries/gateway/caller_api.cpp
@@ -30,6 +30,9 @@
 constexpr std::uint64_t most_hops = 2;
 
 constexpr const char *idempotency_header = "Idempotency-Key";
+
+const error isolated_error{error_code::unavailable, "this node reaches neither the platform nor a peer"};
+
 constexpr std::string_view entry_path = "/v1/entry";
 constexpr std::string_view requests_path = "/v1/requests/";
 
@@ -126,6 +129,10 @@
 void caller_api::answerEntry(const http::request &incoming, const configuration::client_account &account,
                              const caller_pointer &caller)
 {
+    if (m_parts.members.isolated()) {
+        reject(caller, status_service_unavailable, isolated_error);
+        return;
+    }
     const std::string conversation = incoming.parameter("conversation");
     const entry::entry_answer answer = m_parts.entries.look(account.name, conversation, randomNumber());
     Json::Value json(Json::objectValue);
@@ -194,6 +201,10 @@
 {
     const membership::incarnation home = request.id.home;
     if (home == m_parts.members.self().id) {
+        if (m_parts.members.isolated()) {
+            answerWhileIsolated(request, form, nextPiece(incoming), caller);
+            return;
+        }
         submitHere(std::move(request), form, nextPiece(incoming), caller);
         return;
     }
@@ -216,6 +227,14 @@
         && hopsOf(incoming) < most_hops;
 }
 
+void caller_api::answerWhileIsolated(const requests::incoming_request &request, answer_form form,
+                                     std::uint64_t from, const caller_pointer &caller)
+{
+    // What this home has taken already is still its own to answer; nothing new starts.
+    if (!follow(request.key(), form, request.id.text(m_parts.fleetKey), from, caller))
+        reject(caller, status_service_unavailable, isolated_error);
+}
+
 void caller_api::submitHere(requests::incoming_request request, answer_form form, std::uint64_t from,
                             const caller_pointer &caller)
 {
@@ -277,6 +296,10 @@
 
 void caller_api::runAsOwn(requests::incoming_request request, answer_form form, const caller_pointer &caller)
 {
+    if (m_parts.members.isolated()) {
+        reject(caller, status_service_unavailable, isolated_error);
+        return;
+    }
     // Under an id of this node, so that what the silent home says of its own id stays true.
     request.id = m_parts.entries.ownTicket(request.id.callerPart);
     submitHere(std::move(request), form, 0, caller);
--- a/libraries/gateway/caller_api.h
+++ b/libraries/gateway/caller_api.h
@@ -55,6 +55,8 @@
     void claimKey(const http::request &incoming, read_request read, const caller_pointer &caller);
     void route(const http::request &incoming, requests::incoming_request request, answer_form form,
                const caller_pointer &caller);
+    void answerWhileIsolated(const requests::incoming_request &request, answer_form form, std::uint64_t from,
+                             const caller_pointer &caller);
     void submitHere(requests::incoming_request request, answer_form form, std::uint64_t from,
                     const caller_pointer &caller);
     bool follow(const std::string &key, answer_form form, const std::string &idText, std::uint64_t from,
