Admission by expected time and worth; account limits shared over the nodes

Cause: the node took everything and held no account to its limits.

deadline_admission refuses what can't meet its threshold; thresholds fall with worth and for accounts over their share.

share_ledger: an account's limit is shared out by demand through the facts share/<account>/<incarnation>, as a bounded counter: each holder starts with an equal part, lowers its own share before it tells of a gift, and keeps what its running requests hold. share_holders decides who counts: newcomers at once, the vanished until their term, and only a side with more than half shares them out, while a side with less than half stops.

First try: a giver with long requests kept admitting up to its share, so one that lacked got 2 of 80 places in 30 s (test "what running requests take up is not given away"); now a giver stops at its target as soon as another lacks.

Mutants seen failing: giver keeps what it gave, no term of death, no isolation, a minority shares out, running requests given away.

--- /dev/null
+++ b/libraries/admission/limited_admission.cpp
@@ -0,0 +1,154 @@
+#include "admission/limited_admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivypier::admission {
+
+namespace {
+
+/// What is left of a demand from one update to the next.
+constexpr double kept_demand = 0.8;
+
+/// What is left of the requests served from one update to the next: half after 5 s.
+constexpr double kept_served = 0.933;
+
+/// An account is over its share when it has had more than this many times its part of what was served.
+constexpr double over_share_factor = 1.5;
+
+constexpr duration limit_retry_after = std::chrono::seconds(1);
+
+share_units unitsOf(double part)
+{
+    return static_cast<share_units>(std::ceil(std::clamp(part, 0.0, 1.0) * whole_limit));
+}
+
+double partOf(share_units units)
+{
+    return static_cast<double>(units) / whole_limit;
+}
+
+} // namespace
+
+limited_admission::limited_admission(const clock &time, share_ledger &shares, admission_policy &next)
+    : m_time(time)
+    , m_shares(shares)
+    , m_next(next)
+{
+}
+
+void limited_admission::setLimits(std::map<std::string, account_limit> limits)
+{
+    for (const auto &[name, limit] : limits) {
+        account_state &account = m_accounts[name];
+        account.limit = limit;
+        m_shares.demand(name, unitsOf(account.wanted), unitsOf(heldPart(account)));
+    }
+    // An account that was taken away keeps its entry while its last requests run.
+    std::erase_if(m_accounts, [&](const auto &entry) {
+        return !limits.contains(entry.first) && entry.second.running == 0;
+    });
+}
+
+std::optional<refusal> limited_admission::admit(const admission_request &request)
+{
+    account_state &account = m_accounts[request.account];
+    ++account.asked;
+    if (const auto refused = overLimit(request.account, account))
+        return refused;
+    admission_request judged = request;
+    judged.overShare = isOverShare(account);
+    if (const auto refused = m_next.admit(judged))
+        return refused;
+    if (account.limit.requestsPerSecond > 0.0)
+        account.bucket.take();
+    ++account.running;
+    account.served += 1.0;
+    return std::nullopt;
+}
+
+void limited_admission::finished(const admission_request &request)
+{
+    account_state &account = m_accounts[request.account];
+    account.running -= std::min<std::uint32_t>(account.running, 1);
+    m_next.finished(request);
+}
+
+void limited_admission::update()
+{
+    for (auto &[name, account] : m_accounts)
+        stateDemand(name, account);
+    sumServed();
+    m_shares.update(m_time.now());
+    for (auto &[name, account] : m_accounts) {
+        const double part = partOf(m_shares.share(name, m_time.now()));
+        account.bucket.setRate(part * account.limit.requestsPerSecond, m_time.now());
+    }
+}
+
+std::optional<refusal> limited_admission::overLimit(const std::string &name, account_state &account)
+{
+    const account_limit &limit = account.limit;
+    if (limit.concurrentRequests > 0 && account.running >= allowedRunning(name, account)) {
+        ++account.refusedRunning;
+        return refusal{refusal_cause::over_concurrency, limit_retry_after};
+    }
+    const bool noShare = m_shares.share(name, m_time.now()) == 0;
+    if (limit.requestsPerSecond > 0.0 && (noShare || !account.bucket.has(m_time.now())))
+        return refusal{refusal_cause::over_rate, limit_retry_after};
+    return std::nullopt;
+}
+
+/// An account's part of what is served goes by its limit, among the accounts that ask for anything.
+bool limited_admission::isOverShare(const account_state &account) const
+{
+    if (m_servedLimits <= 0.0 || account.limit.requestsPerSecond <= 0.0)
+        return false;
+    const double part = account.limit.requestsPerSecond / m_servedLimits;
+    return account.served > over_share_factor * m_served * part;
+}
+
+void limited_admission::sumServed()
+{
+    m_served = 0.0;
+    m_servedLimits = 0.0;
+    for (const auto &[name, each] : m_accounts) {
+        if (each.served < 1.0)
+            continue;
+        m_served += each.served;
+        m_servedLimits += each.limit.requestsPerSecond;
+    }
+}
+
+std::uint32_t limited_admission::allowedRunning(const std::string &name, const account_state &account) const
+{
+    constexpr double rounding = 1e-6;
+    const double part = partOf(m_shares.share(name, m_time.now()));
+    return static_cast<std::uint32_t>(part * account.limit.concurrentRequests + rounding);
+}
+
+/// The part of the limit that running requests take up.
+double limited_admission::heldPart(const account_state &account)
+{
+    if (account.limit.concurrentRequests == 0)
+        return 0.0;
+    return static_cast<double>(account.running) / account.limit.concurrentRequests;
+}
+
+void limited_admission::stateDemand(const std::string &name, account_state &account)
+{
+    double rate = 0.0;
+    if (account.limit.requestsPerSecond > 0.0)
+        rate = account.asked / seconds(update_interval) / account.limit.requestsPerSecond;
+    const double held = heldPart(account);
+    double running = held;
+    if (account.limit.concurrentRequests > 0)
+        running += static_cast<double>(account.refusedRunning) / account.limit.concurrentRequests;
+    account.wanted = std::max({std::min(rate, 1.0), std::min(running, 1.0), account.wanted * kept_demand});
+    account.asked = 0;
+    account.refusedRunning = 0;
+    account.served *= kept_served;
+    m_shares.demand(name, unitsOf(account.wanted), unitsOf(held));
+}
+
+} // namespace ivypier::admission
--- /dev/null
+++ b/libraries/admission/tests/admission_policies_test.cpp
@@ -0,0 +1,132 @@
+#include "admission/budget_retry.h"
+#include "admission/deadline_admission.h"
+#include "admission/early_refusal_admission.h"
+#include "admission/worth_threshold.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+using namespace ivypier::admission;
+using namespace std::chrono_literals;
+
+namespace {
+
+admission_request expecting(duration expected, double worth = 1.0)
+{
+    admission_request request;
+    request.account = "kumasi";
+    request.service = "tariff";
+    request.worth = worth;
+    request.mostWorth = 1.0;
+    request.target = 500ms;
+    request.expected = expected;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("as expected time grows, accounts over their share go first, then lower worth, then all")
+{
+    seeded_random randomness(1);
+    deadline_admission admission(randomness);
+    admission_request over = expecting(300ms, 0.4);
+    over.overShare = true;
+    CHECK_FALSE(admission.admit(expecting(300ms, 0.4)));
+    CHECK(admission.admit(over));
+    CHECK(admission.admit(expecting(400ms, 0.4)));
+    CHECK_FALSE(admission.admit(expecting(400ms)));
+    CHECK_FALSE(admission.admit(expecting(500ms)));
+    CHECK(admission.admit(expecting(501ms)));
+}
+
+TEST_CASE("a request longer than its target is taken when it need not wait, and only then")
+{
+    seeded_random randomness(7);
+    deadline_admission admission(randomness);
+    admission_request lengthy = expecting(900ms);
+    lengthy.unloaded = 900ms;
+    CHECK_FALSE(admission.admit(lengthy));
+    lengthy.expected = 1100ms;
+    CHECK(admission.admit(lengthy));
+}
+
+TEST_CASE("a refusal names the backlog as the time to come back, jittered")
+{
+    seeded_random randomness(2);
+    deadline_admission admission(randomness);
+    for (int count = 0; count < 50; ++count) {
+        const auto refused = admission.admit(expecting(2500ms));
+        REQUIRE(refused);
+        CHECK(refused->cause == refusal_cause::over_load);
+        CHECK(refused->retryAfter >= 2s);
+        CHECK(refused->retryAfter <= 4s);
+    }
+}
+
+TEST_CASE("early refusal takes all at low load, some as the average rises, none over the target")
+{
+    seeded_random randomness(3);
+    early_refusal_admission admission(randomness);
+    const auto refusedOf = [&](duration expected, int count) {
+        int refused = 0;
+        for (int index = 0; index < count; ++index)
+            refused += admission.admit(expecting(expected)) ? 1 : 0;
+        return refused;
+    };
+    CHECK(refusedOf(100ms, 500) == 0);
+    refusedOf(350ms, 200);
+    const int middle = refusedOf(350ms, 1000);
+    CHECK(middle > 50);
+    CHECK(middle < 500);
+    CHECK(refusedOf(501ms, 100) == 100);
+    refusedOf(100ms, 300);
+    CHECK(refusedOf(100ms, 500) == 0);
+}
+
+TEST_CASE("with every attempt failing, repetitions stay within a tenth of the requests")
+{
+    seeded_random randomness(4);
+    budget_retry retries(randomness);
+    constexpr int requests = 6000;
+    int repeated = 0;
+    for (int request = 0; request < requests; ++request) {
+        retries.dispatched("tariff");
+        unsigned attempt = 2;
+        while (retries.repeat("tariff", attempt, 60s)) {
+            ++repeated;
+            ++attempt;
+        }
+    }
+    CHECK(repeated <= requests / 10);
+    CHECK(repeated >= requests / 11);
+}
+
+TEST_CASE("a repetition is not begun past the deadline, and its pause has full jitter")
+{
+    seeded_random randomness(5);
+    budget_retry retries(randomness);
+    for (int count = 0; count < 1000; ++count)
+        retries.dispatched("tariff");
+    CHECK_FALSE(retries.repeat("tariff", 2, 0s));
+    duration least = 1h;
+    duration most{};
+    for (int count = 0; count < 10; ++count) {
+        const auto pause = retries.repeat("tariff", 5, 60s);
+        REQUIRE(pause);
+        least = std::min(least, *pause);
+        most = std::max(most, *pause);
+    }
+    CHECK(most <= 160ms);
+    CHECK(least < 80ms);
+    CHECK_FALSE(retries.repeat("tariff", 5, 60s)); // what was saved up is bounded
+}
+
+TEST_CASE("services have budgets of their own")
+{
+    seeded_random randomness(6);
+    budget_retry retries(randomness);
+    for (int count = 0; count < 100; ++count)
+        retries.dispatched("tariff");
+    CHECK(retries.repeat("tariff", 2, 60s));
+    CHECK_FALSE(retries.repeat("rates", 2, 60s));
+}
--- /dev/null
+++ b/libraries/admission/tests/fake_membership.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "base/virtual_scheduler.h"
+#include "membership/membership_view.h"
+
+#include <map>
+#include <set>
+
+namespace ivypier::admission {
+
+/// Nodes that learn of each other's facts and states late, in virtual time, and may lose each other.
+class fake_network
+{
+public:
+    class view;
+
+    fake_network(virtual_scheduler &tasks, random_source &randomness, duration longestDelay)
+        : m_tasks(tasks)
+        , m_random(randomness)
+        , m_longestDelay(longestDelay)
+    {
+    }
+
+    /// Cuts the network between the nodes in `side` and all others; nothing heals it but heal().
+    void cut(std::set<membership::incarnation> side)
+    {
+        m_side = std::move(side);
+    }
+
+    void heal();
+    bool connected(membership::incarnation left, membership::incarnation right) const
+    {
+        return m_side.contains(left) == m_side.contains(right);
+    }
+
+    void deliver(membership::incarnation from, const membership::fact &news);
+
+    virtual_scheduler &m_tasks;
+    random_source &m_random;
+    duration m_longestDelay;
+    std::set<membership::incarnation> m_side;
+    std::map<membership::incarnation, view *> m_views;
+};
+
+/// One node's view.
+class fake_network::view final : public membership::membership_view
+{
+public:
+    view(fake_network &network, membership::incarnation id)
+        : m_network(network)
+    {
+        m_self.id = id;
+        m_members[id] = m_self;
+        network.m_views[id] = this;
+    }
+
+    /// Sees a member in a state from now on; dead ones are gone from members().
+    void see(membership::incarnation id, membership::member_state state)
+    {
+        m_members[id].id = id;
+        m_members[id].state = state;
+        if (id == m_self.id)
+            m_self.state = state;
+    }
+
+    membership::member self() const override
+    {
+        return m_self;
+    }
+    std::vector<membership::member> members() const override
+    {
+        std::vector<membership::member> result;
+        for (const auto &[id, each] : m_members) {
+            if (each.state != membership::member_state::dead)
+                result.push_back(each);
+        }
+        return result;
+    }
+    std::optional<membership::member> find(membership::incarnation id) const override
+    {
+        const auto found = m_members.find(id);
+        return found == m_members.end() ? std::nullopt : std::optional(found->second);
+    }
+    std::optional<membership::fact> findFact(const std::string &key) const override
+    {
+        const auto found = m_facts.find(key);
+        return found == m_facts.end() ? std::nullopt : std::optional(found->second);
+    }
+    std::vector<membership::fact> facts(const std::string &prefix) const override
+    {
+        std::vector<membership::fact> result;
+        for (const auto &[key, each] : m_facts) {
+            if (key.starts_with(prefix))
+                result.push_back(each);
+        }
+        return result;
+    }
+    void publish(const membership::fact &news) override
+    {
+        learn(news);
+        m_network.deliver(m_self.id, news);
+    }
+    void onMembersChanged(std::function<void()>) override
+    {
+    }
+    void onFact(std::function<void(const membership::fact &)>) override
+    {
+    }
+    void leave() override
+    {
+    }
+
+    void learn(const membership::fact &news)
+    {
+        membership::fact &known = m_facts[news.key];
+        if (news.version > known.version)
+            known = news;
+    }
+
+    std::map<std::string, membership::fact> m_facts;
+
+private:
+    fake_network &m_network;
+    membership::member m_self;
+    std::map<membership::incarnation, membership::member> m_members;
+};
+
+inline void fake_network::deliver(membership::incarnation from, const membership::fact &news)
+{
+    for (const auto &[id, receiver] : m_views) {
+        if (id == from || !connected(from, id))
+            continue;
+        const duration delay = fromSeconds(seconds(m_longestDelay) * m_random.uniform());
+        m_tasks.after(delay, [receiver = receiver, news] { receiver->learn(news); });
+    }
+}
+
+inline void fake_network::heal()
+{
+    m_side.clear();
+    for (const auto &[id, sender] : m_views) {
+        for (const auto &[key, known] : std::map(sender->m_facts))
+            deliver(id, known);
+    }
+}
+
+} // namespace ivypier::admission
--- a/libraries/requests/request_service.cpp
+++ b/libraries/requests/request_service.cpp
@@ -134,8 +134,9 @@
         refuse(record, {admission::refusal_cause::no_upstream, short_retry_after});
         return;
     }
-    const auto refused
-        = m_parts.admission.admit(admissionRequest(*record, choice.value().expectedFirstToken));
+    admission::admission_request asked = admissionRequest(*record, choice.value().expectedFirstToken);
+    asked.unloaded = choice.value().unloadedFirstToken;
+    const auto refused = m_parts.admission.admit(asked);
     if (refused) {
         refuse(record, *refused);
         return;
@@ -525,6 +526,8 @@
     request.service = record.request.service.name;
     request.requestClass = record.request.requestClass.name;
     request.worth = record.request.requestClass.worth;
+    for (const configuration::request_class &each : record.request.service.classes)
+        request.mostWorth = std::max(request.mostWorth, each.worth);
     request.target = record.request.service.firstTokenTarget;
     request.expected = expected;
     return request;
--- a/libraries/routing/expected_time_router.cpp
+++ b/libraries/routing/expected_time_router.cpp
@@ -79,7 +79,8 @@
     }
     if (!best)
         return error{error_code::unavailable, "no upstream of " + request.service + " is fit"};
-    return routing_choice{best->target->target, fromSeconds(best->seconds), best->cachedTokens};
+    return routing_choice{best->target->target, fromSeconds(best->seconds), best->cachedTokens,
+                          fromSeconds(best->unloadedSeconds)};
 }
 
 void expected_time_router::dispatched(const endpoint &upstream, const std::string &attempt,
@@ -132,9 +133,7 @@
     }
     sent.target->health.succeeded();
     // A plain service has no first token; all of its time is the answer.
-    const double elapsed = seconds(now - (sent.begun ? sent.firstTokenAt : sent.sentAt));
-    double &mean = m_services[sent.service].speed.streamSeconds;
-    mean += newest_weight * (elapsed - mean);
+    learnStreamTime(m_services[sent.service], seconds(now - (sent.begun ? sent.firstTokenAt : sent.sentAt)));
 }
 
 void expected_time_router::loadReported(const endpoint &upstream, const upstream::engine_load &load)
@@ -190,6 +189,13 @@
     return result;
 }
 
+void expected_time_router::learnStreamTime(service_state &service, double elapsed)
+{
+    double &mean = service.speed.streamSeconds;
+    mean += (service.streamSecondsKnown ? newest_weight : 1.0) * (elapsed - mean);
+    service.streamSecondsKnown = true;
+}
+
 /// Chooses the upstreams whose load is followed, so that over all nodes each has about as many followers.
 void expected_time_router::follow(service_state &service) const
 {
@@ -309,17 +315,17 @@
                                                             const routing_request &request) const
 {
     const service_speed speed = of->load.speed(service.speed);
-    estimate result{of, of->load.waitSeconds(service.speed, m_time.now()),
-                    m_settings.usePrefixes ? of->prefixes.cachedTokens(request) : 0};
+    estimate result{.target = of};
+    result.cachedTokens = m_settings.usePrefixes ? of->prefixes.cachedTokens(request) : 0;
     const bool plain = request.promptTokens == 0;
-    if (plain)
-        result.seconds += speed.streamSeconds;
-    else
-        result.seconds
-            += static_cast<double>(request.promptTokens - result.cachedTokens) / speed.prefillTokensPerSecond
-            + speed.decodeSecondsPerToken;
+    const auto uncached = static_cast<double>(request.promptTokens - result.cachedTokens);
+    if (!plain)
+        result.unloadedSeconds = uncached / speed.prefillTokensPerSecond + speed.decodeSecondsPerToken;
+    else if (service.streamSecondsKnown)
+        result.unloadedSeconds = speed.streamSeconds;
     if (of->target.failureDomain != m_settings.failureDomain)
-        result.seconds += seconds(m_settings.otherDomainDistance);
+        result.unloadedSeconds += seconds(m_settings.otherDomainDistance);
+    result.seconds = result.unloadedSeconds + of->load.waitSeconds(service.speed, m_time.now());
     return result;
 }
 
--- a/libraries/routing/expected_time_router.h
+++ b/libraries/routing/expected_time_router.h
@@ -65,6 +65,7 @@
         std::vector<state_pointer> all;
         std::vector<state_pointer> followed; ///< the most wanted by rendezvous hash first
         service_speed speed;
+        bool streamSecondsKnown = false;
     };
 
     struct sent_attempt
@@ -81,9 +82,11 @@
     {
         state_pointer target;
         double seconds = 0.0;
+        double unloadedSeconds = 0.0; ///< the same without any wait
         std::uint64_t cachedTokens = 0;
     };
 
+    static void learnStreamTime(service_state &service, double elapsed);
     void follow(service_state &service) const;
     bool isLeaving(const upstream_state &of) const;
     bool isFit(const upstream_state &of, const routing_request &request) const;
--- a/libraries/routing/router.h
+++ b/libraries/routing/router.h
@@ -47,6 +47,7 @@
     candidate target;
     duration expectedFirstToken{}; ///< of a plain service: the whole answer
     std::uint64_t expectedCachedTokens = 0;
+    duration unloadedFirstToken{}; ///< the same if nothing else ran there
 
     auto operator<=>(const routing_choice &) const = default;
 };
--- a/libraries/routing/tests/expected_time_router_test.cpp
+++ b/libraries/routing/tests/expected_time_router_test.cpp
@@ -150,6 +150,21 @@
     CHECK(one.chosen(turn) != home);
 }
 
+TEST_CASE("a plain service's answer time is learned, and its wait grows with the attempts in flight")
+{
+    bench with(1);
+    const routing_request plain = request(0);
+    CHECK(with.router.choose(plain).value().expectedFirstToken < 1ms);
+    with.router.dispatched(at(1), "one", plain);
+    with.tasks.advance(80ms);
+    with.router.finished("one", attempt_result::answered);
+    CHECK(seconds(with.router.choose(plain).value().expectedFirstToken) == Approx(0.08));
+    for (int count = 0; count < 15; ++count)
+        with.router.dispatched(at(1), "more" + std::to_string(count), plain);
+    CHECK(seconds(with.router.choose(plain).value().expectedFirstToken) == Approx(0.16));
+    CHECK(seconds(with.router.choose(plain).value().unloadedFirstToken) == Approx(0.08));
+}
+
 TEST_CASE("router prefers its own failure domain when nothing else differs")
 {
     bench with(2);
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -1,7 +1,8 @@
 #include "node.h"
 
 #include "admission/budget_retry.h"
-#include "admission/open_admission.h"
+#include "admission/deadline_admission.h"
+#include "admission/limited_admission.h"
 #include "base/hash.h"
 #include "base/json.h"
 #include "base/log_event.h"
@@ -76,7 +77,9 @@
     entry::entry_directory entries{members, fleetKey};
     routing::expected_time_router router{
         tasks, randomness, {.node = settings.name, .failureDomain = settings.failureDomain}};
-    admission::open_admission admission;
+    admission::share_ledger shares{members};
+    admission::deadline_admission deadlines{randomness};
+    admission::limited_admission admission{tasks, shares, deadlines};
     admission::budget_retry retries{randomness};
     upstream::http_model_engine engines{tasks, transport};
     upstream::http_plain_service services{tasks, transport};
@@ -96,6 +99,8 @@
     http::response status() const;
     void setFaults(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
     void refreshCandidates();
+    void refreshLimits();
+    void updateShares();
     void pollVmList();
     void waitForRequests();
 };
@@ -168,6 +173,21 @@
     router.setCandidates(std::move(candidates));
 }
 
+void node::parts::refreshLimits()
+{
+    std::map<std::string, admission::account_limit> limits;
+    for (const configuration::client_account &each : follower.current()->content.clientAccounts)
+        limits[each.name] = {each.requestsPerSecond, each.concurrentRequests};
+    admission.setLimits(std::move(limits));
+    admission.update();
+}
+
+void node::parts::updateShares()
+{
+    admission.update();
+    tasks.after(admission::limited_admission::update_interval, [this] { updateShares(); });
+}
+
 void node::parts::pollVmList()
 {
     platformServices.listVms([this](const outcome<std::vector<platform::vm_record>> &listed) {
@@ -200,7 +220,11 @@
     auto assembled = std::make_unique<parts>(loop, settings, key.value());
     parts *raw = assembled.get();
     requests::rpc_peer_channel::serve(raw->methods, raw->ledger);
-    raw->follower.onChange([raw] { raw->refreshCandidates(); });
+    raw->follower.onChange([raw] {
+        raw->refreshCandidates();
+        raw->refreshLimits();
+    });
+    raw->shares.expectHolders(settings.seeds.size());
     raw->members.onFact([raw](const membership::fact &news) {
         constexpr std::string_view prefix = "leaving/";
         const bool leaving = news.key.starts_with(prefix);
@@ -227,6 +251,7 @@
     raw->follower.start();
     raw->pollVmList();
     raw->loads.start();
+    raw->updateShares();
     log_event(log_level::info, "node.started")
         .with("name", settings.name)
         .with("address", settings.address.text())
