Replay of traces in virtual time through the nodes' decisions

ivypier-replay runs generated traces of the two deployments, open loop, against fake engines (batching, prompts one after another, prefix cache, late loads and cache events) and the decision code of eight nodes. Experiments: capacity, routing, staleness, admission, prefixes, reclaim, storm.

Cause of two changes in the routing: the first run took 132 s for 15,000 requests, since the wait was summed anew over all own attempts at each choice.

--- a/libraries/admission/share_ledger.cpp
+++ b/libraries/admission/share_ledger.cpp
@@ -170,10 +170,10 @@
         surplus += m_holders.isPresent(holder) ? static_cast<double>(surplusOf(account)) : 0.0;
         lack += static_cast<double>(lackOf(holder, account));
     }
-    const double own_surplus = static_cast<double>(surplusOf(accounts.at(self)));
-    if (lack <= 0.0 || own_surplus <= 0.0)
+    const double ownSurplus = static_cast<double>(surplusOf(accounts.at(self)));
+    if (lack <= 0.0 || ownSurplus <= 0.0)
         return;
-    const double part = std::min(1.0, lack / surplus) * own_surplus / lack;
+    const double part = std::min(1.0, lack / surplus) * ownSurplus / lack;
     for (const auto &[holder, account] : accounts) {
         const auto gift = static_cast<share_units>(static_cast<double>(lackOf(holder, account)) * part);
         if (gift >= least_gift)
--- a/libraries/routing/load_estimate.cpp
+++ b/libraries/routing/load_estimate.cpp
@@ -10,18 +10,24 @@
     m_reportedAt = now;
     m_takenAt = now - lag;
     m_endedSince = 0;
+    countUnreported();
 }
 
 void load_estimate::dispatched(const std::string &attempt, double prefillSeconds, time_point now)
 {
     m_own[attempt] = {now, prefillSeconds, false};
+    ++m_unreportedStreams;
+    m_unreportedPrefill += prefillSeconds;
 }
 
 void load_estimate::firstToken(const std::string &attempt, time_point)
 {
     const auto found = m_own.find(attempt);
-    if (found != m_own.end())
-        found->second.prefilled = true;
+    if (found == m_own.end() || found->second.prefilled)
+        return;
+    found->second.prefilled = true;
+    if (!isReported(found->second))
+        m_unreportedPrefill -= found->second.prefillSeconds;
 }
 
 void load_estimate::finished(const std::string &attempt, time_point)
@@ -29,25 +35,22 @@
     const auto found = m_own.find(attempt);
     if (found == m_own.end())
         return;
-    if (m_report && found->second.sentAt < m_takenAt)
+    if (isReported(found->second)) {
         ++m_endedSince;
+    } else {
+        --m_unreportedStreams;
+        m_unreportedPrefill -= found->second.prefilled ? 0.0 : found->second.prefillSeconds;
+    }
     m_own.erase(found);
 }
 
 double load_estimate::waitSeconds(const service_speed &typical, time_point now) const
 {
-    double prefill = 0.0;
-    double streams = 0.0;
+    double prefill = std::max(0.0, m_unreportedPrefill);
+    auto streams = static_cast<double>(m_unreportedStreams);
     if (m_report) {
-        prefill = std::max(0.0, m_report->queuedSeconds - seconds(now - m_takenAt));
-        streams = std::max(0.0, static_cast<double>(m_report->runningStreams) - m_endedSince);
-    }
-    for (const auto &[id, own] : m_own) {
-        if (m_report && own.sentAt < m_takenAt)
-            continue; // the report counts it
-        streams += 1.0;
-        if (!own.prefilled)
-            prefill += own.prefillSeconds;
+        prefill += std::max(0.0, m_report->queuedSeconds - seconds(now - m_takenAt));
+        streams += std::max(0.0, static_cast<double>(m_report->runningStreams) - m_endedSince);
     }
     const service_speed rate = speed(typical);
     const double limit = std::max(1.0, static_cast<double>(rate.streamLimit));
@@ -56,6 +59,23 @@
     return prefill + place;
 }
 
+bool load_estimate::isReported(const own_attempt &own) const
+{
+    return m_report && own.sentAt < m_takenAt;
+}
+
+void load_estimate::countUnreported()
+{
+    m_unreportedStreams = 0;
+    m_unreportedPrefill = 0.0;
+    for (const auto &[id, own] : m_own) {
+        if (isReported(own))
+            continue;
+        ++m_unreportedStreams;
+        m_unreportedPrefill += own.prefilled ? 0.0 : own.prefillSeconds;
+    }
+}
+
 service_speed load_estimate::speed(const service_speed &typical) const
 {
     service_speed result = typical;
--- a/libraries/routing/load_estimate.h
+++ b/libraries/routing/load_estimate.h
@@ -52,6 +52,11 @@
     time_point reportedAt() const;
 
 private:
+    struct own_attempt;
+
+    bool isReported(const own_attempt &own) const;
+    void countUnreported();
+
     struct own_attempt
     {
         time_point sentAt{};
@@ -64,6 +69,8 @@
     time_point m_takenAt{}; ///< when the report was true
     std::uint32_t m_endedSince = 0; ///< own attempts counted in the report that ended after it
     std::map<std::string, own_attempt> m_own;
+    std::size_t m_unreportedStreams = 0; ///< own attempts that the report does not count
+    double m_unreportedPrefill = 0.0; ///< what is left of their prompts, in seconds
 };
 
 } // namespace ivypier::routing
--- /dev/null
+++ b/utilities/replay/virtual_replay.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "base/virtual_scheduler.h"
+#include "decision_node.h"
+#include "replay_plan.h"
+#include "replay_result.h"
+#include "trace.h"
+
+#include <memory>
+#include <vector>
+
+namespace ivypier::replay {
+
+/// Runs a trace in virtual time: open loop, against fake engines, through the decisions of several nodes that
+/// learn of the engines late. Callers don't come back after a refusal.
+class virtual_replay
+{
+public:
+    virtual_replay(replay_plan plan, const trace &requests);
+
+    /// Runs to the end of the last answer.
+    replay_result run();
+
+private:
+    /// One request on its way.
+    struct running_request
+    {
+        const trace_request *request = nullptr;
+        routing::routing_request asked;
+        admission::admission_request admitted;
+        std::size_t node = 0;
+        std::size_t engine = 0;
+        time_point arrivedAt{};
+        time_point firstTokenAt{};
+        std::uint64_t delivered = 0;
+        unsigned attempts = 0;
+        bool imported = false;
+        bool measured = false;
+        bool interrupted = false;
+    };
+    using request_pointer = std::shared_ptr<running_request>;
+
+    void schedule();
+    void pollLoads(std::size_t node);
+    void report(std::size_t node, std::size_t engine);
+    void sampleImbalance();
+    void announceWave();
+    void endWave();
+    void arrive(const trace_request &request);
+    void dispatch(const request_pointer &running, const routing::routing_choice &choice);
+    void firstToken(const request_pointer &running, const std::string &attempt);
+    void finished(const request_pointer &running, const std::string &attempt, std::uint64_t computed);
+    void failed(const request_pointer &running, const std::string &attempt, std::uint64_t generated,
+                std::uint64_t computed);
+    void tryAgain(const request_pointer &running);
+    void giveUp(const request_pointer &running);
+    request_counts &counts(const trace_request &of);
+    bool isMeasured(time_point at) const;
+    bool isOutage() const;
+
+    replay_plan m_plan;
+    const trace &m_requests;
+    virtual_scheduler m_tasks;
+    std::vector<std::unique_ptr<fake_engine>> m_engines;
+    std::vector<bool> m_gone;
+    std::vector<std::vector<std::uint64_t>> m_lastEvents; ///< by node and engine
+    std::vector<std::unique_ptr<decision_node>> m_nodes;
+    std::vector<std::size_t> m_transfers; ///< streams whose cache the notice still allows to transfer
+    replay_result m_result;
+    double m_imbalanceSum = 0.0;
+    std::size_t m_imbalanceSamples = 0;
+    std::uint64_t m_nextAttempt = 1;
+    std::size_t m_unfinished = 0;
+};
+
+} // namespace ivypier::replay
