--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -1,7 +1,8 @@
 #include "node.h"
 
 #include "admission/budget_retry.h"
-#include "admission/open_admission.h"
+#include "admission/deadline_admission.h"
+#include "admission/limited_admission.h"
 #include "base/hash.h"
 #include "base/json.h"
 #include "base/log_event.h"
@@ -96,7 +97,9 @@
     entry::entry_directory entries{members, fleetKey};
     routing::expected_time_router router{
         tasks, randomness, {.node = settings.name, .failureDomain = settings.failureDomain}};
-    admission::open_admission admission;
+    admission::share_ledger shares{members};
+    admission::deadline_admission deadlines{randomness};
+    admission::limited_admission admission{tasks, shares, deadlines};
     admission::budget_retry retries{randomness};
     upstream::http_model_engine engineClient{tasks, transport};
     upstream::leaving_watch engines{engineClient, [this](const endpoint &each) { vms.reportLeaving(each); }};
@@ -124,6 +127,8 @@
     void pollOwnNotices();
     void drain(duration within, std::string_view cause);
     void handOver();
+    void refreshLimits();
+    void updateShares();
     void waitForRequests();
     void stop();
 };
@@ -199,6 +204,21 @@
     router.setCandidates(std::move(candidates));
 }
 
+void node::parts::refreshLimits()
+{
+    std::map<std::string, admission::account_limit> limits;
+    for (const configuration::client_account &each : follower.current()->content.clientAccounts)
+        limits[each.name] = {each.requestsPerSecond, each.concurrentRequests};
+    admission.setLimits(std::move(limits));
+    admission.update();
+}
+
+void node::parts::updateShares()
+{
+    admission.update();
+    tasks.after(admission::limited_admission::update_interval, [this] { updateShares(); });
+}
+
 void node::parts::followVms()
 {
     members.onFact([this](const membership::fact &news) {
@@ -309,7 +329,11 @@
                                              std::move(faults));
     parts *raw = assembled.get();
     requests::rpc_peer_channel::serve(raw->methods, raw->members, raw->ledger, raw->requestService);
-    raw->follower.onChange([raw] { raw->refreshCandidates(); });
+    raw->follower.onChange([raw] {
+        raw->refreshCandidates();
+        raw->refreshLimits();
+    });
+    raw->shares.expectHolders(settings.seeds.size());
     outcome<std::unique_ptr<http::server>> listening = http::server::listen(
         {.address = settings.address, .tls = settings.tls},
         [raw](http::request incoming, std::shared_ptr<http::responder> caller) {
@@ -331,6 +355,7 @@
     if (!settings.vm.empty())
         raw->pollOwnNotices();
     raw->requestService.countEpochs([raw](std::uint64_t epoch) { raw->entries.publishEpoch(epoch); });
+    raw->updateShares();
     log_event(log_level::info, "node.started")
         .with("name", settings.name)
         .with("address", settings.address.text())
