--- a/libraries/placement/lease.cpp
+++ b/libraries/placement/lease.cpp
@@ -33,12 +33,12 @@
 
 } // namespace
 
-lease_keeper::lease_keeper(scheduler &tasks, platform::table_service &table, std::string duty,
+lease_keeper::lease_keeper(scheduler &tasks, platform::table_service &table, std::string name,
                            std::string holder, duration term)
     : m_tasks(tasks)
     , m_table(table)
-    , m_duty(std::move(duty))
-    , m_key("lease/" + m_duty)
+    , m_name(std::move(name))
+    , m_key("lease/" + m_name)
     , m_holder(std::move(holder))
     , m_term(term)
 {
@@ -54,9 +54,9 @@
     m_eligible = eligible;
 }
 
-const std::string &lease_keeper::duty() const
+const std::string &lease_keeper::name() const
 {
-    return m_duty;
+    return m_name;
 }
 
 bool lease_keeper::lapsed() const
@@ -198,7 +198,7 @@
     if (!acquired)
         return;
     log_event(log_level::info, "lease.acquired")
-        .with("duty", m_duty)
+        .with("duty", m_name)
         .with("holder", m_holder)
         .with("fencing", static_cast<std::int64_t>(version))
         .write();
@@ -245,7 +245,7 @@
 
 void lease_keeper::released()
 {
-    log_event(log_level::info, "lease.released").with("duty", m_duty).with("holder", m_holder).write();
+    log_event(log_level::info, "lease.released").with("duty", m_name).with("holder", m_holder).write();
     if (const auto done = std::exchange(m_released, nullptr))
         done();
 }
--- a/libraries/placement/lease.h
+++ b/libraries/placement/lease.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/scheduler.h"
+#include "placement/duty.h"
 #include "platform/table_service.h"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -17,27 +17,17 @@
 /// Renewals in one term.
 inline constexpr int lease_renewals_per_term = 3;
 
-/// A duty held until `expiresAt` by this process's own monotonic clock.
-struct lease
-{
-    std::uint64_t fencing = 0; ///< only grows; the row's version in the table
-    std::uint64_t tenure = 0; ///< the fencing number with which this holder took the duty over
-    time_point expiresAt{};
-
-    auto operator<=>(const lease &) const = default;
-};
-
-/// Holds one duty through one row of the table, `lease/<duty>`. Only from tasks of its scheduler.
+/// Holds one duty through one row of the table, `lease/<name>`. Only from tasks of its scheduler.
 ///
 /// The row names the holder; its version is the fencing number. A holder counts its term from before it sent
 /// the write, an observer counts the same term from after it read the row, so that an observer takes over
 /// only after the holder counts the lease as lost, whatever the calls' delays. A write whose answer is lost
 /// is settled by reading the row back.
-class lease_keeper
+class lease_keeper final : public duty
 {
 public:
     /// `holder` names this incarnation of this process and no other.
-    lease_keeper(scheduler &tasks, platform::table_service &table, std::string duty, std::string holder,
+    lease_keeper(scheduler &tasks, platform::table_service &table, std::string name, std::string holder,
                  duration term);
 
     /// Starts to acquire the lease, and to renew it once it is held.
@@ -50,13 +40,12 @@
     /// Whether this process may take the duty over (default: true). A lease that is held stays held.
     void setEligible(bool eligible);
 
-    /// The lease while orders may be sent under it: a margin before its end it counts as lost.
-    std::optional<lease> held() const;
+    std::optional<lease> held() const override;
 
     /// The time left until held() gives nothing.
     duration remaining() const;
 
-    const std::string &duty() const;
+    const std::string &name() const;
 
 private:
     /// A conditional write that is under way or whose effect is not known.
@@ -80,7 +69,7 @@
 
     scheduler &m_tasks;
     platform::table_service &m_table;
-    std::string m_duty;
+    std::string m_name;
     std::string m_key;
     std::string m_holder;
     duration m_term;
--- a/libraries/platform/cloud_service.h
+++ b/libraries/platform/cloud_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/outcome.h"
 
@@ -81,8 +82,10 @@
     /// Starts a VM; `refused` when the cloud has none to give.
     virtual void startVm(const vm_order &order, std::function<void(outcome<vm_record>)> done) = 0;
 
-    /// Gives a VM back; one that is gone already counts as done.
-    virtual void releaseVm(const std::string &id, std::function<void(outcome<void>)> done) = 0;
+    /// Gives a VM back: it is listed as leaving at once and ends after `notice`, so that its work can drain.
+    /// One that is gone already counts as done.
+    virtual void releaseVm(const std::string &id, duration notice, std::function<void(outcome<void>)> done)
+        = 0;
 
     /// Notices for one VM, or for all when `vm` is empty.
     virtual void listNotices(const std::string &vm,
--- a/libraries/platform/http_platform.cpp
+++ b/libraries/platform/http_platform.cpp
@@ -2,11 +2,15 @@
 
 #include "base/json.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace ivypier::platform {
 
 namespace {
 
 constexpr duration call_timeout = std::chrono::seconds(2);
+constexpr duration shortest_retry_after = std::chrono::seconds(1);
 
 constexpr int status_ok = 200;
 constexpr int status_created = 201;
@@ -72,6 +76,15 @@
     return vm;
 }
 
+/// The seconds of `Retry-After` (RFC 9110, section 10.2.3); its date form counts as the shortest wait.
+duration retryAfterOf(const http::response &answer)
+{
+    const std::string text = answer.header("Retry-After");
+    std::int64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return std::max<duration>(std::chrono::seconds(value), shortest_retry_after);
+}
+
 template <typename T>
 outcome<std::vector<T>> listOf(const outcome<Json::Value> &json,
                                const std::function<outcome<T>(const Json::Value &)> &element)
@@ -213,9 +226,10 @@
          });
 }
 
-void http_platform::releaseVm(const std::string &id, std::function<void(outcome<void>)> done)
+void http_platform::releaseVm(const std::string &id, duration notice, std::function<void(outcome<void>)> done)
 {
-    send({.method = "DELETE", .path = "/cloud/vms/" + id}, http::repeatability::repeatable,
+    const std::string query = "notice_ms=" + std::to_string(milliseconds(notice));
+    send({.method = "DELETE", .path = "/cloud/vms/" + id, .query = query}, http::repeatability::repeatable,
          [done = std::move(done)](const outcome<http::response> &answered) {
              if (!answered)
                  done(answered.error());
@@ -238,4 +252,21 @@
          });
 }
 
+void http_platform::requestDelivery(const std::string &name,
+                                    std::function<void(outcome<weight_delivery>)> done)
+{
+    send({.method = "POST", .path = "/weights/" + name}, http::repeatability::not_repeatable,
+         [done = std::move(done)](const outcome<http::response> &answered) {
+             if (answered && answered.value().status == status_too_many_requests) {
+                 done(weight_delivery{0, retryAfterOf(answered.value())});
+                 return;
+             }
+             const outcome<Json::Value> json = jsonOf(answered);
+             if (!json)
+                 done(json.error());
+             else
+                 done(weight_delivery{unsignedMember(json.value(), "bytes", 0), duration::zero()});
+         });
+}
+
 } // namespace ivypier::platform
--- a/libraries/platform/http_platform.h
+++ b/libraries/platform/http_platform.h
@@ -5,6 +5,7 @@
 #include "platform/cloud_service.h"
 #include "platform/object_store.h"
 #include "platform/table_service.h"
+#include "platform/weight_store.h"
 
 #include <json/value.h>
 
@@ -12,8 +13,12 @@
 
 namespace ivypier::platform {
 
-/// The platform's services over HTTP: `/table`, `/objects`, `/vms`, `/cloud` below one address.
-class http_platform final : public table_service, public object_store, public cloud_service
+/// The platform's services over HTTP: `/table`, `/objects`, `/vms`, `/cloud`, `/weights` below one
+/// address.
+class http_platform final : public table_service,
+                            public object_store,
+                            public cloud_service,
+                            public weight_store
 {
 public:
     http_platform(scheduler &tasks, std::shared_ptr<http::client> transport, endpoint address);
@@ -29,10 +34,13 @@
     void listVms(std::function<void(outcome<std::vector<vm_record>>)> done) override;
     void listPrices(std::function<void(outcome<std::vector<vm_price>>)> done) override;
     void startVm(const vm_order &order, std::function<void(outcome<vm_record>)> done) override;
-    void releaseVm(const std::string &id, std::function<void(outcome<void>)> done) override;
+    void releaseVm(const std::string &id, duration notice, std::function<void(outcome<void>)> done) override;
     void listNotices(const std::string &vm,
                      std::function<void(outcome<std::vector<reclaim_notice>>)> done) override;
 
+    void requestDelivery(const std::string &name,
+                         std::function<void(outcome<weight_delivery>)> done) override;
+
 private:
     using reply = std::function<void(const outcome<http::response> &)>;
 
--- /dev/null
+++ b/libraries/platform/weight_store.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/outcome.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace ivypier::platform {
+
+/// The weight store's answer to a request for one delivery.
+struct weight_delivery
+{
+    std::uint64_t bytes = 0; ///< size of the weights
+    duration retryAfter{}; ///< above zero: over the rate, no delivery before this much time
+
+    auto operator<=>(const weight_delivery &) const = default;
+
+    bool granted() const
+    {
+        return retryAfter == duration::zero();
+    }
+};
+
+/// The platform's store of model weights, which limits how many deliveries it starts in a time. Answers come
+/// as tasks of the caller's scheduler.
+class weight_store
+{
+public:
+    virtual ~weight_store() = default;
+
+    /// Asks for one delivery of `name` to an engine; `not_found` when the store has no such weights.
+    virtual void requestDelivery(const std::string &name, std::function<void(outcome<weight_delivery>)> done)
+        = 0;
+};
+
+} // namespace ivypier::platform
--- a/libraries/upstream/http_model_engine.cpp
+++ b/libraries/upstream/http_model_engine.cpp
@@ -209,6 +209,8 @@
                           outcome<Json::Value> result = error{error_code::internal, ""};
                           if (!answered)
                               result = answered.error();
+                          else if (answered.value().status == status_service_unavailable)
+                              result = error{error_code::unavailable, "the engine answered 503"};
                           else if (answered.value().status != status_ok)
                               result
                                   = error{error_code::refused,
@@ -249,6 +251,9 @@
              load.leaving = booleanMember(json, "leaving");
              load.model = stringMember(json, "model");
              load.modelVersion = stringMember(json, "model_version");
+             load.adapter = stringMember(json, "adapter");
+             load.role = stringMember(json, "role");
+             load.loading = booleanMember(json, "loading");
              done(load);
          });
 }
--- a/libraries/upstream/model_engine.h
+++ b/libraries/upstream/model_engine.h
@@ -78,6 +78,9 @@
     bool leaving = false;
     std::string model; ///< the model it serves now
     std::string modelVersion;
+    std::string adapter;
+    std::string role;
+    bool loading = false; ///< it loads what it was ordered and serves nothing
 
     auto operator<=>(const engine_load &) const = default;
 };
