Placement decisions: the cheapest mix that survives its largest domain

cheapest_mix chooses counts by class, domain and kind (exact in units of capacity for few VMs, filled and rounded for many); capacity_keeper keeps them: starts are written under tokens before they are ordered, refused types back off with full jitter and the next cheapest is taken, surplus is released after a delay and once its replacement runs, the budget is never passed and a missed target is logged and shown.

--- /dev/null
+++ b/libraries/placement/capacity_keeper.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "base/metrics_registry.h"
+#include "base/random_source.h"
+#include "base/scheduler.h"
+#include "placement/demand_estimate.h"
+#include "placement/demand_source.h"
+#include "placement/duty.h"
+#include "placement/mix_policy.h"
+#include "placement/start_backoff.h"
+#include "placement/start_record.h"
+#include "platform/cloud_service.h"
+#include "platform/table_service.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ivypier::placement {
+
+/// What one VM of a class carries within a service's latency target.
+struct class_capacity
+{
+    std::string machineClass;
+    double requestsPerSecond = 0.0;
+    double tokensPerSecond = 0.0; ///< generated; 0: requests alone bound it
+
+    auto operator<=>(const class_capacity &) const = default;
+};
+
+/// A service whose VMs are planned.
+struct planned_service
+{
+    std::string name;
+    double budgetPerHour = 0.0;
+    double leastRequestsPerSecond = 0.0; ///< capacity to have without any demand
+    std::vector<class_capacity> capacities;
+
+    auto operator<=>(const planned_service &) const = default;
+};
+
+struct capacity_options
+{
+    duration interval = std::chrono::seconds(5);
+    duration releaseDelay = std::chrono::minutes(2); ///< how long a VM has to be surplus
+    duration releaseNotice = std::chrono::minutes(1); ///< for the work of a released VM to drain
+    duration appearLimit = std::chrono::minutes(10); ///< after which a started VM not listed counts as lost
+    std::size_t mostStarts = 50; ///< in one turn
+    demand_estimate_options demand;
+
+    auto operator<=>(const capacity_options &) const = default;
+};
+
+/// Keeps the VMs of one service at the mix that its policy chooses, while its duty is held. Only from tasks
+/// of its scheduler.
+///
+/// Each turn reads the VM list, the notices and the prices, and compares what runs with the mix. Missing VMs
+/// are written to the service's row under their tokens and then ordered; surplus ones are released after a
+/// delay, and only once what shall replace them runs.
+class capacity_keeper
+{
+public:
+    struct parts
+    {
+        scheduler &tasks;
+        random_source &randomness;
+        platform::table_service &table;
+        platform::cloud_service &cloud;
+        const demand_source &demand;
+        const mix_policy &policy;
+        const duty &permission;
+        metrics_registry &metrics;
+    };
+
+    capacity_keeper(const parts &given, planned_service service, capacity_options options);
+
+    void setService(planned_service service);
+
+    /// Starts to turn.
+    void start();
+
+    /// The mix of the last turn.
+    const vm_mix &mix() const;
+
+private:
+    struct stock
+    {
+        std::map<vm_type, std::vector<std::string>> live; ///< ids by type
+        std::set<std::string> listed;
+    };
+
+    void turn();
+    void readRecord(std::uint64_t turn);
+    void readVms(std::uint64_t turn);
+    void readNotices(std::uint64_t turn, std::vector<platform::vm_record> vms);
+    void readPrices(std::uint64_t turn, const stock &have);
+    void decide(const stock &have);
+    stock stockOf(const std::vector<platform::vm_record> &vms) const;
+    void settle(const stock &have);
+    mix_question question(const stock &have);
+    double planned();
+    double carried(const std::string &machineClass) const;
+    std::map<vm_type, std::uint32_t> counts(const stock &have) const;
+    void planStarts(const std::map<vm_type, std::uint32_t> &running);
+    void release(const stock &have);
+    void writeRecord();
+    void orderPending();
+    void onStarted(const pending_start &ordered, const outcome<platform::vm_record> &answer);
+    void report(const mix_question &asked, const stock &have);
+    bool current(std::uint64_t turn) const;
+
+    parts m_parts;
+    planned_service m_service;
+    capacity_options m_options;
+    demand_estimate m_estimate;
+    start_backoff m_backoff;
+    std::uint64_t m_turn = 0;
+    std::uint64_t m_tenure = 0;
+    std::optional<start_record> m_record;
+    std::uint64_t m_recordVersion = 0;
+    bool m_recordChanged = false;
+    bool m_missing = false; ///< VMs of the mix were missing at the last turn
+    std::map<std::string, time_point> m_pendingSince; ///< by token
+    std::map<std::string, std::string> m_started; ///< VM by token, once the cloud said it
+    std::set<std::string> m_ordering; ///< tokens whose order is under way
+    std::set<std::string> m_noticed; ///< VMs that the cloud takes back
+    std::set<std::string> m_released; ///< VMs that this process gave back
+    std::map<vm_type, double> m_prices; ///< as last known
+    std::map<vm_type, time_point> m_surplusSince;
+    std::optional<mix_question> m_asked;
+    vm_mix m_mix;
+};
+
+} // namespace ivypier::placement
--- /dev/null
+++ b/libraries/placement/tests/fake_cloud.h
@@ -0,0 +1,224 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "base/scheduler.h"
+#include "placement/demand_source.h"
+#include "placement/vm_type.h"
+#include "platform/cloud_service.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ivypier::placement::tests {
+
+/// The cloud of a test, on the test's own clock.
+struct fake_cloud
+{
+    fake_cloud(scheduler &world, random_source &random)
+        : tasks(world)
+        , randomness(random)
+    {
+    }
+
+    outcome<platform::vm_record> start(const platform::vm_order &order)
+    {
+        const auto known = byToken.find(order.token);
+        if (known != byToken.end())
+            return known->second;
+        const vm_type type{order.failureDomain, order.machineClass, order.kind};
+        if (refuses && refuses(type)) {
+            ++refusals;
+            return error{error_code::refused, "none to give"};
+        }
+        platform::vm_record vm{"vm" + std::to_string(++started),
+                               order.role,
+                               {"127.0.0.1", 1},
+                               order.failureDomain,
+                               order.machineClass,
+                               order.kind,
+                               platform::vm_state::live};
+        byToken.emplace(order.token, vm);
+        tasks.after(startTime, [this, vm] {
+            vms[vm.id] = vm;
+            record();
+        });
+        return vm;
+    }
+
+    void take(const std::string &vm, duration notice)
+    {
+        const auto found = vms.find(vm);
+        if (found == vms.end())
+            return;
+        found->second.state = platform::vm_state::leaving;
+        record();
+        tasks.after(notice, [this, vm] {
+            vms.erase(vm);
+            notices.erase(vm);
+            record();
+        });
+    }
+
+    /// Takes back every VM for which `chosen` is true, with a notice.
+    void reclaim(duration notice, const std::function<bool(const platform::vm_record &)> &chosen)
+    {
+        std::vector<std::string> ids;
+        for (const auto &[id, vm] : vms) {
+            if (vm.state == platform::vm_state::live && chosen(vm))
+                ids.push_back(id);
+        }
+        for (const std::string &id : ids) {
+            notices.insert(id);
+            take(id, notice);
+        }
+    }
+
+    void record()
+    {
+        std::vector<platform::vm_record> list;
+        for (const auto &[id, vm] : vms)
+            list.push_back(vm);
+        history.push_back({tasks.now(), std::move(list)});
+        while (history.size() > 1 && history[1].first + listLag <= tasks.now())
+            history.pop_front();
+    }
+
+    std::vector<platform::vm_record> list() const
+    {
+        std::vector<platform::vm_record> shown;
+        for (const auto &[at, each] : history) {
+            if (at + listLag <= tasks.now())
+                shown = each;
+        }
+        return shown;
+    }
+
+    std::size_t live() const
+    {
+        std::size_t count = 0;
+        for (const auto &[id, vm] : vms)
+            count += vm.state == platform::vm_state::live ? 1 : 0;
+        return count;
+    }
+
+    std::map<std::string, std::size_t> liveByDomain() const
+    {
+        std::map<std::string, std::size_t> count;
+        for (const auto &[id, vm] : vms)
+            count[vm.failureDomain] += vm.state == platform::vm_state::live ? 1 : 0;
+        return count;
+    }
+
+    scheduler &tasks;
+    random_source &randomness;
+    std::map<vm_type, double> prices;
+    std::map<std::string, platform::vm_record> vms;
+    std::map<std::string, platform::vm_record> byToken;
+    std::set<std::string> notices;
+    std::function<bool(const vm_type &)> refuses;
+    std::deque<std::pair<time_point, std::vector<platform::vm_record>>> history;
+    std::size_t started = 0;
+    std::size_t refusals = 0;
+    duration startTime = std::chrono::seconds(60);
+    duration listLag = std::chrono::seconds(0);
+    double lost = 0.0; ///< part of the calls without an answer, half of them after they took effect
+};
+
+/// One process's way to the cloud.
+class fake_cloud_client final : public platform::cloud_service
+{
+public:
+    fake_cloud_client(scheduler &process, fake_cloud &cloud)
+        : m_process(process)
+        , m_cloud(cloud)
+    {
+    }
+
+    void listVms(std::function<void(outcome<std::vector<platform::vm_record>>)> done) override
+    {
+        call<std::vector<platform::vm_record>>(
+            [this]() -> outcome<std::vector<platform::vm_record>> { return m_cloud.list(); }, done);
+    }
+
+    void listPrices(std::function<void(outcome<std::vector<platform::vm_price>>)> done) override
+    {
+        call<std::vector<platform::vm_price>>(
+            [this]() -> outcome<std::vector<platform::vm_price>> {
+                std::vector<platform::vm_price> prices;
+                for (const auto &[type, price] : m_cloud.prices)
+                    prices.push_back({type.failureDomain, type.machineClass, type.kind, price});
+                return prices;
+            },
+            done);
+    }
+
+    void startVm(const platform::vm_order &order,
+                 std::function<void(outcome<platform::vm_record>)> done) override
+    {
+        call<platform::vm_record>([this, order] { return m_cloud.start(order); }, done);
+    }
+
+    void releaseVm(const std::string &id, duration notice, std::function<void(outcome<void>)> done) override
+    {
+        call<void>(
+            [this, id, notice]() -> outcome<void> {
+                m_cloud.take(id, notice);
+                return success();
+            },
+            done);
+    }
+
+    void listNotices(const std::string &,
+                     std::function<void(outcome<std::vector<platform::reclaim_notice>>)> done) override
+    {
+        call<std::vector<platform::reclaim_notice>>(
+            [this]() -> outcome<std::vector<platform::reclaim_notice>> {
+                std::vector<platform::reclaim_notice> list;
+                for (const std::string &vm : m_cloud.notices)
+                    list.push_back({vm, 1000});
+                return list;
+            },
+            done);
+    }
+
+private:
+    template <typename T>
+    void call(std::function<outcome<T>()> effect, std::function<void(outcome<T>)> done)
+    {
+        const double draw = m_cloud.randomness.uniform();
+        const bool lostRequest = draw < m_cloud.lost / 2;
+        const bool lostAnswer = draw < m_cloud.lost;
+        if (lostAnswer)
+            m_cloud.tasks.after(std::chrono::seconds(2), [this, done] {
+                m_process.post([done] { done(error{error_code::timed_out, "no answer"}); });
+            });
+        if (lostRequest)
+            return;
+        m_cloud.tasks.after(std::chrono::milliseconds(20), [this, effect, done, lostAnswer] {
+            const outcome<T> result = effect();
+            if (!lostAnswer)
+                m_process.post([done, result] { done(result); });
+        });
+    }
+
+    scheduler &m_process;
+    fake_cloud &m_cloud;
+};
+
+/// A demand that a test sets.
+class fake_demand final : public demand_source
+{
+public:
+    std::optional<service_demand> observed(const std::string &) const override
+    {
+        return value;
+    }
+
+    std::optional<service_demand> value;
+};
+
+} // namespace ivypier::placement::tests
--- /dev/null
+++ b/libraries/placement/vm_type.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "platform/cloud_service.h"
+
+#include <compare>
+#include <string>
+
+namespace ivypier::placement {
+
+/// What can be ordered: VMs of one type are interchangeable.
+struct vm_type
+{
+    std::string failureDomain;
+    std::string machineClass;
+    platform::vm_kind kind = platform::vm_kind::reclaimable;
+
+    auto operator<=>(const vm_type &) const = default;
+};
+
+/// A type with what it costs and carries, and how many of it there are.
+struct vm_offer
+{
+    vm_type type;
+    double pricePerHour = 0.0; ///< in the deployment's currency
+    double requestsPerSecond = 0.0; ///< that one VM answers within the service's latency target
+    std::uint32_t running = 0; ///< VMs that there are or that are being started
+    bool startable = true; ///< false while the cloud refuses this type
+
+    auto operator<=>(const vm_offer &) const = default;
+};
+
+} // namespace ivypier::placement
