--- a/standins/engine/engine_state.cpp
+++ b/standins/engine/engine_state.cpp
@@ -111,7 +111,7 @@
         answerJson(caller, status_bad_request, {});
         return;
     }
-    if (m_faults.refuse > 0 || m_leaving) {
+    if (m_faults.refuse > 0 || m_leaving || m_loading) {
         m_faults.refuse = std::max(0, m_faults.refuse - 1);
         answerJson(caller, status_service_unavailable, {});
         return;
@@ -162,19 +162,38 @@
         return;
     }
     const std::uint64_t fencing = unsignedMember(parsed.value(), "fencing", 0);
-    if (m_options.checksFencing && fencing < m_fencing) {
+    const bool refused = m_options.checksFencing && fencing < m_fencing;
+    Json::Value entry(parsed.value());
+    entry["event"] = refused ? "order_refused" : "order";
+    m_record.append(entry);
+    if (refused) {
         answerJson(caller, status_conflict, {});
         return;
     }
     m_fencing = std::max(m_fencing, fencing);
-    m_options.model = stringMember(parsed.value(), "model");
-    m_modelVersion = stringMember(parsed.value(), "model_version");
-    Json::Value entry(parsed.value());
-    entry["event"] = "order";
-    m_record.append(entry);
+    takeOrder(parsed.value());
     answerJson(caller, status_ok, Json::Value(Json::objectValue));
 }
 
+void engine_state::takeOrder(const Json::Value &wanted)
+{
+    const std::string model = stringMember(wanted, "model");
+    const std::string version = stringMember(wanted, "model_version");
+    const std::string adapter = stringMember(wanted, "adapter");
+    m_role = stringMember(wanted, "role");
+    if (model == m_options.model && version == m_modelVersion && adapter == m_adapter)
+        return;
+    m_options.model = model;
+    m_modelVersion = version;
+    m_adapter = adapter;
+    if (m_options.loadSeconds <= 0.0)
+        return;
+    m_loading = true;
+    const std::uint64_t load = ++m_loads;
+    m_tasks.after(fromSeconds(m_options.loadSeconds),
+                  [this, load] { m_loading = m_loading && load != m_loads; });
+}
+
 void engine_state::control(const http::request &incoming, const responder_pointer &caller)
 {
     if (incoming.path == "/control/record") {
@@ -314,6 +333,9 @@
     json["leaving"] = m_leaving;
     json["model"] = m_options.model;
     json["model_version"] = m_modelVersion;
+    json["adapter"] = m_adapter;
+    json["role"] = m_role;
+    json["loading"] = m_loading;
     return json;
 }
 
--- a/standins/engine/engine_state.h
+++ b/standins/engine/engine_state.h
@@ -24,6 +24,7 @@
     double decodeSecondsPerToken = 0.02; ///< between two tokens of one stream
     std::size_t cacheTokens = 20000; ///< prompt tokens that the prefix cache holds
     bool checksFencing = true;
+    double loadSeconds = 0.0; ///< to load another model, version or adapter
 };
 
 /// Faults that a test switches on.
@@ -67,6 +68,7 @@
     void start(const http::request &incoming, const responder_pointer &caller);
     void resume(const http::request &incoming, const std::string &id, const responder_pointer &caller);
     void order(const http::request &incoming, const responder_pointer &caller);
+    void takeOrder(const Json::Value &wanted);
     void control(const http::request &incoming, const responder_pointer &caller);
     void admitWaiting();
     void prefill(const stream_pointer &of);
@@ -83,6 +85,10 @@
     std::uint64_t m_nextStream = 1;
     std::uint64_t m_fencing = 0;
     std::string m_modelVersion = "1";
+    std::string m_adapter;
+    std::string m_role;
+    std::uint64_t m_loads = 0; ///< tells a load that another order overtook
+    bool m_loading = false;
     bool m_leaving = false;
     unsigned m_running = 0;
     time_point m_prefillFreeAt{};
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -15,6 +15,7 @@
 ABSL_FLAG(double, prefill_tokens_per_second, 4000.0, "prompt tokens processed in a second");
 ABSL_FLAG(double, decode_seconds_per_token, 0.02, "seconds between two tokens of a stream");
 ABSL_FLAG(bool, checks_fencing, true, "refuse orders with an old fencing number");
+ABSL_FLAG(double, load_seconds, 0.0, "seconds to load another model, version or adapter");
 
 int main(int argc, char **argv)
 {
@@ -33,6 +34,7 @@
     options.prefillTokensPerSecond = absl::GetFlag(FLAGS_prefill_tokens_per_second);
     options.decodeSecondsPerToken = absl::GetFlag(FLAGS_decode_seconds_per_token);
     options.checksFencing = absl::GetFlag(FLAGS_checks_fencing);
+    options.loadSeconds = absl::GetFlag(FLAGS_load_seconds);
     ivypier::event_loop loop;
     ivypier::standins::engine_state state(loop, options);
     const auto listening = ivypier::http::server::listen(
--- a/standins/platform/platform_state.h
+++ b/standins/platform/platform_state.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "base/clock.h"
+#include "cloud_state.h"
 #include "http/message.h"
-#include "platform/cloud_service.h"
 #include "platform/table_service.h"
+#include "rate_limit.h"
 
 #include <json/value.h>
 
@@ -19,8 +20,7 @@
     bool down = false; ///< every call gets 503
     double delaySeconds = 0.0; ///< before every answer
     int loseAnswers = 0; ///< writes that take effect and whose answer is lost
-    int refuseStarts = 0; ///< VM orders to refuse
-    double listLagSeconds = 0.0; ///< age of the VM list that is shown
+    int loseStartAnswers = 0; ///< VM orders that take effect and whose answer is lost
 };
 
 /// What an answer of the stand-in does beside its content.
@@ -31,7 +31,8 @@
     bool lost = false; ///< the connection breaks instead of an answer
 };
 
-/// A small stand-in for the platform: table, object store, VM list, cloud API. Not thread-safe.
+/// A small stand-in for the platform: table, object store, VM list, cloud API, weight store.
+/// Not thread-safe.
 class platform_state
 {
 public:
@@ -41,31 +42,21 @@
     platform_answer handle(const http::request &incoming);
 
 private:
-    struct listed_snapshot
-    {
-        time_point at;
-        std::vector<platform::vm_record> vms;
-    };
-
     http::response control(const http::request &incoming);
     http::response table(const http::request &incoming);
     http::response writeRow(const std::string &key, const http::request &incoming);
     http::response objects(const http::request &incoming);
-    http::response cloud(const http::request &incoming);
-    http::response startVm(const http::request &incoming);
-    http::response reclaim(const http::request &incoming);
-    http::response notices(const http::request &incoming) const;
-    http::response listVms() const;
-    void recordVms();
+    http::response weights(const http::request &incoming);
+    void setFaults(const Json::Value &json);
+    bool overRate(const http::request &incoming);
 
-    const clock &m_time;
     platform_faults m_faults;
     std::map<std::string, platform::table_row> m_rows;
     std::map<std::string, std::string> m_objects;
-    std::map<std::string, platform::vm_record> m_vms;
-    std::map<std::string, time_point> m_reclaimAt;
-    std::vector<platform::vm_price> m_prices;
-    std::vector<listed_snapshot> m_history;
+    cloud_state m_cloud;
+    rate_limit m_writes;
+    rate_limit m_reads;
+    rate_limit m_weightDeliveries;
 };
 
 } // namespace ivypier::standins
--- /dev/null
+++ b/standins/platform/rate_limit.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <algorithm>
+
+namespace ivypier::standins {
+
+/// A token bucket of one second's calls.
+class rate_limit
+{
+public:
+    rate_limit(const clock &time, double perSecond)
+        : m_time(time)
+        , m_perSecond(perSecond)
+        , m_tokens(std::max(1.0, perSecond))
+        , m_at(time.now())
+    {
+    }
+
+    void set(double perSecond)
+    {
+        m_perSecond = perSecond;
+        m_tokens = std::min(m_tokens, std::max(1.0, perSecond));
+    }
+
+    /// Takes one call, or says that it is over the rate.
+    bool take()
+    {
+        const time_point now = m_time.now();
+        m_tokens = std::min(std::max(1.0, m_perSecond), m_tokens + seconds(now - m_at) * m_perSecond);
+        m_at = now;
+        if (m_tokens < 1.0)
+            return false;
+        m_tokens -= 1.0;
+        return true;
+    }
+
+    /// Seconds until the next call fits.
+    double wait() const
+    {
+        return m_perSecond > 0.0 ? std::max(0.0, (1.0 - m_tokens) / m_perSecond) : 1.0;
+    }
+
+private:
+    const clock &m_time;
+    double m_perSecond;
+    double m_tokens;
+    time_point m_at;
+};
+
+} // namespace ivypier::standins
