--- a/libraries/membership/tests/vm_watch_test.cpp
+++ b/libraries/membership/tests/vm_watch_test.cpp
@@ -41,7 +41,7 @@
     void startVm(const platform::vm_order &, std::function<void(outcome<platform::vm_record>)>) override
     {
     }
-    void releaseVm(const std::string &, std::function<void(outcome<void>)>) override
+    void releaseVm(const std::string &, duration, std::function<void(outcome<void>)>) override
     {
     }
 
--- a/libraries/requests/request_service.cpp
+++ b/libraries/requests/request_service.cpp
@@ -402,6 +402,8 @@
     metric_labels labels = labelsOf(*record);
     labels.emplace_back("outcome", name(answer.outcome));
     m_parts.metrics.add("ivypier_requests_total", labels);
+    m_parts.metrics.add("ivypier_tokens_total", {{"service", record->request.service.name}},
+                        static_cast<double>(record->pieces.size()));
     log_event(log_level::info, "request.finished")
         .with("request", record->key)
         .with("account", record->request.account)
