ivypierctl: check, diff, submit, show, status, entries, drain; shared program set-up

A node stops gracefully on POST /internal/drain with an operator's key. http::client speaks TLS when a call names a certificate authority; event_loop::run may run again after stop.

--- a/libraries/base/event_loop.cpp
+++ b/libraries/base/event_loop.cpp
@@ -62,6 +62,7 @@
 void event_loop::run()
 {
     m_state->context.run();
+    m_state->context.restart();
 }
 
 void event_loop::stop()
--- a/libraries/base/event_loop.h
+++ b/libraries/base/event_loop.h
@@ -19,7 +19,7 @@
     timer_id after(duration delay, task work) override;
     void cancel(timer_id timer) override;
 
-    /// Runs tasks on the calling thread until stop().
+    /// Runs tasks on the calling thread until stop(); may be called again after that.
     void run();
 
     /// Ends run() after the current task. May be called from any thread.
--- a/libraries/base/secret.cpp
+++ b/libraries/base/secret.cpp
@@ -55,6 +55,13 @@
     return text;
 }
 
+std::string randomHex(std::size_t bytes)
+{
+    std::string raw(bytes, '\0');
+    randombytes_buf(raw.data(), raw.size());
+    return bytesToHex(raw);
+}
+
 bool equalInConstantTime(std::string_view left, std::string_view right)
 {
     if (left.size() != right.size())
--- a/libraries/base/secret.h
+++ b/libraries/base/secret.h
@@ -3,6 +3,7 @@
 #include "base/outcome.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -32,6 +33,9 @@
 /// Lower-case hexadecimal digits of raw bytes.
 std::string bytesToHex(std::string_view raw);
 
+/// Unpredictable bytes from the operating system, as lower-case hexadecimal digits.
+std::string randomHex(std::size_t bytes);
+
 /// Compares two texts in time that depends only on their lengths.
 bool equalInConstantTime(std::string_view left, std::string_view right);
 
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <boost/asio/ssl/context.hpp>
 #include <cpprest/http_client.h>
 
 #include <map>
@@ -168,7 +169,7 @@
 {
     std::shared_ptr<const fault_switch> faults;
 
-    using pool_key = std::pair<endpoint, duration>;
+    using pool_key = std::tuple<endpoint, duration, std::string>;
 
     std::mutex mutex;
     std::map<pool_key, std::shared_ptr<library_client>> pools;
@@ -178,7 +179,7 @@
         if (options.repeat == repeatability::not_repeatable)
             return create(to, options);
         const std::lock_guard lock(mutex);
-        const pool_key key{to, options.timeout};
+        const pool_key key{to, options.timeout, options.certificateAuthority};
         const auto found = pools.find(key);
         if (found != pools.end())
             return found->second;
@@ -191,7 +192,14 @@
     {
         web::client::http_client_config configuration;
         configuration.set_timeout(options.timeout);
-        return std::make_shared<library_client>("http://" + to.text(), configuration);
+        if (options.certificateAuthority.empty())
+            return std::make_shared<library_client>("http://" + to.text(), configuration);
+        configuration.set_ssl_context_callback(
+            [trusted = options.certificateAuthority](boost::asio::ssl::context &context) {
+                boost::system::error_code failure; // a file that can't be read: no certificate is trusted
+                context.load_verify_file(trusted, failure);
+            });
+        return std::make_shared<library_client>("https://" + to.text(), configuration);
     }
 };
 
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -20,6 +20,8 @@
 {
     duration timeout = std::chrono::seconds(30); ///< longest silence of the other side
     repeatability repeat = repeatability::repeatable;
+    /// Speak TLS and trust the certificates of this PEM file; empty: no TLS.
+    std::string certificateAuthority = {};
 
     auto operator<=>(const call_options &) const = default;
 };
--- /dev/null
+++ b/libraries/program/daemon.cpp
@@ -0,0 +1,51 @@
+#include "program/daemon.h"
+
+#include "base/log_event.h"
+#include "program/file_reader.h"
+
+#include <absl/flags/flag.h>
+
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "path of the settings, a TOML file; docs/SETTINGS.md lists its fields");
+ABSL_FLAG(bool, check, false, "check the settings, say what is wrong with them, and exit");
+ABSL_FLAG(bool, verbose, false, "log debugging events too");
+
+namespace ivypier::program {
+
+std::variant<std::string, exit_code> readSettingsText(const program_description &about, int argc, char **argv)
+{
+    const std::vector<std::string> words = parseCommandLine(about, argc, argv);
+    if (!words.empty()) {
+        std::cerr << about.name << ": \"" << words.front() << "\" is not understood (see --help)\n";
+        return exit_usage;
+    }
+    const std::string path = absl::GetFlag(FLAGS_settings);
+    if (path.empty()) {
+        std::cerr << about.name << ": --settings is missing (see --help)\n";
+        return exit_usage;
+    }
+    outcome<std::string> text = readFile(path);
+    if (text)
+        return std::move(text).value();
+    std::cerr << about.name << ": " << text.error().message << '\n';
+    return exit_usage;
+}
+
+void printFaults(const std::vector<settings_error> &faults)
+{
+    for (const settings_error &each : faults)
+        std::cerr << describe(each, absl::GetFlag(FLAGS_settings)) << '\n';
+}
+
+bool onlyChecks()
+{
+    return absl::GetFlag(FLAGS_check);
+}
+
+void configureDaemonLog(const program_description &about)
+{
+    configureLog(about.name, absl::GetFlag(FLAGS_verbose) ? log_level::debug : log_level::info);
+}
+
+} // namespace ivypier::program
--- /dev/null
+++ b/libraries/program/file_reader.cpp
@@ -0,0 +1,47 @@
+#include "program/file_reader.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+namespace ivypier::program {
+
+namespace {
+
+outcome<std::string> readStream(std::istream &stream, const std::string &path)
+{
+    std::string text(file_limit + 1, '\0');
+    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+    if (stream.bad())
+        return error{error_code::unavailable, "can't read \"" + path + '"'};
+    text.resize(static_cast<std::size_t>(stream.gcount()));
+    if (text.size() > file_limit)
+        return error{error_code::too_large, '"' + path + "\" has more than 2097152 bytes"};
+    return text;
+}
+
+} // namespace
+
+outcome<std::string> readFile(const std::string &path)
+{
+    if (path == "-")
+        return readStream(std::cin, path);
+    std::error_code failure;
+    std::ifstream file(path, std::ios::binary);
+    if (!file || std::filesystem::is_directory(path, failure))
+        return error{error_code::not_found, "can't read \"" + path + '"'};
+    return readStream(file, path);
+}
+
+outcome<std::string> readKeyFile(const std::string &path)
+{
+    outcome<std::string> text = readFile(path);
+    if (!text)
+        return text;
+    std::string key = text.value().substr(0, text.value().find_first_of("\r\n"));
+    if (key.empty())
+        return error{error_code::invalid_argument, '"' + path + "\" holds no key in its first line"};
+    return key;
+}
+
+} // namespace ivypier::program
--- a/services/ctl/main.cpp
+++ b/services/ctl/main.cpp
@@ -1,110 +1,96 @@
-#include "base/event_loop.h"
-#include "base/hash.h"
 #include "base/log_event.h"
-#include "base/random_source.h"
-#include "configuration/document.h"
-#include "configuration/document_store.h"
-#include "platform/http_platform.h"
+#include "commands.h"
+#include "program/command_line.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 ABSL_FLAG(std::string, platform, "127.0.0.1:9000", "address of the platform's services");
+ABSL_FLAG(std::string, node, "", "address of a node, for entries, drain and status");
+ABSL_FLAG(std::string, key_file, "",
+          "file whose first line is your key: an operator's for drain, a client account's for entries");
+ABSL_FLAG(std::string, ca, "", "PEM file of certificates to trust; speaks TLS to nodes");
+ABSL_FLAG(std::string, operator, "ivypierctl", "your name, recorded with a submission");
+ABSL_FLAG(std::int64_t, base, -1, "submit only if this version is in force; -1: whichever is");
+ABSL_FLAG(bool, json, false, "print JSON");
+
+namespace ivypier::ctl {
+
+std::vector<const command *> allCommands()
+{
+    static const check_command check;
+    static const submit_command submit;
+    static const show_command show;
+    static const diff_command diff;
+    static const entries_command entries;
+    static const drain_command drain;
+    static const status_command status;
+    return {&check, &submit, &show, &diff, &entries, &drain, &status};
+}
 
 namespace {
 
-using namespace ivypier;
+constexpr const char *usage = R"(Operates an ivypier deployment.
 
-/// Exit codes; docs/OPERATING.md lists them.
-enum exit_code { exit_ok = 0, exit_usage = 2, exit_invalid = 3, exit_conflict = 5, exit_unavailable = 6 };
+  ivypierctl check DOCUMENT     say what is wrong with a document; asks nobody
+  ivypierctl diff DOCUMENT      what it would change of what is in force
+  ivypierctl submit DOCUMENT    put it in force, whole or not at all
+  ivypierctl show               the document in force
+  ivypierctl status             every node's state, or that of --node
+  ivypierctl entries SERVICE    the addresses that --node tells callers to use
+  ivypierctl drain              ask --node to stop gracefully
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    const std::ifstream file(path);
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
+DOCUMENT is a TOML file (docs/CONFIGURATION.md), or - for standard input.
+A first try:  ivypierctl --platform=10.0.0.9:9000 submit configuration.toml
+
+Exit codes: 0 done, 1 a flag is wrong, 2 an argument or file is missing,
+3 the document has faults, 5 another operator was first, 6 not reached,
+7 the key is refused, 8 there are differences (diff), 9 not known whether accepted.)";
 
-/// Checks a document and prints its faults.
-int check(const std::string &path, const std::string &text)
+int usageError(const std::string &message)
 {
-    const configuration::parsed_document parsed = configuration::parseDocument(text);
-    const auto *faults = std::get_if<std::vector<settings_error>>(&parsed);
-    if (!faults)
-        return exit_ok;
-    for (const settings_error &each : *faults)
-        std::cerr << describe(each, path) << '\n';
-    return exit_invalid;
+    std::cerr << "ivypierctl: " << message << " (see --help)\n";
+    return program::exit_usage;
 }
 
-int exitCodeOf(const error &failure)
+command_options readOptions()
 {
-    std::cerr << "ivypierctl: " << name(failure.code) << ": " << failure.message << '\n';
-    return failure.code == error_code::conflict ? exit_conflict : exit_unavailable;
+    command_options options;
+    options.platform = absl::GetFlag(FLAGS_platform);
+    options.node = absl::GetFlag(FLAGS_node);
+    options.keyFile = absl::GetFlag(FLAGS_key_file);
+    options.certificateAuthority = absl::GetFlag(FLAGS_ca);
+    options.operatorName = absl::GetFlag(FLAGS_operator);
+    options.json = absl::GetFlag(FLAGS_json);
+    if (absl::GetFlag(FLAGS_base) >= 0)
+        options.base = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_base));
+    return options;
 }
 
-/// Submits a document on top of what is in force.
-int submit(const std::string &text)
+int run(int argc, char **argv)
 {
-    event_loop loop;
-    const auto address = endpoint::parse(absl::GetFlag(FLAGS_platform));
-    if (!address)
-        return exitCodeOf(address.error());
-    platform::http_platform services(loop, std::make_shared<http::client>(), address.value());
-    configuration::document_store store(services, services);
-    seeded_random randomness = seeded_random::fromSystem();
-    const std::string token = toHex(randomness.next());
-    int result = exit_unavailable;
-    const auto end = [&](const outcome<configuration::document_head> &head) {
-        if (head)
-            std::cout << "accepted as version " << head.value().version << '\n';
-        result = head ? exit_ok : exitCodeOf(head.error());
-        loop.stop();
-    };
-    store.readHead([&](const outcome<configuration::document_head> &head) {
-        if (!head)
-            end(head);
-        else
-            store.submit(text, head.value().version, token, end);
-    });
-    loop.run();
-    return result;
+    const std::vector<std::string> words = program::parseCommandLine({"ivypierctl", usage}, argc, argv);
+    configureLog("ivypierctl", log_level::error);
+    if (words.empty())
+        return usageError("no command was given");
+    for (const command *each : allCommands()) {
+        if (each->name() != words.front())
+            continue;
+        const std::size_t wanted = each->argument().empty() ? 1 : 2;
+        if (words.size() == wanted)
+            return each->run(readOptions(), wanted == 2 ? words[1] : "");
+        return usageError(wanted == 2 ? words.front() + " takes one " + std::string(each->argument())
+                                      : words.front() + " takes no argument");
+    }
+    return usageError("\"" + words.front() + "\" is no command");
 }
 
 } // namespace
 
+} // namespace ivypier::ctl
+
 int main(int argc, char **argv)
 {
-    absl::FlagsUsageConfig usage;
-    usage.version_string = [] { return std::string("ivypierctl 0.1.0\n"); };
-    absl::SetFlagsUsageConfig(usage);
-    absl::SetProgramUsageMessage("Operates an ivypier deployment.\n\n"
-                                 "  ivypierctl check DOCUMENT     say what is wrong with a document\n"
-                                 "  ivypierctl submit DOCUMENT    put a document in force");
-    const std::vector<char *> words = absl::ParseCommandLine(argc, argv);
-    configureLog("ivypierctl", log_level::error);
-    if (words.size() != 3) {
-        std::cerr << absl::ProgramUsageMessage() << '\n';
-        return exit_usage;
-    }
-    const std::string verb = words[1];
-    const std::string path = words[2];
-    const std::optional<std::string> text = readFile(path);
-    if (!text) {
-        std::cerr << "ivypierctl: can't read \"" << path << "\"\n";
-        return exit_usage;
-    }
-    const int checked = check(path, *text);
-    if (checked != exit_ok || verb == "check")
-        return checked;
-    return verb == "submit" ? submit(*text) : exit_usage;
+    return ivypier::ctl::run(argc, argv);
 }
--- /dev/null
+++ b/services/ctl/platform_session.cpp
@@ -0,0 +1,71 @@
+#include "platform_session.h"
+
+#include <future>
+
+namespace ivypier::ctl {
+
+namespace {
+
+constexpr duration node_timeout = std::chrono::seconds(10);
+
+/// Runs the loop until `start` has called back, and gives what it was called with.
+template <typename T, typename Start>
+outcome<T> waitFor(event_loop &loop, Start start)
+{
+    outcome<T> result = error{error_code::internal, "no answer"};
+    start([&](const outcome<T> &answer) {
+        result = answer;
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
+} // namespace
+
+outcome<std::unique_ptr<platform_session>> platform_session::open(const std::string &address)
+{
+    const outcome<endpoint> parsed = endpoint::parse(address);
+    if (!parsed)
+        return error{error_code::invalid_argument, "--platform: " + parsed.error().message};
+    return std::unique_ptr<platform_session>(new platform_session(parsed.value()));
+}
+
+platform_session::platform_session(endpoint address)
+    : m_services(m_loop, std::make_shared<http::client>(), std::move(address))
+    , m_store(m_services, m_services)
+{
+}
+
+outcome<configuration::in_force> platform_session::readInForce()
+{
+    return waitFor<configuration::in_force>(
+        m_loop, [this](auto done) { configuration::readInForce(m_store, {}, std::move(done)); });
+}
+
+outcome<configuration::document_head> platform_session::submit(const std::string &body, std::uint64_t base,
+                                                               const std::string &writerToken)
+{
+    return waitFor<configuration::document_head>(
+        m_loop, [&](auto done) { m_store.submit(body, base, writerToken, std::move(done)); });
+}
+
+outcome<std::vector<platform::vm_record>> platform_session::listVms()
+{
+    return waitFor<std::vector<platform::vm_record>>(
+        m_loop, [this](auto done) { m_services.listVms(std::move(done)); });
+}
+
+outcome<http::response> askNode(const endpoint &node, http::request message,
+                                const std::string &certificateAuthority)
+{
+    http::client transport;
+    auto answered = std::make_shared<std::promise<outcome<http::response>>>();
+    auto waiting = answered->get_future();
+    transport.send(node, std::move(message),
+                   {.timeout = node_timeout, .certificateAuthority = certificateAuthority},
+                   [answered](const outcome<http::response> &answer) { answered->set_value(answer); });
+    return waiting.get();
+}
+
+} // namespace ivypier::ctl
--- /dev/null
+++ b/services/ctl/platform_session.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/event_loop.h"
+#include "configuration/in_force.h"
+#include "http/client.h"
+#include "platform/http_platform.h"
+
+#include <memory>
+#include <string>
+
+namespace ivypier::ctl {
+
+/// Calls to the platform and to nodes, each waited for.
+class platform_session
+{
+public:
+    /// A session with the platform at `address`.
+    static outcome<std::unique_ptr<platform_session>> open(const std::string &address);
+
+    outcome<configuration::in_force> readInForce();
+    outcome<configuration::document_head> submit(const std::string &body, std::uint64_t base,
+                                                 const std::string &writerToken);
+    outcome<std::vector<platform::vm_record>> listVms();
+
+private:
+    explicit platform_session(endpoint address);
+
+    event_loop m_loop;
+    platform::http_platform m_services;
+    configuration::document_store m_store;
+};
+
+/// Sends one request to a node and waits for the answer.
+outcome<http::response> askNode(const endpoint &node, http::request message,
+                                const std::string &certificateAuthority);
+
+} // namespace ivypier::ctl
--- /dev/null
+++ b/services/ctl/status_command.cpp
@@ -0,0 +1,96 @@
+#include "base/json.h"
+#include "commands.h"
+#include "platform_session.h"
+
+#include <iostream>
+
+namespace ivypier::ctl {
+
+namespace {
+
+constexpr int status_ok = 200;
+
+/// The addresses to ask: the one of `--node`, else every node that the platform lists.
+outcome<std::vector<endpoint>> nodesToAsk(const command_options &options)
+{
+    if (!options.node.empty()) {
+        const outcome<endpoint> node = endpoint::parse(options.node);
+        if (!node)
+            return error{error_code::invalid_argument, "--node: " + node.error().message};
+        return std::vector{node.value()};
+    }
+    auto session = platform_session::open(options.platform);
+    if (!session)
+        return session.error();
+    const auto listed = session.value()->listVms();
+    if (!listed)
+        return listed.error();
+    std::vector<endpoint> nodes;
+    for (const platform::vm_record &each : listed.value()) {
+        if (each.role == "node")
+            nodes.push_back(each.address);
+    }
+    return nodes;
+}
+
+Json::Value statusOf(const endpoint &node, const std::string &certificateAuthority)
+{
+    const outcome<http::response> answer = askNode(node, {.path = "/status"}, certificateAuthority);
+    Json::Value json(Json::objectValue);
+    if (answer && answer.value().status == status_ok) {
+        const outcome<Json::Value> parsed = parseJson(answer.value().body);
+        if (parsed && parsed.value().isObject())
+            json = parsed.value();
+    }
+    json["reached"] = json.isMember("name");
+    json["address"] = node.text();
+    return json;
+}
+
+void printLine(const Json::Value &json)
+{
+    std::cout << stringMember(json, "address") << ' ';
+    if (!booleanMember(json, "reached")) {
+        std::cout << "not reached\n";
+        return;
+    }
+    std::cout << stringMember(json, "name") << ' ' << stringMember(json, "failure_domain") << ' '
+              << stringMember(json, "state") << " version "
+              << unsignedMember(json, "configuration_version", 0) << " unfinished "
+              << unsignedMember(json, "requests_unfinished", 0) << " members " << json["members"].size()
+              << '\n';
+}
+
+} // namespace
+
+std::string_view status_command::name() const
+{
+    return "status";
+}
+
+std::string_view status_command::argument() const
+{
+    return "";
+}
+
+int status_command::run(const command_options &options, const std::string &) const
+{
+    const outcome<std::vector<endpoint>> nodes = nodesToAsk(options);
+    if (!nodes)
+        return fail(options, nodes.error());
+    Json::Value all(Json::arrayValue);
+    bool reached = true;
+    for (const endpoint &each : nodes.value()) {
+        all.append(statusOf(each, options.certificateAuthority));
+        reached = reached && booleanMember(all[all.size() - 1], "reached");
+    }
+    if (options.json) {
+        printJson(all);
+    } else {
+        for (const Json::Value &each : all)
+            printLine(each);
+    }
+    return reached ? program::exit_ok : program::exit_unavailable;
+}
+
+} // namespace ivypier::ctl
--- /dev/null
+++ b/services/ctl/submit_command.cpp
@@ -0,0 +1,106 @@
+#include "commands.h"
+#include "configuration/document_json.h"
+#include "configuration/document_writer.h"
+#include "platform_session.h"
+
+#include <iostream>
+
+namespace ivypier::ctl {
+
+namespace {
+
+using configuration::in_force;
+
+/// Says that another operator was first, and what is different now.
+int reportConflict(const command_options &options, const in_force &base, const in_force &now,
+                   const configuration::document &own)
+{
+    const bool baseKnown = base.head.version < now.head.version;
+    const auto changes = baseKnown ? configuration::difference(base.content, now.content)
+                                   : configuration::difference(now.content, own);
+    if (options.json) {
+        Json::Value json(Json::objectValue);
+        json["accepted"] = false;
+        json["error"] = "conflict";
+        json["in_force"] = Json::UInt64{now.head.version};
+        json["writer"] = configuration::writerName(now.head);
+        json[baseKnown ? "changed_by_others" : "changes"] = configuration::toJson(changes);
+        printJson(json);
+        return program::exit_conflict;
+    }
+    std::cerr << "ivypierctl: conflict: another operator was first. Version " << now.head.version << " by "
+              << configuration::writerName(now.head) << " is in force; your document was not accepted.\n";
+    std::cout << (baseKnown ? "What the other operator changed:\n"
+                            : "What your document would change in it now:\n");
+    printChanges(changes);
+    return program::exit_conflict;
+}
+
+int reportUnknown(const command_options &options, const error &failure)
+{
+    fail(options, failure);
+    if (!options.json)
+        std::cerr << "ivypierctl: run `ivypierctl show` to see what is in force before submitting again\n";
+    return program::exit_unknown;
+}
+
+int reportAccepted(const command_options &options, const configuration::document_head &head,
+                   const std::vector<configuration::document_change> &changes)
+{
+    if (options.json) {
+        Json::Value json(Json::objectValue);
+        json["accepted"] = true;
+        json["version"] = Json::UInt64{head.version};
+        json["changes"] = configuration::toJson(changes);
+        printJson(json);
+    } else {
+        std::cout << "accepted as version " << head.version << '\n';
+    }
+    return program::exit_ok;
+}
+
+} // namespace
+
+std::string_view submit_command::name() const
+{
+    return "submit";
+}
+
+std::string_view submit_command::argument() const
+{
+    return "DOCUMENT";
+}
+
+int submit_command::run(const command_options &options, const std::string &argument) const
+{
+    const auto read = readDocument(options, argument);
+    if (const auto *code = std::get_if<program::exit_code>(&read))
+        return *code;
+    const auto &own = std::get<configuration::document>(read);
+    auto session = platform_session::open(options.platform);
+    if (!session)
+        return fail(options, session.error());
+    const outcome<in_force> base = session.value()->readInForce();
+    if (!base)
+        return fail(options, base.error());
+    if (options.base && *options.base != base.value().head.version)
+        return reportConflict(options, base.value(), base.value(), own);
+    const auto changes = configuration::difference(base.value().content, own);
+    if (!options.json) {
+        std::cout << "changes to version " << base.value().head.version << ":\n";
+        printChanges(changes);
+    }
+    const outcome<configuration::document_head> accepted
+        = session.value()->submit(configuration::writeDocument(own), base.value().head.version,
+                                  configuration::makeWriterToken(options.operatorName));
+    if (accepted)
+        return reportAccepted(options, accepted.value(), changes);
+    if (accepted.error().code == error_code::timed_out)
+        return reportUnknown(options, accepted.error());
+    if (accepted.error().code != error_code::conflict)
+        return fail(options, accepted.error());
+    const outcome<in_force> now = session.value()->readInForce();
+    return now ? reportConflict(options, base.value(), now.value(), own) : fail(options, accepted.error());
+}
+
+} // namespace ivypier::ctl
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -1,71 +1,29 @@
 #include "base/event_loop.h"
 #include "base/log_event.h"
 #include "node.h"
+#include "program/daemon.h"
 
-#include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
-
-#include <fstream>
-#include <iostream>
-#include <sstream>
-
-ABSL_FLAG(std::string, settings, "", "path of the node's settings, a TOML file");
-ABSL_FLAG(bool, check, false, "check the settings, say what is wrong with them, and exit");
-ABSL_FLAG(bool, verbose, false, "log debugging events too");
-
-namespace {
-
-/// Exit codes; docs/OPERATING.md lists them.
-enum exit_code { exit_ok = 0, exit_usage = 2, exit_settings = 3, exit_start = 4 };
-
-std::optional<std::string> readFile(const std::string &path)
-{
-    const std::ifstream file(path);
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
-} // namespace
+using namespace ivypier;
 
 int main(int argc, char **argv)
 {
-    absl::FlagsUsageConfig usage;
-    usage.version_string = [] { return std::string("ivypier-node 0.1.0\n"); };
-    absl::SetFlagsUsageConfig(usage);
-    absl::SetProgramUsageMessage("An ivypier entry node.\n\n  ivypier-node --settings node.toml");
-    absl::ParseCommandLine(argc, argv);
-
-    const std::string path = absl::GetFlag(FLAGS_settings);
-    const std::optional<std::string> text = readFile(path);
-    if (!text) {
-        std::cerr << "ivypier-node: can't read the settings file \"" << path << "\" (see --help)\n";
-        return exit_usage;
-    }
-    const auto read = ivypier::node::readNodeSettings(*text);
-    if (const auto *faults = std::get_if<std::vector<ivypier::settings_error>>(&read)) {
-        for (const ivypier::settings_error &each : *faults)
-            std::cerr << ivypier::describe(each, path) << '\n';
-        return exit_settings;
-    }
-    if (absl::GetFlag(FLAGS_check))
-        return exit_ok;
-
-    ivypier::configureLog(
-        "ivypier-node", absl::GetFlag(FLAGS_verbose) ? ivypier::log_level::debug : ivypier::log_level::info);
-    ivypier::event_loop loop;
-    auto started = ivypier::node::node::start(loop, std::get<ivypier::node::node_settings>(read));
+    const program::program_description about{"ivypier-node",
+                                             "An ivypier entry node: tells callers which address to use, "
+                                             "takes their requests and routes them to upstreams.\n\n"
+                                             "  ivypier-node --settings node.toml\n"
+                                             "  ivypier-node --settings node.toml --check\n\n"
+                                             "SIGTERM stops it gracefully: no request is cut."};
+    const auto prepared
+        = program::prepareDaemon<node::node_settings>(about, argc, argv, node::readNodeSettings);
+    if (const auto *code = std::get_if<program::exit_code>(&prepared))
+        return *code;
+    event_loop loop;
+    auto started = node::node::start(loop, std::get<node::node_settings>(prepared));
     if (!started) {
-        ivypier::log_event(ivypier::log_level::error, "node.failed")
-            .with("reason", started.error().message)
-            .write();
-        return exit_start;
+        log_event(log_level::error, "node.failed").with("reason", started.error().message).write();
+        return program::exit_start;
     }
     loop.onTerminate([&] { started.value()->drain(); });
     loop.run();
-    return exit_ok;
+    return program::exit_ok;
 }
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -1,5 +1,7 @@
 #include "node.h"
 
+#include "operator_access.h"
+
 #include "admission/budget_retry.h"
 #include "admission/open_admission.h"
 #include "base/hash.h"
@@ -89,6 +91,8 @@
     void refreshCandidates();
     void pollVmList();
     void waitForRequests();
+    void drain();
+    void drainFor(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
 };
 
 void node::parts::handle(const http::request &incoming, const std::shared_ptr<http::responder> &caller)
@@ -101,6 +105,8 @@
         setFaults(incoming, caller);
     else if (incoming.path == "/status")
         caller->respond(status());
+    else if (incoming.path == drain_path)
+        drainFor(incoming, caller);
     else
         caller->respond(http::jsonResponse(status_not_found, R"({"error":"not_found"})"));
 }
@@ -234,14 +240,31 @@
 
 void node::drain()
 {
-    if (std::exchange(m_parts->draining, true))
+    m_parts->drain();
+}
+
+void node::parts::drain()
+{
+    if (std::exchange(draining, true))
         return;
     log_event(log_level::info, "node.draining")
-        .with("unfinished", static_cast<std::int64_t>(m_parts->requestService.unfinished()))
+        .with("unfinished", static_cast<std::int64_t>(requestService.unfinished()))
         .write();
-    m_parts->members.leave();
-    m_parts->requestService.stopAccepting();
-    m_parts->waitForRequests();
+    members.leave();
+    requestService.stopAccepting();
+    waitForRequests();
+}
+
+void node::parts::drainFor(const http::request &incoming, const std::shared_ptr<http::responder> &caller)
+{
+    const outcome<std::string> asker = readOperator(follower.current().get(), incoming);
+    if (!asker) {
+        caller->respond(refusal(asker.error()));
+        return;
+    }
+    log_event(log_level::info, "node.drain_asked").with("operator", asker.value()).write();
+    drain();
+    caller->respond(status());
 }
 
 } // namespace ivypier::node
--- /dev/null
+++ b/services/node/operator_access.cpp
@@ -0,0 +1,49 @@
+#include "operator_access.h"
+
+#include "base/json.h"
+#include "configuration/operator_key.h"
+
+namespace ivypier::node {
+
+namespace {
+
+constexpr std::string_view bearer = "Bearer ";
+constexpr int status_unauthorized = 401;
+constexpr int status_method_not_allowed = 405;
+constexpr int status_service_unavailable = 503;
+
+int statusOf(error_code code)
+{
+    if (code == error_code::unauthenticated)
+        return status_unauthorized;
+    return code == error_code::unavailable ? status_service_unavailable : status_method_not_allowed;
+}
+
+} // namespace
+
+outcome<std::string> readOperator(const configuration::versioned_document *inForce,
+                                  const http::request &incoming)
+{
+    if (incoming.method != "POST")
+        return error{error_code::invalid_argument, "operators ask by POST"};
+    if (!inForce)
+        return error{error_code::unavailable, "this node has no configuration yet"};
+    const std::string text = incoming.header("Authorization");
+    const configuration::operator_account *found = text.starts_with(bearer)
+        ? configuration::findOperator(inForce->content.operators,
+                                      std::string_view(text).substr(bearer.size()))
+        : nullptr;
+    if (!found)
+        return error{error_code::unauthenticated, "no operator has this key"};
+    return found->name;
+}
+
+http::response refusal(const error &why)
+{
+    Json::Value json(Json::objectValue);
+    json["error"] = std::string(name(why.code));
+    json["message"] = why.message;
+    return http::jsonResponse(statusOf(why.code), writeJson(json));
+}
+
+} // namespace ivypier::node
