ivypier-console: forms, difference, conflict, API

Cause: operators had no console; the document could only be written by hand. Forms for deployment, services (targets, budgets, classes), client accounts, upstreams and operators. What is entered becomes TOML and goes through parseDocument, so that each fault has the path of its field and the verdict is ivypierctl's. A draft lives in the session; the review shows the difference; a submission names the version it stands on; when another operator was first the page says who and what, and offers to move the draft onto the newer version entry by entry. PUT /api/document takes a whole document with an operator's key. Server-rendered, no script (Content-Security-Policy default-src 'none'), session cookie HttpOnly and SameSite=Strict, form token, constant-time comparison, keys only as digests; a session ends when its operator's key leaves the document. Found on the way: the HTTP library followed redirects by itself (max_redirects 10), which would hide a 303 from callers and let an upstream send a node elsewhere: set to 0. toml++ names the line before for broken UTF-8 at a line's start: the reader finds it itself. Messages gave 1e+09 for a bound. Ruled out: typed forms with checks of their own (two validators drift apart); a draft in hidden fields of each page (large, and forgeable).

--- a/libraries/base/settings_reader.cpp
+++ b/libraries/base/settings_reader.cpp
@@ -1,6 +1,7 @@
 #include "base/settings_reader.h"
 
 #include "base/key_depth.h"
+#include "base/utf8.h"
 
 #include <algorithm>
 #include <set>
@@ -37,6 +38,7 @@
 std::string range(T least, T most)
 {
     std::ostringstream text;
+    text.precision(15);
     text << "between " << least << " and " << most;
     return text.str();
 }
@@ -92,6 +94,7 @@
         if (value >= least && value <= most)
             return value;
         std::ostringstream text;
+        text.precision(15);
         text << "is " << value << "; expected " << kind << ' ' << range(least, most);
         add(key, lineOf(node), text.str());
         return std::nullopt;
@@ -130,6 +133,12 @@
 {
     auto initial = std::make_unique<state>();
     initial->faults = std::make_shared<std::vector<settings_error>>();
+    if (const auto offset = findInvalidUtf8(text)) {
+        const auto breaks
+            = std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(*offset), '\n');
+        initial->faults->push_back({"", static_cast<std::uint32_t>(breaks + 1), "is not UTF-8"});
+        return settings_reader(std::move(initial));
+    }
     if (const auto deepLine = findDeepKey(text)) {
         initial->faults->push_back({"", *deepLine, "has a key of more than 32 parts"});
         return settings_reader(std::move(initial));
--- /dev/null
+++ b/libraries/base/utf8.cpp
@@ -0,0 +1,48 @@
+#include "base/utf8.h"
+
+namespace ivypier {
+
+namespace {
+
+/// The length of the well-formed sequence at the start of `text`; 0 when there is none (RFC 3629, section 4).
+std::size_t sequenceLength(std::string_view text)
+{
+    const auto byte = [&](std::size_t index) {
+        return index < text.size() ? static_cast<unsigned char>(text[index]) : 0u;
+    };
+    const auto between = [&](std::size_t index, unsigned least, unsigned most) {
+        return byte(index) >= least && byte(index) <= most;
+    };
+    const unsigned first = byte(0);
+    if (first < 0x80)
+        return 1;
+    if (first >= 0xc2 && first <= 0xdf)
+        return between(1, 0x80, 0xbf) ? 2 : 0;
+    if (first >= 0xe0 && first <= 0xef) {
+        const unsigned least = first == 0xe0 ? 0xa0 : 0x80; // no overlong forms
+        const unsigned most = first == 0xed ? 0x9f : 0xbf; // no surrogates
+        return between(1, least, most) && between(2, 0x80, 0xbf) ? 3 : 0;
+    }
+    if (first >= 0xf0 && first <= 0xf4) {
+        const unsigned least = first == 0xf0 ? 0x90 : 0x80;
+        const unsigned most = first == 0xf4 ? 0x8f : 0xbf;
+        return between(1, least, most) && between(2, 0x80, 0xbf) && between(3, 0x80, 0xbf) ? 4 : 0;
+    }
+    return 0;
+}
+
+} // namespace
+
+std::optional<std::size_t> findInvalidUtf8(std::string_view text)
+{
+    std::size_t offset = 0;
+    while (offset < text.size()) {
+        const std::size_t length = sequenceLength(text.substr(offset));
+        if (length == 0)
+            return offset;
+        offset += length;
+    }
+    return std::nullopt;
+}
+
+} // namespace ivypier
--- /dev/null
+++ b/libraries/console/pages.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "configuration/document_difference.h"
+#include "console/session_store.h"
+
+#include <string>
+#include <vector>
+
+namespace ivypier::console {
+
+/// The form in which an operator shows a key; `failure` is empty at first.
+std::string loginHtml(const std::string &failure);
+
+/// The draft's entries, each with a link to its form.
+std::string overviewHtml(const session &of, const std::vector<settings_error> &faults);
+
+/// The difference between the draft and what is in force, with the button that submits it.
+std::string reviewHtml(const session &of, const configuration::in_force &now,
+                       const std::vector<settings_error> &faults,
+                       const std::vector<configuration::document_change> &changes);
+
+/// Says that another operator was first, what is different now, and offers both ways on.
+std::string conflictHtml(const session &of, const configuration::in_force &now);
+
+} // namespace ivypier::console
--- /dev/null
+++ b/libraries/console/session_store.cpp
@@ -0,0 +1,70 @@
+#include "console/session_store.h"
+
+#include "base/secret.h"
+
+#include <algorithm>
+
+namespace ivypier::console {
+
+namespace {
+
+constexpr std::size_t identifier_bytes = 32;
+constexpr std::size_t session_limit = 256;
+constexpr duration idle_limit = std::chrono::minutes(30);
+
+} // namespace
+
+bool session::isChanged() const
+{
+    return own != draft::of(base.content);
+}
+
+session_store::session_store(const clock &time)
+    : m_time(time)
+{
+}
+
+std::string session_store::begin(session started)
+{
+    dropUnused();
+    if (m_sessions.size() >= session_limit) {
+        const auto oldest
+            = std::min_element(m_sessions.begin(), m_sessions.end(), [](const auto &left, const auto &right) {
+                  return left.second.lastUsed < right.second.lastUsed;
+              });
+        m_sessions.erase(oldest);
+    }
+    const std::string identifier = randomHex(identifier_bytes);
+    started.formToken = randomHex(identifier_bytes);
+    started.lastUsed = m_time.now();
+    m_sessions.emplace(sha256Hex(identifier), std::move(started));
+    return identifier;
+}
+
+session *session_store::find(const std::string &identifier)
+{
+    dropUnused();
+    const auto found = m_sessions.find(sha256Hex(identifier));
+    if (found == m_sessions.end())
+        return nullptr;
+    found->second.lastUsed = m_time.now();
+    return &found->second;
+}
+
+void session_store::end(const std::string &identifier)
+{
+    m_sessions.erase(sha256Hex(identifier));
+}
+
+std::size_t session_store::count() const
+{
+    return m_sessions.size();
+}
+
+void session_store::dropUnused()
+{
+    std::erase_if(m_sessions,
+                  [&](const auto &each) { return m_time.now() - each.second.lastUsed > idle_limit; });
+}
+
+} // namespace ivypier::console
--- /dev/null
+++ b/libraries/console/tests/html_test.cpp
@@ -0,0 +1,26 @@
+#include "console/html.h"
+
+#include "console/pages.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+using namespace ivypier::console;
+
+TEST_CASE("markup in any text stays text", "[console]")
+{
+    CHECK(escapeHtml("<a href='x' title=\"y\">&</a>")
+          == "&lt;a href=&#39;x&#39; title=&quot;y&quot;&gt;&amp;&lt;/a&gt;");
+    const std::string hostile = "<script>alert(1)</script>";
+    session own;
+    own.formToken = hostile;
+    own.base.head = {7, "digest", hostile + ".token"};
+    own.own.entries[section::services] = {{{{"name", hostile}, {"kind", hostile}, {"answer_ms", hostile}}}};
+    own.own.entries[section::client_accounts] = {{{{"name", hostile}, {"class", hostile}}}};
+    const std::vector<settings_error> faults{{hostile, 1, hostile}, {"services[0]." + hostile, 1, hostile}};
+    const configuration::in_force now{{8, "other", hostile + ".token"}, {}};
+    const std::string pages = overviewHtml(own, faults) + reviewHtml(own, now, faults, {})
+        + reviewHtml(own, now, {}, {{hostile, hostile, hostile}}) + conflictHtml(own, now)
+        + loginHtml(hostile) + page({hostile, hostile, hostile, "", hostile}, "");
+    CHECK(pages.find("<script") == std::string::npos);
+}
--- /dev/null
+++ b/libraries/console/tests/session_store_test.cpp
@@ -0,0 +1,44 @@
+#include "console/session_store.h"
+
+#include "base/virtual_scheduler.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+using namespace ivypier::console;
+
+TEST_CASE("a session is found by its identifier until it is unused for long", "[console]")
+{
+    virtual_scheduler time;
+    session_store sessions(time);
+    session started;
+    started.operatorName = "kofi";
+    const std::string identifier = sessions.begin(started);
+    CHECK(identifier.size() == 64);
+    REQUIRE(sessions.find(identifier));
+    CHECK(sessions.find(identifier)->formToken.size() == 64);
+    CHECK_FALSE(sessions.find(""));
+    CHECK_FALSE(sessions.find(identifier + "0"));
+    time.advance(std::chrono::minutes(29));
+    CHECK(sessions.find(identifier));
+    time.advance(std::chrono::minutes(29));
+    CHECK(sessions.find(identifier));
+    time.advance(std::chrono::minutes(31));
+    CHECK_FALSE(sessions.find(identifier));
+}
+
+TEST_CASE("sessions are bounded: the one unused for longest ends", "[console]")
+{
+    virtual_scheduler time;
+    session_store sessions(time);
+    const std::string first = sessions.begin({});
+    time.advance(std::chrono::seconds(1));
+    const std::string second = sessions.begin({});
+    for (int each = 0; each < 255; ++each) {
+        time.advance(std::chrono::seconds(1));
+        sessions.begin({});
+    }
+    CHECK(sessions.count() == 256);
+    CHECK_FALSE(sessions.find(first));
+    CHECK(sessions.find(second));
+}
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -192,6 +192,7 @@
     {
         web::client::http_client_config configuration;
         configuration.set_timeout(options.timeout);
+        configuration.set_max_redirects(0); // a redirect is an answer; whoever asked decides on it
         if (options.certificateAuthority.empty())
             return std::make_shared<library_client>("http://" + to.text(), configuration);
         configuration.set_ssl_context_callback(
--- a/libraries/http/message.cpp
+++ b/libraries/http/message.cpp
@@ -45,6 +45,21 @@
                                         [](char one, char other) { return lower(one) < lower(other); });
 }
 
+std::vector<form_field> parseForm(std::string_view text)
+{
+    std::vector<form_field> fields;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find('&'), text.size());
+        const std::string_view pair = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        const std::size_t equals = pair.find('=');
+        if (equals != std::string_view::npos)
+            fields.emplace_back(percentDecoded(pair.substr(0, equals)),
+                                percentDecoded(pair.substr(equals + 1)));
+    }
+    return fields;
+}
+
 std::string request::header(std::string_view name) const
 {
     return find(headers, name);
@@ -52,14 +67,9 @@
 
 std::string request::parameter(std::string_view name) const
 {
-    std::string_view rest = query;
-    while (!rest.empty()) {
-        const std::size_t end = std::min(rest.find('&'), rest.size());
-        const std::string_view pair = rest.substr(0, end);
-        rest.remove_prefix(std::min(end + 1, rest.size()));
-        const std::size_t equals = pair.find('=');
-        if (equals != std::string_view::npos && percentDecoded(pair.substr(0, equals)) == name)
-            return percentDecoded(pair.substr(equals + 1));
+    for (const auto &[key, value] : parseForm(query)) {
+        if (key == name)
+            return value;
     }
     return {};
 }
--- a/libraries/http/message.h
+++ b/libraries/http/message.h
@@ -4,6 +4,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace ivypier::http {
 
@@ -16,6 +18,13 @@
 
 using header_map = std::map<std::string, std::string, header_name_less>;
 
+/// A field of a form: its name and its value, decoded.
+using form_field = std::pair<std::string, std::string>;
+
+/// The fields of an application/x-www-form-urlencoded text, in their order (URL Living Standard,
+/// section 5.1).
+std::vector<form_field> parseForm(std::string_view text);
+
 /// A request, whole.
 struct request
 {
--- /dev/null
+++ b/services/console/main.cpp
@@ -0,0 +1,84 @@
+#include "base/event_loop.h"
+#include "base/json.h"
+#include "base/log_event.h"
+#include "console/console.h"
+#include "console_settings.h"
+#include "http/client.h"
+#include "platform/http_platform.h"
+#include "program/daemon.h"
+
+namespace {
+
+using namespace ivypier;
+
+constexpr int status_ok = 200;
+
+/// Longest form or document that the console reads, in bytes.
+constexpr std::size_t body_limit = std::size_t{2} * 1024 * 1024;
+
+/// How long answers may take to leave after the last one was given, at a stop.
+constexpr duration stop_delay = std::chrono::milliseconds(200);
+
+http::response statusResponse(const console::console_settings &settings, const console::console &running)
+{
+    Json::Value json(Json::objectValue);
+    json["name"] = settings.name;
+    json["failure_domain"] = settings.failureDomain;
+    json["configuration_version"] = Json::UInt64{running.knownVersion()};
+    json["sessions"] = Json::UInt64{running.sessionCount()};
+    return http::jsonResponse(status_ok, writeJson(json));
+}
+
+int serve(const console::console_settings &settings)
+{
+    event_loop loop;
+    metrics_registry metrics;
+    platform::http_platform services(loop, std::make_shared<http::client>(), settings.platform);
+    configuration::document_store store(services, services);
+    console::console running({loop, store, metrics, settings.bootstrapKeySha256, settings.tls.has_value()});
+    const auto handle = [&](const http::request &incoming, const std::shared_ptr<http::responder> &caller) {
+        if (incoming.path == "/metrics")
+            caller->respond(
+                {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition()});
+        else if (incoming.path == "/status")
+            caller->respond(statusResponse(settings, running));
+        else
+            running.handle(incoming, caller);
+    };
+    const auto listening
+        = http::server::listen({.address = settings.address, .bodyLimit = body_limit, .tls = settings.tls},
+                               [&](http::request incoming, std::shared_ptr<http::responder> caller) {
+                                   loop.post([&handle, incoming = std::move(incoming),
+                                              caller = std::move(caller)] { handle(incoming, caller); });
+                               });
+    if (!listening) {
+        log_event(log_level::error, "console.failed").with("reason", listening.error().message).write();
+        return program::exit_start;
+    }
+    log_event(log_level::info, "console.started")
+        .with("name", settings.name)
+        .with("address", settings.address.text())
+        .with("failure_domain", settings.failureDomain)
+        .write();
+    loop.onTerminate([&] { loop.after(stop_delay, [&] { loop.stop(); }); });
+    loop.run();
+    log_event(log_level::info, "console.stopped").write();
+    return program::exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const program::program_description about{
+        "ivypier-console",
+        "The operators' console: forms for services, targets, budgets, "
+        "client accounts, upstreams and operators.\n\n"
+        "  ivypier-console --settings console.toml\n\n"
+        "Open its address in a browser and log in with an operator's key."};
+    const auto prepared
+        = program::prepareDaemon<console::console_settings>(about, argc, argv, console::readConsoleSettings);
+    if (const auto *code = std::get_if<program::exit_code>(&prepared))
+        return *code;
+    return serve(std::get<console::console_settings>(prepared));
+}
--- a/tests/scenarios/broken_documents.lua
+++ b/tests/scenarios/broken_documents.lua
@@ -58,6 +58,7 @@
     { head .. plain .. upstream, "upstreams[0].address", 8 },
     { head .. '[[operators]]\nname = "o"\n', "operators[0].key_sha256", 3 },
     { head .. "a" .. (".a"):rep(5000) .. " = 1\n", "", 3 },
+    { head .. "\255\254\n", "", 3 },
     { head .. "key = \"\255\254\"\n", "", 3 },
 }
 assert(#broken >= 20)
