--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -1,5 +1,7 @@
 #include "node.h"
 
+#include "operator_access.h"
+
 #include "admission/budget_retry.h"
 #include "admission/deadline_admission.h"
 #include "admission/limited_admission.h"
@@ -131,6 +133,7 @@
     void updateShares();
     void waitForRequests();
     void stop();
+    void drainFor(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
 };
 
 void node::parts::handle(const http::request &incoming, const std::shared_ptr<http::responder> &caller)
@@ -143,6 +146,8 @@
         setFaults(incoming, caller);
     else if (incoming.path == "/status")
         caller->respond(status());
+    else if (incoming.path == drain_path)
+        drainFor(incoming, caller);
     else
         caller->respond(http::jsonResponse(status_not_found, R"({"error":"not_found"})"));
 }
@@ -386,4 +391,16 @@
     m_parts->drain(m_parts->settings.stopWithin, "signal");
 }
 
+void node::parts::drainFor(const http::request &incoming, const std::shared_ptr<http::responder> &caller)
+{
+    const outcome<std::string> asker = readOperator(follower.current().get(), incoming);
+    if (!asker) {
+        caller->respond(refusal(asker.error()));
+        return;
+    }
+    log_event(log_level::info, "node.drain_asked").with("operator", asker.value()).write();
+    drain(settings.stopWithin, "operator");
+    caller->respond(status());
+}
+
 } // namespace ivypier::node
