Answers state their cost; VM prices followed; the demo shows a handover

The cost of every attempt, also of those that were cut, goes into the answer (header Ivypier-Cost, usage.cost), a metric by account and class, and along with a handover. Prices are polled at a rate bounded over the fleet.

--- a/libraries/gateway/answer_writer.cpp
+++ b/libraries/gateway/answer_writer.cpp
@@ -3,6 +3,7 @@
 #include "base/json.h"
 
 #include <cmath>
+#include <sstream>
 #include <utility>
 
 namespace ivypier::gateway {
@@ -12,14 +13,27 @@
 constexpr int status_ok = 200;
 constexpr int status_see_other = 303;
 
+/// Significant digits of a cost in a header.
+constexpr int cost_digits = 4;
+
 std::string retryAfterText(duration wait)
 {
     return std::to_string(static_cast<std::int64_t>(std::ceil(seconds(wait))));
 }
 
-Json::Value usageJson(const upstream::token_usage &usage)
+std::string costText(double cost)
+{
+    std::ostringstream text;
+    text.precision(cost_digits);
+    text << cost;
+    return text.str();
+}
+
+Json::Value usageJson(const requests::final_answer &answer)
 {
+    const upstream::token_usage &usage = answer.usage;
     Json::Value json(Json::objectValue);
+    json["cost"] = answer.cost;
     json["prompt_tokens"] = Json::UInt64{usage.promptTokens};
     json["cached_tokens"] = Json::UInt64{usage.cachedTokens};
     json["completion_tokens"] = Json::UInt64{usage.generatedTokens};
@@ -139,7 +153,7 @@
         json["choices"][0]["index"] = 0;
         json["choices"][0]["delta"] = Json::Value(Json::objectValue);
         json["choices"][0]["finish_reason"] = "stop";
-        json["usage"] = usageJson(answer.usage);
+        json["usage"] = usageJson(answer);
         m_caller->write("data: " + writeJson(json) + "\n\n");
     }
     m_caller->write("event: outcome\ndata: " + writeJson(outcomeJson(m_requestId, answer)) + "\n\n");
@@ -158,7 +172,7 @@
         json["choices"][0]["message"]["role"] = "assistant";
         json["choices"][0]["message"]["content"] = m_text;
         json["choices"][0]["finish_reason"] = "stop";
-        json["usage"] = usageJson(answer.usage);
+        json["usage"] = usageJson(answer);
         result = http::jsonResponse(status_ok, writeJson(json));
     } else if (!answer.contentType.empty()) {
         result.headers["Content-Type"] = answer.contentType;
@@ -166,6 +180,7 @@
     result.headers["Ivypier-Request"] = m_requestId;
     result.headers["Ivypier-Outcome"] = requests::name(answer.outcome);
     result.headers["Ivypier-Served-By"] = answer.servedBy;
+    result.headers["Ivypier-Cost"] = costText(answer.cost);
     return result;
 }
 
--- a/libraries/requests/answer.h
+++ b/libraries/requests/answer.h
@@ -30,6 +30,7 @@
     duration retryAfter{}; ///< when to come back, with not_run
     upstream::token_usage usage;
     std::string servedBy; ///< the upstream's name
+    double cost = 0.0; ///< share of the upstreams' prices, in the deployment's currency
 
     auto operator<=>(const final_answer &) const = default;
 };
--- a/libraries/requests/attempt_runner.cpp
+++ b/libraries/requests/attempt_runner.cpp
@@ -110,6 +110,7 @@
 
 attempt_runner::attempt_runner(attempt_runner_parts parts)
     : m_parts(parts)
+    , m_costs(parts.tasks)
 {
 }
 
@@ -139,6 +140,7 @@
     if (number == 1)
         m_parts.retries.dispatched(record->request.service.name);
     m_parts.router.dispatched(target.address, record->attempt.id, routingRequest(*record));
+    m_costs.started(record->attempt.id, target.address, target.pricePerHour);
 }
 
 void attempt_runner::sendToEngine(const record_pointer &record, const std::string &cacheHandle)
@@ -229,7 +231,7 @@
     if (record.attempt.generation)
         record.attempt.generation->cancel();
     if (!record.attempt.id.empty())
-        m_parts.router.finished(record.attempt.id, routing::attempt_result::cancelled);
+        end(record, routing::attempt_result::cancelled);
     record.attempt.id.clear();
     record.attempt.generation.reset();
 }
@@ -243,6 +245,12 @@
     cancel(record);
 }
 
+void attempt_runner::end(request_record &record, routing::attempt_result result)
+{
+    m_parts.router.finished(record.attempt.id, result);
+    record.cost += m_costs.ended(record.attempt.id);
+}
+
 bool attempt_runner::isCurrent(const request_record &record, const std::string &attempt)
 {
 #ifdef IVYPIER_MUTANT_ATTEMPT_CHECK
@@ -296,7 +304,7 @@
 {
     if (!isCurrent(*record, attempt))
         return;
-    m_parts.router.finished(attempt, routing::attempt_result::answered);
+    end(*record, routing::attempt_result::answered);
     const recompute_cause cause = record->attempt.recompute;
     if (cause != recompute_cause::none && usage.promptTokens > usage.cachedTokens)
         m_parts.metrics.add("ivypier_recomputed_tokens_total", {{"cause", std::string(name(cause))}},
@@ -317,7 +325,7 @@
     }
     if (!isCurrent(*record, attempt))
         return;
-    m_parts.router.finished(attempt, routing::attempt_result::answered);
+    end(*record, routing::attempt_result::answered);
     final_answer result{.outcome = request_outcome::answered, .status = answer.value().status};
     result.contentType = answer.value().header("Content-Type");
     result.body = answer.value().body;
@@ -329,7 +337,7 @@
 {
     if (!isCurrent(*record, attempt))
         return;
-    m_parts.router.finished(attempt, routing::attempt_result::failed);
+    end(*record, routing::attempt_result::failed);
     record->excluded.push_back(record->attempt.target.address);
     if (record->attempt.generation)
         record->attempt.generation->cancel();
--- a/libraries/requests/attempt_runner.h
+++ b/libraries/requests/attempt_runner.h
@@ -3,6 +3,7 @@
 #include "admission/retry_policy.h"
 #include "base/metrics_registry.h"
 #include "base/scheduler.h"
+#include "requests/cost_meter.h"
 #include "requests/request_record.h"
 #include "routing/router.h"
 #include "upstream/model_engine.h"
@@ -65,9 +66,11 @@
                        const outcome<http::response> &answer);
     void failed(const record_pointer &record, const std::string &attempt, const error &failure);
     void repeat(const record_pointer &record, recompute_cause cause);
+    void end(request_record &record, routing::attempt_result result);
     bool isCurrent(const request_record &record, const std::string &attempt);
 
     attempt_runner_parts m_parts;
+    cost_meter m_costs;
 };
 
 /// What routing has to know about a request.
--- a/libraries/requests/handed_request.h
+++ b/libraries/requests/handed_request.h
@@ -30,6 +30,7 @@
     std::optional<running_stream> running;
     std::vector<std::string> pieces; ///< of the answer so far
     std::vector<endpoint> excluded; ///< upstreams that failed it
+    double cost = 0.0; ///< of the attempts so far, in the deployment's currency
 
     auto operator<=>(const handed_request &) const = default;
 };
--- a/libraries/requests/handover_codec.cpp
+++ b/libraries/requests/handover_codec.cpp
@@ -122,6 +122,7 @@
     json["pieces"] = Json::Value(Json::arrayValue);
     for (const std::string &each : handed.pieces)
         json["pieces"].append(each);
+    json["cost"] = handed.cost;
     json["excluded"] = Json::Value(Json::arrayValue);
     for (const endpoint &each : handed.excluded)
         json["excluded"].append(each.text());
@@ -144,6 +145,7 @@
         handed.previous.push_back(each.isString() ? fromHex(each.asString()) : 0);
     for (const Json::Value &each : json["pieces"])
         handed.pieces.push_back(each.isString() ? each.asString() : std::string());
+    handed.cost = numberMember(json, "cost", 0.0);
     for (const Json::Value &each : json["excluded"]) {
         const outcome<endpoint> address = endpoint::parse(each.isString() ? each.asString() : std::string());
         if (address)
--- a/libraries/requests/handover_sender.cpp
+++ b/libraries/requests/handover_sender.cpp
@@ -160,6 +160,7 @@
         handed.running = running_stream{record.attempt.target, record.attempt.stream};
     handed.pieces = record.pieces;
     handed.excluded = record.excluded;
+    handed.cost = record.cost;
     return handed;
 }
 
--- a/libraries/requests/message_codec.cpp
+++ b/libraries/requests/message_codec.cpp
@@ -55,6 +55,7 @@
     json["cached_tokens"] = Json::UInt64{answer.usage.cachedTokens};
     json["generated_tokens"] = Json::UInt64{answer.usage.generatedTokens};
     json["served_by"] = answer.servedBy;
+    json["cost"] = answer.cost;
     return json;
 }
 
@@ -132,6 +133,7 @@
     answer.usage = {unsignedMember(json, "prompt_tokens", 0), unsignedMember(json, "cached_tokens", 0),
                     unsignedMember(json, "generated_tokens", 0)};
     answer.servedBy = stringMember(json, "served_by");
+    answer.cost = numberMember(json, "cost", 0.0);
     return answer;
 }
 
--- a/libraries/requests/request_record.h
+++ b/libraries/requests/request_record.h
@@ -77,6 +77,7 @@
     std::vector<std::string> pieces;
     time_point lastPieceAt{};
     std::optional<final_answer> final;
+    double cost = 0.0; ///< of the attempts that ended, in the deployment's currency
     std::vector<listener_position> listeners;
 
     /// True while the request is this node's to answer.
--- a/libraries/requests/request_service.cpp
+++ b/libraries/requests/request_service.cpp
@@ -133,6 +133,7 @@
     const record_pointer record = create(handed.request, std::move(right));
     record->pieces = handed.pieces;
     record->excluded = handed.excluded;
+    record->cost = handed.cost;
     // Another successor may have a repeatable one too, when an answer to its offer was lost.
     record->mayHaveRun = handed.mayHaveRun || handed.request.repeatable;
     record->attempt.number = handed.attempts;
@@ -402,6 +403,8 @@
     metric_labels labels = labelsOf(*record);
     labels.emplace_back("outcome", name(answer.outcome));
     m_parts.metrics.add("ivypier_requests_total", labels);
+    m_parts.metrics.add("ivypier_cost_total", labelsOf(*record), record->cost);
+    answer.cost = record->cost;
     m_parts.metrics.add("ivypier_tokens_total", {{"service", record->request.service.name}},
                         static_cast<double>(record->pieces.size()));
     log_event(log_level::info, "request.finished")
--- a/meta/demo.lua
+++ b/meta/demo.lua
@@ -5,7 +5,7 @@
 
 local keep = arguments[1] == "--keep"
 local QUESTION = "May I send two lithium batteries in a parcel of 3 kg from Kumasi to Tamale, and what does it cost?"
-local PAUSE = { "--decode_seconds_per_token=0.05" }
+local PAUSE = { "--decode_seconds_per_token=0.2" }
 
 local function say(...) print(string.format(...)) end
 
@@ -25,7 +25,7 @@
 -- What an answer cost and took, one line.
 local function account_for(what, seconds, answer_headers)
     local cost = answer_headers["ivypier-cost"]
-    say("  [%s: %.0f ms, cost %s, served by %s]", what, seconds * 1000, cost or "not stated",
+    say("  [%s: %.0f ms, cost %s cedis, served by %s]", what, seconds * 1000, cost or "not stated",
         answer_headers["ivypier-served-by"] or "a stream")
 end
 
@@ -50,7 +50,7 @@
         local answer = finished(running, 60)
         local part, answered, ids = deployment.read_stream(answer.body)
         text = text .. part
-        if answered then return text, moves end
+        if answered then return text, moves, tonumber(answer.body:match('"cost":([%d%.e%-]+)')) or 0 end
         local location = answer.body:match('event: moved\ndata: .-"location":"http://([^"]+)"')
             or (answer.headers.location or ""):match("http://(.+)")
         assert(location, "the stream ended without an outcome: " .. answer.body:sub(-300))
@@ -64,7 +64,8 @@
     end
 end
 
-local fleet = deployment.new { nodes = 3, engines = 3, services = 1, document = read_document(), engine_arguments = PAUSE }
+local fleet = deployment.new { nodes = 3, engines = 3, services = 1, document = read_document(),
+    engine_arguments = PAUSE, price_per_hour = 1.8 }
 say("Three nodes, three runners and a rate service run in ridge-hall, osu-hall and tema-hall.\n")
 
 local chosen = entry(fleet, 1, "district-counters")
@@ -105,9 +106,9 @@
 say("  reclaiming %s and %s with 5 s of notice", home.name, runner.id)
 fleet:control(fleet.platform.address, "reclaim", { vm = runner.id, notice_ms = 5000 })
 fleet:control(fleet.platform.address, "reclaim", { vm = home.name, notice_ms = 5000 })
-local text, moves = follow(stream)
+local text, moves, cost = follow(stream)
 say("  %s", text)
-say("  [stream: %.0f ms, moved %d time(s)]", (now() - begun) * 1000, moves)
+say("  [stream: %.0f ms, cost %.4g cedis, moved %d time(s)]", (now() - begun) * 1000, cost, moves)
 assert(text == expected, "the answer is the undisturbed one, byte by byte")
 say("  The answer is whole: the same as the undisturbed one, byte by byte.")
 assert(wait_exit(home.process, 30) == 0, "the node stops by itself")
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -19,6 +19,7 @@
 #include "membership/udp_channel.h"
 #include "membership/vm_watch.h"
 #include "platform/http_platform.h"
+#include "price_list.h"
 #include "requests/idempotency_claims.h"
 #include "requests/request_service.h"
 #include "requests/rpc_peer_channel.h"
@@ -93,6 +94,7 @@
         tasks, randomness, *datagrams, fleetKey, describeSelf(settings, randomness), settings.seeds};
     membership::vm_watch vms{
         {tasks, randomness, platformServices, members, [this] { return members.fleetSize(); }}};
+    price_list prices{tasks, platformServices, [this] { return members.fleetSize(); }};
     configuration::document_store documents{platformServices, platformServices};
     configuration::configuration_follower follower{tasks, randomness, documents,
                                                    settings.configurationInterval};
@@ -212,8 +214,8 @@
     for (const platform::vm_record &each : vms.vms()) {
         if (!current->content.findService(each.role))
             continue;
-        candidates.push_back({each.id, each.role, each.address, each.failureDomain, each.machineClass, 0.0,
-                              reportsLoad(*current, each.role)});
+        candidates.push_back({each.id, each.role, each.address, each.failureDomain, each.machineClass,
+                              prices.perHour(each), reportsLoad(*current, each.role)});
     }
     router.setCandidates(std::move(candidates));
 }
@@ -366,6 +368,7 @@
     raw->follower.start();
     raw->followVms();
     raw->loads.start();
+    raw->prices.start([raw] { raw->refreshCandidates(); });
     if (!settings.vm.empty())
         raw->pollOwnNotices();
     raw->requestService.countEpochs([raw](std::uint64_t epoch) { raw->entries.publishEpoch(epoch); });
--- /dev/null
+++ b/services/node/price_list.cpp
@@ -0,0 +1,49 @@
+#include "price_list.h"
+
+#include <algorithm>
+
+namespace ivypier::node {
+
+namespace {
+
+constexpr duration shortest_interval = std::chrono::seconds(10);
+constexpr double fleet_reads_per_second = 20.0;
+
+} // namespace
+
+price_list::price_list(scheduler &tasks, platform::cloud_service &cloud,
+                       std::function<std::size_t()> fleetSize)
+    : m_tasks(tasks)
+    , m_cloud(cloud)
+    , m_fleetSize(std::move(fleetSize))
+{
+}
+
+void price_list::start(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+    poll();
+}
+
+double price_list::perHour(const platform::vm_record &vm) const
+{
+    const auto found = m_prices.find({vm.failureDomain, vm.machineClass, vm.kind});
+    return found == m_prices.end() ? 0.0 : found->second;
+}
+
+void price_list::poll()
+{
+    m_cloud.listPrices([this](const outcome<std::vector<platform::vm_price>> &listed) {
+        std::map<price_key, double> prices;
+        for (const platform::vm_price &each : listed ? listed.value() : std::vector<platform::vm_price>())
+            prices[{each.failureDomain, each.machineClass, each.kind}] = each.perHour;
+        if (listed && prices != m_prices) {
+            m_prices = std::move(prices);
+            m_changed();
+        }
+        const double fair = static_cast<double>(m_fleetSize()) / fleet_reads_per_second;
+        m_tasks.after(std::max(shortest_interval, fromSeconds(fair)), [this] { poll(); });
+    });
+}
+
+} // namespace ivypier::node
--- a/tests/scenarios/lib/deployment.lua
+++ b/tests/scenarios/lib/deployment.lua
@@ -21,7 +21,7 @@
     return finished(call(request), (request.seconds or 30) + 5)
 end
 
--- Starts stand-ins and nodes. options: nodes, engines, services, domains, engine_arguments, node_settings
+-- Starts stand-ins and nodes. options: price_per_hour (of every VM), nodes, engines, services, domains, engine_arguments, node_settings
 -- (text added to each node's settings), document (text of the configuration).
 function deployment.new(options)
     options = options or {}
@@ -35,6 +35,10 @@
     deployment.eventually("the platform answers", 20, function()
         return deployment.ask { address = self.platform.address, path = "/vms" }.status == 200
     end)
+    for _, domain in ipairs(options.price_per_hour and self.domains or {}) do
+        self:control(self.platform.address, "prices", { failure_domain = domain, machine_class = "small",
+            kind = "reclaimable", per_hour = options.price_per_hour })
+    end
     for index = 1, options.engines or 2 do self:start_engine(index, options.engine_arguments or {}) end
     for index = 1, options.services or 1 do self:start_service(index) end
     for index = 1, self.node_count do self:start_node(index) end
