--- a/libraries/entry/entry_directory.cpp
+++ b/libraries/entry/entry_directory.cpp
@@ -41,6 +41,11 @@
 
 } // namespace
 
+std::string conversationKey(const std::string &account, const std::string &conversation)
+{
+    return account + '/' + conversation;
+}
+
 entry_directory::entry_directory(membership::membership_view &members, secret_key fleetKey)
     : m_members(members)
     , m_fleetKey(fleetKey)
@@ -52,7 +57,7 @@
 {
     std::vector<membership::member> members = takingWork(m_members.members());
     const std::string spread = conversation.empty() ? '/' + toHex(salt) : std::string();
-    sortByWeight(members, account + '/' + conversation + spread);
+    sortByWeight(members, conversationKey(account, conversation) + spread);
     entry_answer answer;
     answer.keepFor = keep_for;
     for (const membership::member &each : members) {
@@ -71,7 +76,7 @@
     if (conversation.empty())
         return otherDomainsFirst(requestKey);
     std::vector<membership::member> members = takingWork(m_members.members());
-    sortByWeight(members, account + '/' + conversation);
+    sortByWeight(members, conversationKey(account, conversation));
     std::vector<membership::incarnation> result;
     for (const membership::member &each : members) {
         if (each.id != m_members.self().id)
--- a/libraries/entry/entry_directory.h
+++ b/libraries/entry/entry_directory.h
@@ -28,6 +28,9 @@
     auto operator<=>(const entry_answer &) const = default;
 };
 
+/// The key by which rendezvous hashing over the nodes' names gives a conversation its home.
+std::string conversationKey(const std::string &account, const std::string &conversation);
+
 /// Tells callers which node to use, from the membership alone.
 class entry_directory
 {
--- a/libraries/gateway/caller_api.cpp
+++ b/libraries/gateway/caller_api.cpp
@@ -315,7 +315,11 @@
 {
     const std::string id = request.id.text(m_parts.fleetKey);
     if (verdict && verdict.value().answer) {
-        answer_writer(form, id, caller).onFinal(*verdict.value().answer);
+        const requests::final_answer &found = *verdict.value().answer;
+        answer_writer writer(form, id, caller);
+        for (std::uint64_t index = nextPiece(incoming); index < found.pieces.size(); ++index)
+            writer.onPiece(index, found.pieces[index]);
+        writer.onFinal(found);
         return;
     }
     requests::final_answer answer{.outcome = requests::request_outcome::unknown,
--- /dev/null
+++ b/libraries/gateway/tests/simulated_caller.cpp
@@ -0,0 +1,288 @@
+#include "simulated_caller.h"
+
+#include "base/json.h"
+#include "gateway/request_reader.h"
+
+#include <sstream>
+
+namespace ivypier::simulation {
+
+namespace {
+
+constexpr duration patience = std::chrono::milliseconds(2500);
+constexpr unsigned most_rounds = 12;
+constexpr int status_see_other = 303;
+constexpr int status_not_found = 404;
+
+/// One connection of a caller; what comes after the node died never arrives.
+class caller_connection final : public http::responder
+{
+public:
+    explicit caller_connection(std::shared_ptr<simulated_caller> caller)
+        : m_caller(std::move(caller))
+    {
+    }
+
+    void respond(http::response answer) override
+    {
+        m_caller->take(answer.status, answer.headers, answer.body);
+    }
+
+    void begin(int status, http::header_map headers) override
+    {
+        m_status = status;
+        m_headers = std::move(headers);
+    }
+
+    void write(std::string piece) override
+    {
+        m_body += piece;
+    }
+
+    void finish() override
+    {
+        m_caller->take(m_status, m_headers, m_body);
+    }
+
+    bool isOpen() const override
+    {
+        return true;
+    }
+
+    void onClosed(std::function<void()>) override
+    {
+    }
+
+private:
+    std::shared_ptr<simulated_caller> m_caller;
+    int m_status = 0;
+    http::header_map m_headers;
+    std::string m_body;
+};
+
+} // namespace
+
+simulated_caller::simulated_caller(simulated_fleet &fleet, wanted_request wanted)
+    : m_fleet(fleet)
+    , m_wanted(std::move(wanted))
+{
+}
+
+void simulated_caller::start()
+{
+    const entry::entry_answer entry
+        = m_fleet.nodes[someNode()]->entries.look("kumasi", m_wanted.conversation, m_fleet.random.next());
+    if (entry.addresses.empty())
+        return;
+    m_id = entry.addresses.front().ticketPrefix + '.' + m_wanted.part;
+    send(entry.addresses.front().address, message());
+    watch(1);
+    if (!m_wanted.impatient)
+        return;
+    m_fleet.time.after(fromSeconds(m_fleet.random.uniform() * 3.0), [self = shared_from_this()] {
+        for (std::size_t node = 0; node < simulated_fleet::node_count; ++node)
+            self->post(node);
+    });
+}
+
+const wanted_request &simulated_caller::wanted() const
+{
+    return m_wanted;
+}
+
+const std::vector<told_outcome> &simulated_caller::told() const
+{
+    return m_told;
+}
+
+const std::string &simulated_caller::violation() const
+{
+    return m_violation;
+}
+
+bool simulated_caller::isDone() const
+{
+    return m_done;
+}
+
+std::size_t simulated_caller::someNode()
+{
+    std::size_t node = m_fleet.random.index(simulated_fleet::node_count);
+    for (std::size_t tries = 0; tries < simulated_fleet::node_count; ++tries) {
+        const auto &process = m_fleet.nodes[node]->process;
+        const bool leaving = m_fleet.histories[node].leftAt.has_value();
+        if (process.isAlive() && !process.isFrozen() && !leaving)
+            break;
+        node = (node + 1) % simulated_fleet::node_count;
+    }
+    return node;
+}
+
+http::request simulated_caller::message() const
+{
+    http::request result{.method = "POST"};
+    result.headers["Authorization"] = "Bearer key";
+    result.headers["Ivypier-Request"] = m_id;
+    result.headers["Ivypier-Repeatable"] = m_wanted.repeatable ? "true" : "false";
+    if (!m_wanted.conversation.empty())
+        result.headers["Ivypier-Conversation"] = m_wanted.conversation;
+    if (m_wanted.plain) {
+        result.path = "/v1/services/rates/quote";
+        result.body = "body of " + m_wanted.part;
+        return result;
+    }
+    Json::Value json(Json::objectValue);
+    json["model"] = "tariff";
+    json["stream"] = m_wanted.streamed;
+    json["messages"][0]["role"] = "user";
+    json["messages"][0]["content"] = m_wanted.part;
+    result.path = "/v1/chat/completions";
+    result.body = writeJson(json);
+    return result;
+}
+
+std::string simulated_caller::expected() const
+{
+    const configuration::document &document = m_fleet.configuration.current()->content;
+    const auto read = gateway::readRequest(document, document.clientAccounts.front(), message());
+    std::string text;
+    for (const std::string &each : simulated_upstreams::answerTo(read.value().request.body))
+        text += each;
+    return text;
+}
+
+void simulated_caller::post(std::size_t node)
+{
+    http::request again = message();
+    if (!m_pieces.empty())
+        again.headers["Last-Event-ID"] = std::to_string(m_pieces.rbegin()->first);
+    send(m_fleet.histories[node].member.address, std::move(again));
+}
+
+void simulated_caller::pickUp(const endpoint &address)
+{
+    http::request get{.path = "/v1/requests/" + m_id};
+    get.headers["Authorization"] = "Bearer key";
+    if (m_wanted.streamed)
+        get.headers["Accept"] = "text/event-stream";
+    if (!m_pieces.empty())
+        get.headers["Last-Event-ID"] = std::to_string(m_pieces.rbegin()->first);
+    send(address, std::move(get));
+}
+
+void simulated_caller::send(const endpoint &address, http::request message)
+{
+    m_fleet.network.send([self = shared_from_this(), address, message = std::move(message)] {
+        simulated_node *node = self->m_fleet.nodeAt(address);
+        if (!node)
+            return;
+        node->process.post([self, node, message] {
+            node->callers.handle(message, std::make_shared<caller_connection>(self));
+        });
+    });
+}
+
+void simulated_caller::watch(unsigned round)
+{
+    m_fleet.time.after(patience, [self = shared_from_this(), round] {
+        if (self->m_done || round >= most_rounds)
+            return;
+        const std::size_t node = self->someNode();
+        const bool post = std::exchange(self->m_notKnown, false) || round % 3 == 0;
+        if (post)
+            self->post(node);
+        else
+            self->pickUp(self->m_fleet.histories[node].member.address);
+        self->watch(round + 1);
+    });
+}
+
+void simulated_caller::take(int status, const http::header_map &headers, const std::string &body)
+{
+    const auto named = headers.find(std::string_view("Ivypier-Request"));
+    if (named != headers.end())
+        m_id = named->second;
+    const auto type = headers.find(std::string_view("Content-Type"));
+    if (status == status_see_other) {
+        const std::string location = headers.find(std::string_view("Location"))->second;
+        const std::string host = location.substr(7, location.find('/', 7) - 7);
+        pickUp(endpoint::parse(host).value());
+    } else if (type != headers.end() && type->second == "text/event-stream") {
+        readEvents(body);
+    } else if (status == status_not_found) {
+        m_notKnown = true;
+    } else {
+        readWhole(status, headers, body);
+    }
+}
+
+void simulated_caller::readEvents(const std::string &body)
+{
+    std::istringstream lines(body);
+    std::string line;
+    std::string event;
+    std::string id;
+    while (std::getline(lines, line)) {
+        if (line.empty()) {
+            event.clear();
+            id.clear();
+        } else if (line.starts_with("event: ")) {
+            event = line.substr(7);
+        } else if (line.starts_with("id: ")) {
+            id = line.substr(4);
+        } else if (line.starts_with("data: {")) {
+            const Json::Value json = parseJson(line.substr(6)).value();
+            if (!id.empty()) {
+                const std::string text = json["choices"][0]["delta"]["content"].asString();
+                const auto [place, added] = m_pieces.emplace(std::stoull(id), text);
+                if (!added && place->second != text)
+                    m_violation = "piece " + id + " came with two texts";
+            } else if (event == "moved") {
+                const std::string location = json["location"].asString();
+                pickUp(endpoint::parse(location.substr(7, location.find('/', 7) - 7)).value());
+            } else if (event == "outcome") {
+                note(stringMember(json, "outcome"), stringMember(json, "cause"));
+                std::string text;
+                for (const auto &[index, piece] : m_pieces)
+                    text += piece;
+                checkAnswer(text, stringMember(json, "outcome") == "answered");
+            }
+        }
+    }
+}
+
+void simulated_caller::readWhole(int status, const http::header_map &headers, const std::string &body)
+{
+    const auto outcome = headers.find(std::string_view("Ivypier-Outcome"));
+    const auto json = parseJson(body);
+    if (outcome == headers.end() || outcome->second != "answered" || status != 200) {
+        const Json::Value &read = json ? json.value() : Json::Value::nullSingleton();
+        note(outcome == headers.end() ? stringMember(read, "outcome") : outcome->second,
+             stringMember(read, "cause"));
+        return;
+    }
+    note("answered", "");
+    if (!m_wanted.plain) {
+        checkAnswer(json ? json.value()["choices"][0]["message"]["content"].asString() : body, true);
+        return;
+    }
+    const std::string end = "." + m_wanted.part + " body of " + m_wanted.part;
+    if (!body.starts_with("kumasi/") || !body.ends_with(end))
+        m_violation = "a foreign plain answer: " + body;
+}
+
+void simulated_caller::checkAnswer(const std::string &answer, bool whole)
+{
+    const std::string right = expected();
+    if (whole ? answer != right : !right.starts_with(answer))
+        m_violation = "the text differs: " + answer + " instead of " + right;
+}
+
+void simulated_caller::note(const std::string &outcome, const std::string &cause)
+{
+    const auto ticket = entry::ticket::parse(m_id, m_fleet.key);
+    m_told.push_back({ticket.value().key(), outcome, cause, m_fleet.time.now()});
+    m_done = true;
+}
+
+} // namespace ivypier::simulation
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -191,6 +191,7 @@
     {
         web::client::http_client_config configuration;
         configuration.set_timeout(options.timeout);
+        configuration.set_max_redirects(0); // a redirection is an answer like any other
         return std::make_shared<library_client>("http://" + to.text(), configuration);
     }
 };
--- a/libraries/requests/answer.h
+++ b/libraries/requests/answer.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace ivypier::requests {
 
@@ -19,7 +20,7 @@
 
 std::string_view name(request_outcome outcome);
 
-/// The end of a request. For a model service the text is in the events before it.
+/// The end of a request. For a model service the text is in the pieces before it.
 struct final_answer
 {
     request_outcome outcome = request_outcome::unknown;
@@ -30,6 +31,7 @@
     duration retryAfter{}; ///< when to come back, with not_run
     upstream::token_usage usage;
     std::string servedBy; ///< the upstream's name
+    std::vector<std::string> pieces; ///< of a model's answer, where it is passed to another node; else empty
 
     auto operator<=>(const final_answer &) const = default;
 };
--- a/libraries/requests/attempt_runner.cpp
+++ b/libraries/requests/attempt_runner.cpp
@@ -329,7 +329,9 @@
         return;
     m_parts.router.finished(attempt, routing::attempt_result::failed);
     record->excluded.push_back(record->attempt.target.address);
-    if (record->attempt.generation)
+    if (record->handover == handover_phase::offered && record->attempt.generation)
+        record->attempt.generation->detach(); // a successor that resumed the stream ends it here this way
+    else if (record->attempt.generation)
         record->attempt.generation->cancel();
     record->attempt.id.clear();
     record->attempt.stream.clear();
--- a/libraries/requests/handover_sender.cpp
+++ b/libraries/requests/handover_sender.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/log_event.h"
+#include "entry/entry_directory.h"
 
 #include <algorithm>
 
@@ -23,7 +24,7 @@
 
 std::string conversationOf(const request_record &record)
 {
-    return record.request.account + '/' + record.request.conversation;
+    return entry::conversationKey(record.request.account, record.request.conversation);
 }
 
 } // namespace
--- a/libraries/requests/handover_sender.h
+++ b/libraries/requests/handover_sender.h
@@ -3,7 +3,7 @@
 #include "base/metrics_registry.h"
 #include "base/scheduler.h"
 #include "requests/attempt_runner.h"
-#include "requests/conversation_queue.h"
+#include "requests/conversation_order.h"
 #include "requests/peer_channel.h"
 #include "requests/request_table.h"
 
@@ -22,7 +22,7 @@
     scheduler &tasks;
     metrics_registry &metrics;
     request_table &table;
-    conversation_queue &conversations;
+    conversation_order &conversations;
     attempt_runner &attempts;
     peer_channel &peers;
     record_owner &owner;
--- a/libraries/requests/message_codec.cpp
+++ b/libraries/requests/message_codec.cpp
@@ -55,6 +55,9 @@
     json["cached_tokens"] = Json::UInt64{answer.usage.cachedTokens};
     json["generated_tokens"] = Json::UInt64{answer.usage.generatedTokens};
     json["served_by"] = answer.servedBy;
+    json["pieces"] = Json::Value(Json::arrayValue);
+    for (const std::string &each : answer.pieces)
+        json["pieces"].append(each);
     return json;
 }
 
@@ -132,6 +135,8 @@
     answer.usage = {unsignedMember(json, "prompt_tokens", 0), unsignedMember(json, "cached_tokens", 0),
                     unsignedMember(json, "generated_tokens", 0)};
     answer.servedBy = stringMember(json, "served_by");
+    for (const Json::Value &each : json["pieces"])
+        answer.pieces.push_back(each.isString() ? each.asString() : std::string());
     return answer;
 }
 
--- a/libraries/requests/request_service.cpp
+++ b/libraries/requests/request_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/log_event.h"
+#include "entry/entry_directory.h"
 
 #include <algorithm>
 #include <utility>
@@ -23,9 +24,6 @@
 constexpr unsigned grant_tries = 8;
 constexpr duration grant_pause = std::chrono::milliseconds(150);
 
-/// How often a leaving node is asked whether it still has a conversation.
-constexpr duration conversation_pause = std::chrono::milliseconds(50);
-
 int statusOf(admission::refusal_cause cause)
 {
     const bool overLimit
@@ -35,7 +33,7 @@
 
 std::string conversationOf(const request_record &record)
 {
-    return record.request.account + '/' + record.request.conversation;
+    return entry::conversationKey(record.request.account, record.request.conversation);
 }
 
 } // namespace
@@ -44,6 +42,8 @@
     : m_parts(parts)
     , m_self(parts.members.self().id)
     , m_table(parts.tasks, m_self, parts.limits)
+    , m_conversations(parts.tasks, parts.members, parts.peers,
+                      [this](const std::string &key) { beginLater(key); })
     , m_attempts({parts.tasks, parts.metrics, parts.router, parts.retries, parts.engines, parts.services,
                   *this, m_self})
     , m_handover(
@@ -224,61 +224,14 @@
         begin(record);
         return;
     }
-    const std::string conversation = conversationOf(*record);
-    if (!m_conversations.contains(conversation))
-        holdConversation(conversation);
-    if (m_conversations.enter(conversation, record->key))
+    if (m_conversations.enter(conversationOf(*record), record->key))
         begin(record);
 }
 
-void request_service::holdConversation(const std::string &conversation)
-{
-    std::vector<incarnation> leaving;
-    for (const membership::member &each : m_parts.members.members()) {
-        if (each.state == membership::member_state::leaving && each.id != m_self)
-            leaving.push_back(each.id);
-    }
-    if (leaving.empty())
-        return;
-    m_conversations.hold(conversation);
-    awaitLeavingNodes(conversation, std::move(leaving));
-}
-
-void request_service::awaitLeavingNodes(const std::string &conversation, std::vector<incarnation> nodes)
-{
-    if (nodes.empty()) {
-        const std::optional<std::string> next = m_conversations.release(conversation);
-        if (next)
-            beginLater(*next);
-        return;
-    }
-    const incarnation asked = nodes.back();
-    m_parts.peers.askConversation(
-        asked, conversation, [this, conversation, nodes, asked](const outcome<bool> &busy) mutable {
-            const bool gone = !busy
-                && (busy.error().code == error_code::unavailable || busy.error().code == error_code::refused
-                    || !isMember(asked));
-            const bool wait = busy ? busy.value() : !gone;
-            if (!wait)
-                nodes.pop_back();
-            m_parts.tasks.after(wait ? conversation_pause : duration::zero(),
-                                [this, conversation, nodes] { awaitLeavingNodes(conversation, nodes); });
-        });
-}
-
-bool request_service::isMember(incarnation node) const
-{
-    const auto member = m_parts.members.find(node);
-    return member && member->state != membership::member_state::dead;
-}
-
 void request_service::leaveConversation(const request_record &record)
 {
-    if (record.request.conversation.empty())
-        return;
-    const std::optional<std::string> next = m_conversations.leave(conversationOf(record), record.key);
-    if (next)
-        beginLater(*next);
+    if (!record.request.conversation.empty())
+        m_conversations.leave(conversationOf(record), record.key);
 }
 
 void request_service::beginLater(const std::string &key)
@@ -347,7 +300,7 @@
     m_parts.peers.askVerdict(record->request.name(),
                              [this, record, cause](const outcome<witness_verdict> &verdict) {
                                  if (verdict && verdict.value().answer) {
-                                     finish(record, *verdict.value().answer);
+                                     takeAnswer(record, *verdict.value().answer);
                                      return;
                                  }
                                  final_answer answer{.status = status_bad_gateway, .cause = cause};
@@ -358,6 +311,21 @@
                              });
 }
 
+void request_service::takeAnswer(const record_pointer &record, final_answer answer)
+{
+    for (std::uint64_t index = record->pieces.size(); index < answer.pieces.size(); ++index) {
+        record->pieces.push_back(answer.pieces[index]);
+        for (listener_position &each : record->listeners) {
+            if (each.next != index)
+                continue;
+            ++each.next;
+            each.listener->onPiece(index, record->pieces[index]);
+        }
+    }
+    answer.pieces.clear();
+    finish(record, std::move(answer));
+}
+
 void request_service::deadlinePassed(const record_pointer &record)
 {
     record->deadlineTimer = 0;
@@ -414,8 +382,11 @@
     settle(record);
     const bool tellWitness = !record->request.repeatable && record->request.id.witness != 0
         && record->final->outcome == request_outcome::answered;
-    if (tellWitness)
-        m_parts.peers.passAnswer(record->request.name(), *record->final);
+    if (tellWitness) {
+        final_answer whole = *record->final;
+        whole.pieces = record->pieces;
+        m_parts.peers.passAnswer(record->request.name(), whole);
+    }
     for (const listener_position &each : std::exchange(record->listeners, {}))
         each.listener->onFinal(*record->final);
     leaveConversation(*record);
--- a/libraries/requests/request_service.h
+++ b/libraries/requests/request_service.h
@@ -7,7 +7,7 @@
 #include "membership/membership_view.h"
 #include "requests/answer.h"
 #include "requests/attempt_runner.h"
-#include "requests/conversation_queue.h"
+#include "requests/conversation_order.h"
 #include "requests/handed_request.h"
 #include "requests/handover_sender.h"
 #include "requests/peer_channel.h"
@@ -90,15 +90,13 @@
     void accept(const record_pointer &record);
     void watchDeadline(const record_pointer &record);
     void enterConversation(const record_pointer &record);
-    void holdConversation(const std::string &conversation);
-    void awaitLeavingNodes(const std::string &conversation, std::vector<incarnation> nodes);
-    bool isMember(incarnation node) const;
     void leaveConversation(const request_record &record);
     void beginLater(const std::string &key);
     void begin(const record_pointer &record);
     void askGrant(const record_pointer &record, unsigned tries);
     void grantRefused(const record_pointer &record, const std::string &cause);
 
+    void takeAnswer(const record_pointer &record, final_answer answer);
     void deadlinePassed(const record_pointer &record);
     void refuse(const record_pointer &record, const admission::refusal &why);
     void closeNotRun(const record_pointer &record, const std::string &cause);
@@ -111,7 +109,7 @@
     request_service_parts m_parts;
     incarnation m_self;
     request_table m_table;
-    conversation_queue m_conversations;
+    conversation_order m_conversations;
     attempt_runner m_attempts;
     handover_sender m_handover;
     bool m_accepting = true;
--- a/libraries/requests/witness_ledger.cpp
+++ b/libraries/requests/witness_ledger.cpp
@@ -8,6 +8,17 @@
 
 const error not_the_witness{error_code::unavailable, "this node does not speak for the request's witness"};
 
+/// The most bytes of answers that a witness keeps.
+constexpr std::size_t answer_bytes_limit = std::size_t{16} * 1024 * 1024;
+
+std::size_t bytesOf(const final_answer &answer)
+{
+    std::size_t total = answer.body.size();
+    for (const std::string &each : answer.pieces)
+        total += each.size();
+    return total;
+}
+
 } // namespace
 
 witness_ledger::witness_ledger(incarnation self, std::size_t recordLimit)
@@ -68,8 +79,12 @@
     if (m_stopped || !findEntry(request))
         return;
     entry *known = entryOf(request);
-    if (known && known->holder != 0)
-        known->answer = answer;
+    const std::size_t bytes = bytesOf(answer);
+    const bool keeps = known && known->holder != 0 && !known->answer;
+    if (!keeps || m_answerBytes + bytes > answer_bytes_limit)
+        return;
+    known->answer = answer;
+    m_answerBytes += bytes;
 }
 
 void witness_ledger::forgetBelow(incarnation witness, incarnation home, std::uint64_t below)
@@ -77,7 +92,10 @@
     home_records &records = m_homes[{witness, home}];
     records.floor = std::max(records.floor, below);
     while (!records.epochs.empty() && records.epochs.begin()->first < records.floor) {
-        m_size -= records.epochs.begin()->second.size();
+        for (const auto &[key, forgotten] : records.epochs.begin()->second) {
+            --m_size;
+            m_answerBytes -= forgotten.answer ? bytesOf(*forgotten.answer) : 0;
+        }
         records.epochs.erase(records.epochs.begin());
     }
 }
@@ -132,8 +150,11 @@
         if (m_witnesses.contains(each.request.witness)) // active already: a late repetition
             continue;
         entry *known = entryOf(each.request);
-        if (known)
-            *known = {each.holder, each.fenced, each.answer};
+        if (!known)
+            continue;
+        m_answerBytes -= known->answer ? bytesOf(*known->answer) : 0;
+        m_answerBytes += each.answer ? bytesOf(*each.answer) : 0;
+        *known = {each.holder, each.fenced, each.answer};
     }
 }
 
--- a/libraries/requests/witness_ledger.h
+++ b/libraries/requests/witness_ledger.h
@@ -65,7 +65,8 @@
     /// Who has a request, without any change; 0 when that is not known.
     incarnation holderOf(const request_name &request) const;
 
-    /// Keeps the answer of a request that was granted here, for callers whose home is silent.
+    /// Keeps the answer of a request that was granted here, for callers whose home is silent, as long as all
+    /// kept answers stay under their limit.
     void keepAnswer(const request_name &request, const final_answer &answer);
 
     /// Forgets a home's epochs under `below`: their intents are refused, and `unknown` is said of them.
@@ -118,6 +119,7 @@
     incarnation m_self;
     std::size_t m_limit;
     std::size_t m_size = 0;
+    std::size_t m_answerBytes = 0;
     bool m_stopped = false;
     std::set<incarnation> m_witnesses;
     std::map<witness_and_home, home_records> m_homes;
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -10,6 +10,7 @@
 #include "configuration/document_store.h"
 #include "entry/entry_directory.h"
 #include "gateway/caller_api.h"
+#include "gateway/graceful_stop.h"
 #include "gateway/http_forwarder.h"
 #include "membership/exchange_membership.h"
 #include "platform/http_platform.h"
@@ -26,13 +27,8 @@
 
 namespace {
 
-constexpr duration drain_check_interval = std::chrono::milliseconds(50);
 constexpr duration vm_list_interval = std::chrono::seconds(1);
 constexpr duration notice_interval = std::chrono::milliseconds(500);
-
-/// What still finishes here before a stop hands the rest over: a part of the notice, and no more than this.
-constexpr int finishing_share = 4;
-constexpr duration longest_finishing = std::chrono::seconds(2);
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 
@@ -89,20 +85,16 @@
     gateway::http_forwarder forwards{tasks, transport};
     gateway::caller_api callers{
         {tasks, follower, members, entries, requestService, channel, forwards, claims, fleetKey}};
+    gateway::graceful_stop stopping{{tasks, members, entries, requestService, witnessHandover, forwards},
+                                    [this] { stop(); }};
     std::vector<platform::vm_record> listedVms;
     std::unique_ptr<http::server> listener;
-    bool draining = false;
-    time_point stopBy{};
-
     void handle(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
     http::response status() const;
     void setFaults(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
     void refreshCandidates();
     void pollVmList();
     void pollNotices();
-    void drain(duration within, std::string_view cause);
-    void handOver();
-    void waitForRequests();
     void stop();
 };
 
@@ -191,55 +183,12 @@
             for (const platform::reclaim_notice &each :
                  listed ? listed.value() : std::vector<platform::reclaim_notice>()) {
                 if (each.vm == settings.vm)
-                    drain(std::chrono::milliseconds(each.remainingMilliseconds), "notice");
+                    stopping.start(std::chrono::milliseconds(each.remainingMilliseconds), "notice");
             }
             tasks.after(notice_interval, [this] { pollNotices(); });
         });
 }
 
-void node::parts::drain(duration within, std::string_view cause)
-{
-    const time_point end = tasks.now() + within;
-    const bool first = !std::exchange(draining, true);
-    if (!first && end >= stopBy)
-        return;
-    stopBy = end;
-    log_event(log_level::info, "node.draining")
-        .with("cause", cause)
-        .with("seconds", seconds(within))
-        .with("unfinished", static_cast<std::int64_t>(requestService.unfinished()))
-        .write();
-    if (first) {
-        members.leave();
-        requestService.stopAccepting();
-        witnessHandover.start(entries.witnessSuccessors());
-        waitForRequests();
-    }
-    const duration finishing = std::min<duration>(within / finishing_share, longest_finishing);
-    tasks.after(finishing, [this] { handOver(); });
-}
-
-void node::parts::handOver()
-{
-    forwards.redirectAll();
-    requestService.handOver(
-        [this](const requests::incoming_request &request) {
-            return entries.successors(request.account, request.conversation, request.key());
-        },
-        stopBy);
-}
-
-void node::parts::waitForRequests()
-{
-    const bool done = requestService.unfinished() == 0 && forwards.active() == 0 && witnessHandover.isDone();
-    if (!done && tasks.now() < stopBy) {
-        tasks.after(drain_check_interval, [this] { waitForRequests(); });
-        return;
-    }
-    // The last answers are on their way through the library's threads.
-    tasks.after(drain_check_interval * 4, [this] { stop(); });
-}
-
 void node::parts::stop()
 {
     log_event(log_level::info, "node.stopped")
@@ -305,7 +254,7 @@
 
 void node::drain()
 {
-    m_parts->drain(m_parts->settings.stopWithin, "signal");
+    m_parts->stopping.start(m_parts->settings.stopWithin, "signal");
 }
 
 } // namespace ivypier::node
