--- a/libraries/gateway/graceful_stop.cpp
+++ b/libraries/gateway/graceful_stop.cpp
@@ -57,8 +57,8 @@
 
 void graceful_stop::waitForEnd()
 {
-    const bool done = m_parts.requests.unfinished() == 0 && m_parts.forwards.active() == 0
-        && m_parts.witness.isDone();
+    const bool done
+        = m_parts.requests.unfinished() == 0 && m_parts.forwards.active() == 0 && m_parts.witness.isDone();
     if (!done && m_parts.tasks.now() < m_stopBy) {
         m_parts.tasks.after(check_interval, [this] { waitForEnd(); });
         return;
--- a/libraries/gateway/tests/fleet_fuzz_test.cpp
+++ b/libraries/gateway/tests/fleet_fuzz_test.cpp
@@ -7,9 +7,9 @@
 #include <map>
 #include <set>
 
-// Whole fleets in virtual time: the daemons' own gateway, requests and entry code on five nodes, over fakes at
-// the interfaces to the network, the upstreams and the membership. The oracle judges from the upstreams' record
-// and from what callers were told. IVYPIER_SEED=<n> runs one seed again.
+// Whole fleets in virtual time: the daemons' own gateway, requests and entry code on five nodes, over fakes
+// at the interfaces to the network, the upstreams and the membership. The oracle judges from the upstreams'
+// record and from what callers were told. IVYPIER_SEED=<n> runs one seed again.
 
 namespace {
 
--- a/libraries/gateway/tests/simulated_fleet.cpp
+++ b/libraries/gateway/tests/simulated_fleet.cpp
@@ -75,7 +75,9 @@
 
     void begin(int status, http::header_map headers) override
     {
-        later([status, headers = std::move(headers)](http::responder &caller) { caller.begin(status, headers); });
+        later([status, headers = std::move(headers)](http::responder &caller) {
+            caller.begin(status, headers);
+        });
     }
 
     void write(std::string piece) override
@@ -211,26 +213,27 @@
             std::exchange(*shared, nullptr)(std::move(result));
     };
     m_node.after(timeout, [answer] { answer(error{error_code::timed_out, "no answer"}); });
-    http::request message{.method = "POST", .path = rpc::rpc_path, .body = rpc::encodeCall(method, parameters)};
-    message.headers[rpc::rpc_authenticator_header]
-        = bytesToHex(m_fleet.key.authenticate(message.body));
+    http::request message{
+        .method = "POST", .path = rpc::rpc_path, .body = rpc::encodeCall(method, parameters)};
+    message.headers[rpc::rpc_authenticator_header] = bytesToHex(m_fleet.key.authenticate(message.body));
     m_fleet.network.send([this, to, message, answer] {
         simulated_node *target = m_fleet.nodeAt(to);
         if (!target) {
             m_node.post([answer] { answer(error{error_code::unavailable, "nobody listens"}); });
             return;
         }
-        const auto catcher = std::make_shared<response_catcher>([this, answer](const http::response &response) {
-            m_fleet.network.send([this, answer, response] {
-                m_node.post([answer, response] {
-                    rpc::decoded_answer decoded = rpc::decodeAnswer(response.body);
-                    if (decoded.succeeded)
-                        answer(std::move(decoded.result));
-                    else
-                        answer(error{error_code::refused, decoded.message});
-                });
-            });
-        });
+        const auto catcher
+            = std::make_shared<response_catcher>([this, answer](const http::response &response) {
+                  m_fleet.network.send([this, answer, response] {
+                      m_node.post([answer, response] {
+                          rpc::decoded_answer decoded = rpc::decodeAnswer(response.body);
+                          if (decoded.succeeded)
+                              answer(std::move(decoded.result));
+                          else
+                              answer(error{error_code::refused, decoded.message});
+                      });
+                  });
+              });
         target->methods.handle(message, catcher);
     });
 }
@@ -262,7 +265,8 @@
             m_node.post(fail);
             return;
         }
-        const auto answers = std::make_shared<relay>(m_fleet, m_node, caller, [state] { state->begun = true; });
+        const auto answers
+            = std::make_shared<relay>(m_fleet, m_node, caller, [state] { state->begun = true; });
         target->process.post([target, incoming, answers] { target->callers.handle(incoming, answers); });
     });
 }
@@ -349,26 +353,25 @@
     , claims(of.table)
     , forwards(of, process)
     , callers({process, of.configuration, members, entries, requests, channel, forwards, claims, key})
-    , stopping({process, members, entries, requests, witnessHandover, forwards},
-               [&of, id] {
-                   for (std::size_t index = 0; index < of.histories.size(); ++index) {
-                       if (of.histories[index].member.id == id)
-                           of.kill(index);
-                   }
-               })
+    , stopping({process, members, entries, requests, witnessHandover, forwards}, [&of, id] {
+        for (std::size_t index = 0; index < of.histories.size(); ++index) {
+            if (of.histories[index].member.id == id)
+                of.kill(index);
+        }
+    })
 {
     requests::rpc_peer_channel::serve(methods, members, ledger, requests);
     std::vector<routing::candidate> candidates;
     for (std::size_t index = 0; index < simulated_fleet::engine_count; ++index) {
         const endpoint address = simulated_fleet::engineAddress(index);
         candidates.push_back({"engine-" + std::to_string(index), "tariff", address, "", "", 0.0});
-        candidates.push_back(
-            {"rates-" + std::to_string(index), "rates", {address.host, 9200}, "", "", 0.0});
+        candidates.push_back({"rates-" + std::to_string(index), "rates", {address.host, 9200}, "", "", 0.0});
     }
     router.setCandidates(std::move(candidates));
 }
 
-simulated_fleet::simulated_fleet(std::uint64_t seed, network_quality quality, upstream_quality upstreamQuality)
+simulated_fleet::simulated_fleet(std::uint64_t seed, network_quality quality,
+                                 upstream_quality upstreamQuality)
     : random(seed)
     , key(secret_key::fromPassphrase("the key of a simulated fleet").value())
     , network(time, random, quality)
@@ -383,8 +386,8 @@
         histories.push_back({member, {}, {}});
     }
     for (std::size_t index = 0; index < node_count; ++index)
-        nodes.push_back(std::make_unique<simulated_node>(
-            *this, index + 1, fromSeconds(random.uniform() * 0.2), key));
+        nodes.push_back(
+            std::make_unique<simulated_node>(*this, index + 1, fromSeconds(random.uniform() * 0.2), key));
 }
 
 simulated_fleet::~simulated_fleet() = default;
--- a/libraries/gateway/tests/simulated_upstreams.cpp
+++ b/libraries/gateway/tests/simulated_upstreams.cpp
@@ -144,17 +144,16 @@
             const std::uint64_t next = of->sent;
             for (std::uint64_t index = 0; index < 3; ++index)
                 m_time.after(token_interval * (index * 4 + 1), [reader, observer, next, index] {
-                    reader->node().post([observer, next, index] { observer->onToken(next + index, "foreign "); });
+                    reader->node().post(
+                        [observer, next, index] { observer->onToken(next + index, "foreign "); });
                 });
         }
         return;
     }
     for (; of->sent < of->produced; ++of->sent) {
-        reader->deliver(
-            [index = of->sent, text = of->tokens[of->sent]](upstream::generation_observer &each) {
-                each.onToken(index, text);
-            },
-            false);
+        reader->deliver([index = of->sent, text = of->tokens[of->sent]](
+                            upstream::generation_observer &each) { each.onToken(index, text); },
+                        false);
     }
     if (of->sent < of->tokens.size())
         return;
@@ -176,7 +175,8 @@
     created->id = "stream-" + std::to_string(m_world.m_nextStream++);
     created->attempt = request.attempt;
     created->tokens = simulated_upstreams::answerTo(request.body);
-    created->produced = created->sent = std::min<std::size_t>(request.deliveredTokens, created->tokens.size());
+    created->produced = created->sent
+        = std::min<std::size_t>(request.deliveredTokens, created->tokens.size());
     auto reader = std::make_shared<simulated_generation>(m_node, std::move(observer),
                                                          [created] { created->cancelled = true; });
     const bool refuses
@@ -184,14 +184,17 @@
     m_world.m_time.after(token_interval / 2, [&world = m_world, created, reader, refuses] {
         if (refuses) {
             reader->deliver(
-                [](upstream::generation_observer &each) { each.onFailed({error_code::refused, "full"}); },
+                [](upstream::generation_observer &each) {
+                    each.onFailed({error_code::refused, "full"});
+                },
                 true);
             return;
         }
         world.write(created->attempt, false);
         created->reader = reader;
         world.m_streams[created->id] = created;
-        reader->deliver([id = created->id](upstream::generation_observer &each) { each.onStarted(id); }, false);
+        reader->deliver([id = created->id](upstream::generation_observer &each) { each.onStarted(id); },
+                        false);
         world.m_time.after(token_interval, [&world, created] { world.produce(created); });
     });
     return reader;
@@ -241,8 +244,8 @@
     done(error{error_code::unavailable, "not simulated"});
 }
 
-void simulated_engines::readCacheEvents(
-    const endpoint &, std::uint64_t, std::function<void(outcome<std::vector<upstream::cache_event>>)> done)
+void simulated_engines::readCacheEvents(const endpoint &, std::uint64_t,
+                                        std::function<void(outcome<std::vector<upstream::cache_event>>)> done)
 {
     done(error{error_code::unavailable, "not simulated"});
 }
@@ -267,19 +270,20 @@
     const bool runs = !breaks || random.uniform() < 0.5;
     const bool refused = breaks && !runs && random.uniform() < 0.5;
     const duration taken = fromSeconds(random.uniform() * longest_call_seconds);
-    m_world.m_time.after(taken, [&world = m_world, &node = m_node, what, done = std::move(done), breaks, runs,
-                                 refused] {
-        if (runs)
-            world.write(what.attempt, true);
-        node.post([what, done, breaks, refused] {
-            if (refused)
-                done(error{error_code::unavailable, "no connection"});
-            else if (breaks)
-                done(error{error_code::interrupted, "cut"});
-            else
-                done(http::response{200, {{"Content-Type", "text/plain"}}, what.requestId + ' ' + what.body});
+    m_world.m_time.after(
+        taken, [&world = m_world, &node = m_node, what, done = std::move(done), breaks, runs, refused] {
+            if (runs)
+                world.write(what.attempt, true);
+            node.post([what, done, breaks, refused] {
+                if (refused)
+                    done(error{error_code::unavailable, "no connection"});
+                else if (breaks)
+                    done(error{error_code::interrupted, "cut"});
+                else
+                    done(http::response{
+                        200, {{"Content-Type", "text/plain"}}, what.requestId + ' ' + what.body});
+            });
         });
-    });
 }
 
 } // namespace ivypier::simulation
--- a/libraries/http/tests/client_test.cpp
+++ b/libraries/http/tests/client_test.cpp
@@ -9,8 +9,8 @@
 #include <future>
 #include <thread>
 
-// The library sends a request again by itself when a reused connection breaks. A server that answers the first
-// request of each connection and breaks it at the second shows it.
+// The library sends a request again by itself when a reused connection breaks. A server that answers the
+// first request of each connection and breaks it at the second shows it.
 
 namespace {
 
--- a/libraries/requests/tests/idempotency_claims_test.cpp
+++ b/libraries/requests/tests/idempotency_claims_test.cpp
@@ -56,7 +56,8 @@
                            const std::string &digest = "d")
 {
     outcome<std::string> result = error{error_code::internal, "no answer"};
-    claims.claim({"kumasi", "key 1", digest, ticket}, [&](const outcome<std::string> &owner) { result = owner; });
+    claims.claim({"kumasi", "key 1", digest, ticket},
+                 [&](const outcome<std::string> &owner) { result = owner; });
     return result;
 }
 
