--- a/libraries/gateway/tests/fleet_fuzz_test.cpp
+++ b/libraries/gateway/tests/fleet_fuzz_test.cpp
@@ -9,7 +9,8 @@
 
 // Whole fleets in virtual time: the daemons' own gateway, requests and entry code on five nodes, over fakes
 // at the interfaces to the network, the upstreams and the membership. The oracle judges from the upstreams'
-// record and from what callers were told. IVYPIER_SEED=<n> runs one seed again.
+// record and from what callers were told. IVYPIER_SEED=<n> runs one seed again, IVYPIER_SEEDS=<n> the first
+// n.
 
 namespace {
 
@@ -24,6 +25,9 @@
     const char *one = std::getenv("IVYPIER_SEED");
     if (one)
         return {std::strtoull(one, nullptr, 10)};
+    const char *more = std::getenv("IVYPIER_SEEDS");
+    if (more)
+        count = std::strtoull(more, nullptr, 10);
     std::vector<std::uint64_t> seeds;
     for (std::uint64_t seed = 1; seed <= count; ++seed)
         seeds.push_back(seed);
