--- a/libraries/requests/message_codec.cpp
+++ b/libraries/requests/message_codec.cpp
@@ -56,6 +56,9 @@
     json["generated_tokens"] = Json::UInt64{answer.usage.generatedTokens};
     json["served_by"] = answer.servedBy;
     json["cost"] = answer.cost;
+    json["pieces"] = Json::Value(Json::arrayValue);
+    for (const std::string &each : answer.pieces)
+        json["pieces"].append(each);
     return json;
 }
 
@@ -134,6 +137,8 @@
                     unsignedMember(json, "generated_tokens", 0)};
     answer.servedBy = stringMember(json, "served_by");
     answer.cost = numberMember(json, "cost", 0.0);
+    for (const Json::Value &each : json["pieces"])
+        answer.pieces.push_back(each.isString() ? each.asString() : std::string());
     return answer;
 }
 
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -13,6 +13,7 @@
 #include "configuration/document_store.h"
 #include "entry/entry_directory.h"
 #include "gateway/caller_api.h"
+#include "gateway/graceful_stop.h"
 #include "gateway/http_forwarder.h"
 #include "load_poller.h"
 #include "membership/gossip_membership.h"
@@ -34,15 +35,9 @@
 
 namespace {
 
-constexpr duration drain_check_interval = std::chrono::milliseconds(50);
-
 /// Between two looks at this VM's own notices, and the most such reads a second of the whole fleet.
 constexpr duration notice_interval = std::chrono::milliseconds(500);
 constexpr double notice_reads_per_second = 100.0;
-
-/// What still finishes here before a stop hands the rest over: a part of the notice, and no more than this.
-constexpr int finishing_share = 4;
-constexpr duration longest_finishing = std::chrono::seconds(2);
 constexpr std::string_view node_role = "node";
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
@@ -118,10 +113,9 @@
     gateway::http_forwarder forwards{tasks, transport};
     gateway::caller_api callers{
         {tasks, follower, members, entries, requestService, channel, forwards, claims, fleetKey}};
+    gateway::graceful_stop stopping{{tasks, members, entries, requestService, witnessHandover, forwards},
+                                    [this] { stop(); }};
     std::unique_ptr<http::server> listener;
-    bool draining = false;
-    time_point stopBy{};
-
     void handle(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
     http::response status() const;
     void setFaults(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
@@ -129,11 +123,8 @@
     void followVms();
     void readOwnNotices();
     void pollOwnNotices();
-    void drain(duration within, std::string_view cause);
-    void handOver();
     void refreshLimits();
     void updateShares();
-    void waitForRequests();
     void stop();
     void drainFor(const http::request &incoming, const std::shared_ptr<http::responder> &caller);
 };
@@ -268,7 +259,7 @@
             for (const platform::reclaim_notice &each :
                  listed ? listed.value() : std::vector<platform::reclaim_notice>()) {
                 if (each.vm == settings.vm)
-                    drain(std::chrono::milliseconds(each.remainingMilliseconds), "notice");
+                    stopping.start(std::chrono::milliseconds(each.remainingMilliseconds), "notice");
             }
         });
 }
@@ -280,49 +271,6 @@
     tasks.after(std::max(notice_interval, fromSeconds(fair)), [this] { pollOwnNotices(); });
 }
 
-void node::parts::drain(duration within, std::string_view cause)
-{
-    const time_point end = tasks.now() + within;
-    const bool first = !std::exchange(draining, true);
-    if (!first && end >= stopBy)
-        return;
-    stopBy = end;
-    log_event(log_level::info, "node.draining")
-        .with("cause", cause)
-        .with("seconds", seconds(within))
-        .with("unfinished", static_cast<std::int64_t>(requestService.unfinished()))
-        .write();
-    if (first) {
-        members.leave();
-        requestService.stopAccepting();
-        witnessHandover.start(entries.witnessSuccessors());
-        waitForRequests();
-    }
-    const duration finishing = std::min<duration>(within / finishing_share, longest_finishing);
-    tasks.after(finishing, [this] { handOver(); });
-}
-
-void node::parts::handOver()
-{
-    forwards.redirectAll();
-    requestService.handOver(
-        [this](const requests::incoming_request &request) {
-            return entries.successors(request.account, request.conversation, request.key());
-        },
-        stopBy);
-}
-
-void node::parts::waitForRequests()
-{
-    const bool done = requestService.unfinished() == 0 && forwards.active() == 0 && witnessHandover.isDone();
-    if (!done && tasks.now() < stopBy) {
-        tasks.after(drain_check_interval, [this] { waitForRequests(); });
-        return;
-    }
-    // The last answers are on their way through the library's threads.
-    tasks.after(drain_check_interval * 4, [this] { stop(); });
-}
-
 void node::parts::stop()
 {
     members.depart();
@@ -391,7 +339,7 @@
 
 void node::drain()
 {
-    m_parts->drain(m_parts->settings.stopWithin, "signal");
+    m_parts->stopping.start(m_parts->settings.stopWithin, "signal");
 }
 
 void node::parts::drainFor(const http::request &incoming, const std::shared_ptr<http::responder> &caller)
@@ -402,7 +350,7 @@
         return;
     }
     log_event(log_level::info, "node.drain_asked").with("operator", asker.value()).write();
-    drain(settings.stopWithin, "operator");
+    stopping.start(settings.stopWithin, "operator");
     caller->respond(status());
 }
 
