--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -11,6 +11,7 @@
 #include "base/random_source.h"
 #include "configuration/configuration_follower.h"
 #include "configuration/document_store.h"
+#include "configuration/gossip_configuration_peers.h"
 #include "entry/entry_directory.h"
 #include "gateway/caller_api.h"
 #include "gateway/graceful_stop.h"
@@ -91,6 +92,12 @@
         {tasks, randomness, platformServices, members, [this] { return members.fleetSize(); }}};
     price_list prices{tasks, platformServices, [this] { return members.fleetSize(); }};
     configuration::document_store documents{platformServices, platformServices};
+    configuration::gossip_configuration_peers configurationPeers{
+        randomness, members, peers,
+        [this](const std::string &name, rpc::peer_server::method handler) {
+            methods.add(name, std::move(handler));
+        },
+        [this] { return members.fleetSize(); }};
     configuration::configuration_follower follower{tasks, randomness, documents,
                                                    settings.configurationInterval};
     entry::entry_directory entries{members, fleetKey};
@@ -177,6 +184,11 @@
         entry["tokens_total"] = metrics.total("ivypier_tokens_total", "service", each.name);
         json["services"].append(entry);
     }
+    json["leaving_upstreams"] = Json::Value(Json::arrayValue);
+    for (const membership::fact &each : members.facts("leaving/")) {
+        if (const auto upstream = membership::vm_watch::leavingUpstream(each))
+            json["leaving_upstreams"].append(upstream->text());
+    }
     json["members"] = Json::Value(Json::arrayValue);
     for (const membership::member &each : members.members()) {
         Json::Value entry(Json::objectValue);
@@ -298,6 +310,8 @@
         raw->refreshLimits();
     });
     raw->shares.expectHolders(settings.seeds.size());
+    raw->follower.setPeers(raw->configurationPeers);
+    raw->follower.onPlatformAnswered([raw] { raw->members.platformAnswered(); });
     outcome<std::unique_ptr<http::server>> listening = http::server::listen(
         {.address = settings.address, .tls = settings.tls},
         [raw](http::request incoming, std::shared_ptr<http::responder> caller) {
