--- a/services/planner/planner.cpp
+++ b/services/planner/planner.cpp
@@ -22,6 +22,7 @@
 
 constexpr duration active_list_interval = std::chrono::seconds(2);
 constexpr duration idle_list_interval = std::chrono::seconds(20);
+constexpr duration duty_check_interval = std::chrono::milliseconds(500);
 constexpr duration demand_interval = std::chrono::seconds(5);
 constexpr duration longest_release = std::chrono::seconds(5);
 constexpr std::size_t duties_per_service = 2;
@@ -84,13 +85,16 @@
     std::map<std::string, std::unique_ptr<service_duties>> services;
     std::vector<platform::vm_record> listedVms;
     std::unique_ptr<http::server> listener;
+    time_point nextList{};
+    bool active = false; ///< a duty is held
     bool stopping = false;
 
     http::response answer(const http::request &incoming) const;
     std::string status() const;
     bool holdsAny() const;
     void applyConfiguration();
-    void pollVmList();
+    void watchDuties();
+    void readVmList();
     void applyVmList();
     std::vector<placement::runner> runnersOf(const std::string &service) const;
 };
@@ -189,18 +193,28 @@
     }
 }
 
-void planner::parts::pollVmList()
+/// Reads the list often while a duty is held, at once when one is taken over, and seldom otherwise.
+void planner::parts::watchDuties()
 {
+    tasks.after(duty_check_interval, [this] { watchDuties(); });
+    const bool held = holdsAny();
+    const bool takenOver = held && !std::exchange(active, held);
+    active = held;
+    demand.setActive(held);
+    if (takenOver || tasks.now() >= nextList)
+        readVmList();
+}
+
+void planner::parts::readVmList()
+{
+    const double jitter = 0.75 + randomness.uniform() / 2;
+    nextList
+        = tasks.now() + fromSeconds(seconds(active ? active_list_interval : idle_list_interval) * jitter);
     platformServices.listVms([this](const outcome<std::vector<platform::vm_record>> &listed) {
-        if (listed && listed.value() != listedVms) {
-            listedVms = listed.value();
-            applyVmList();
-        }
-        const bool active = holdsAny();
-        demand.setActive(active);
-        const double jitter = 0.75 + randomness.uniform() / 2;
-        tasks.after(fromSeconds(seconds(active ? active_list_interval : idle_list_interval) * jitter),
-                    [this] { pollVmList(); });
+        if (!listed || listed.value() == listedVms)
+            return;
+        listedVms = listed.value();
+        applyVmList();
     });
 }
 
@@ -221,7 +235,7 @@
     raw->follower.onChange([raw] { raw->applyConfiguration(); });
     raw->follower.start();
     raw->demand.start();
-    raw->pollVmList();
+    raw->watchDuties();
     log_event(log_level::info, "planner.started")
         .with("name", settings.name)
         .with("address", settings.address.text())
--- a/standins/platform/cloud_state.cpp
+++ b/standins/platform/cloud_state.cpp
@@ -72,11 +72,7 @@
 {
     const time_point now = m_time.now();
     const auto due = [now](const auto &each) { return each.second <= now; };
-    for (const auto &[id, at] : m_liveAt) {
-        if (at <= now)
-            recordVms(at);
-    }
-    std::erase_if(m_liveAt, due);
+    bool changed = std::erase_if(m_liveAt, due) > 0;
     for (const auto &[id, at] : m_goneAt) {
         if (at > now)
             continue;
@@ -86,9 +82,11 @@
             m_vms.erase(gone);
         }
         m_reclaimAt.erase(id);
-        recordVms(at);
+        changed = true;
     }
     std::erase_if(m_goneAt, due);
+    if (changed)
+        recordVms();
 }
 
 http::response cloud_state::handle(const http::request &incoming)
@@ -147,7 +145,7 @@
         return empty(status_bad_request);
     const std::string id = stringMember(json, "id");
     m_vms[id] = vmIn(json, id, address.value());
-    recordVms(m_time.now());
+    recordVms();
     return empty(status_ok);
 }
 
@@ -233,7 +231,7 @@
     record("released", found->second, "");
     found->second.state = platform::vm_state::leaving;
     m_goneAt[found->first] = m_time.now() + std::chrono::milliseconds(notice);
-    recordVms(m_time.now());
+    recordVms();
     passTime();
     return empty(status_no_content);
 }
@@ -249,7 +247,7 @@
     m_reclaimAt[found->first] = at;
     m_goneAt[found->first] = at;
     record("reclaimed", found->second, "");
-    recordVms(m_time.now());
+    recordVms();
     return empty(status_ok);
 }
 
@@ -289,12 +287,11 @@
     m_record.append(entry);
 }
 
-void cloud_state::recordVms(time_point at)
+void cloud_state::recordVms()
 {
-    listed_snapshot snapshot{at, {}};
+    listed_snapshot snapshot{m_time.now(), {}};
     for (const auto &[id, vm] : m_vms) {
-        const auto starting = m_liveAt.find(id);
-        if (starting == m_liveAt.end() || starting->second <= at)
+        if (!m_liveAt.contains(id))
             snapshot.vms.push_back(vm);
     }
     m_history.push_back(std::move(snapshot));
--- a/standins/platform/cloud_state.h
+++ b/standins/platform/cloud_state.h
@@ -64,7 +64,7 @@
     bool refuses(const platform::vm_record &vm);
     std::optional<endpoint> addressFor(const std::string &role);
     void record(const std::string &event, const platform::vm_record &vm, const std::string &token);
-    void recordVms(time_point at);
+    void recordVms();
 
     const clock &m_time;
     cloud_faults m_faults;
