Orders: look at right runners in turn, at a bounded rate

Cause: a planner asked every runner every 2 s, 2,401 calls a second before 4,800 runners; transport alone would pass 1.5% of a core. Change: runners that are not right are looked at in every interval, the others in turn, at most 100 a second. Price: an engine that ignores fencing numbers is brought back after up to 48 s before 4,800 runners.

--- a/libraries/placement/order_keeper.cpp
+++ b/libraries/placement/order_keeper.cpp
@@ -45,9 +45,13 @@
 
 std::size_t order_keeper::rightCount() const
 {
-    return static_cast<std::size_t>(std::count_if(m_runners.begin(), m_runners.end(), [&](const auto &each) {
-        return each.second.reachable && matches(each.second.load);
-    }));
+    return static_cast<std::size_t>(std::count_if(m_runners.begin(), m_runners.end(),
+                                                  [&](const auto &each) { return isRight(each.second); }));
+}
+
+bool order_keeper::isRight(const runner_state &state) const
+{
+    return state.reachable && !state.loading && matches(state.load);
 }
 
 order_keeper::runner_state *order_keeper::find(const std::string &id)
@@ -70,16 +74,40 @@
     m_parts.tasks.after(fromSeconds(seconds(m_options.interval) * jitter), [this] { turn(); });
     if (!permission())
         return;
-    for (auto &[id, state] : m_runners) {
-        if (!state.reading)
-            look(id, state);
-    }
+    lookAtWrong();
+    lookAround();
     m_parts.metrics.set("ivypier_runners_wanted", {{"service", m_wanted.service}},
                         static_cast<double>(m_runners.size()));
     m_parts.metrics.set("ivypier_runners_right", {{"service", m_wanted.service}},
                         static_cast<double>(rightCount()));
 }
 
+void order_keeper::lookAtWrong()
+{
+    const std::optional<lease> held = permission();
+    const bool checks = m_wanted.fencing == configuration::fencing_check::checked;
+    for (auto &[id, state] : m_runners) {
+        const bool fenced = !checks || state.fencedTenure >= held->tenure;
+        if (!state.reading && !(isRight(state) && fenced))
+            look(id, state);
+    }
+}
+
+void order_keeper::lookAround()
+{
+    const auto most
+        = static_cast<std::size_t>(std::max(1.0, m_options.mostLooksPerSecond * seconds(m_options.interval)));
+    auto next = m_runners.upper_bound(m_lastLooked);
+    for (std::size_t looked = 0; looked < std::min(most, m_runners.size()); ++looked) {
+        if (next == m_runners.end())
+            next = m_runners.begin();
+        m_lastLooked = next->first;
+        if (!next->second.reading)
+            look(next->first, next->second);
+        ++next;
+    }
+}
+
 void order_keeper::look(const std::string &id, runner_state &state)
 {
     state.reading = true;
--- a/libraries/placement/order_keeper.h
+++ b/libraries/placement/order_keeper.h
@@ -40,6 +40,7 @@
 struct order_options
 {
     duration interval = std::chrono::seconds(2); ///< between two looks at each runner
+    double mostLooksPerSecond = 100.0; ///< at runners that were right when last seen
     double mostLoading = 0.2; ///< part of a service's runners that may be without service at once
     duration loadLimit = std::chrono::minutes(10); ///< after which a load that does not end is ordered again
     duration longestBackoff = std::chrono::seconds(30);
@@ -53,7 +54,8 @@
 /// It compares what each engine reports with what is wanted and orders the difference; an order names the
 /// state and not a step, so that giving it again is harmless. Engines that check fencing numbers get one
 /// order from each new holder even when nothing differs, so that they refuse what an earlier holder still
-/// sends. Engines that don't are brought back at the next look.
+/// sends. Engines that don't are brought back at the next look. Runners that are not right are looked at in
+/// every interval, the others in turn, so that many of them take no more calls.
 class order_keeper
 {
 public:
@@ -95,6 +97,8 @@
     };
 
     void turn();
+    void lookAtWrong();
+    void lookAround();
     void look(const std::string &id, runner_state &state);
     void compare(const std::string &id);
     void load(const std::string &id, runner_state &state);
@@ -107,6 +111,7 @@
     bool mayStopServing() const;
     std::optional<lease> permission() const;
     duration backoff(unsigned failures);
+    bool isRight(const runner_state &state) const;
     void count(const std::string &result);
     runner_state *find(const std::string &id);
 
@@ -114,6 +119,7 @@
     order_options m_options;
     wanted_state m_wanted;
     std::map<std::string, runner_state> m_runners;
+    std::string m_lastLooked; ///< where the round over the right ones goes on
     std::uint64_t m_refusedFencing = 0; ///< an engine knows a higher one than this
     bool m_weightsAsked = false;
     time_point m_weightsNotBefore{};
--- a/libraries/placement/tests/fake_engines.h
+++ b/libraries/placement/tests/fake_engines.h
@@ -87,6 +87,7 @@
     std::map<endpoint, engine> engines;
     std::vector<taken_order> taken;
     std::size_t mostLoading = 0;
+    std::size_t looks = 0;
     bool checksFencing = true;
     duration loadTime = std::chrono::seconds(20);
     double lost = 0.0; ///< part of the calls that are lost, half of them after they took effect
@@ -128,6 +129,7 @@
 
     void readLoad(const endpoint &engine, std::function<void(outcome<upstream::engine_load>)> done) override
     {
+        ++m_fleet.looks;
         call<upstream::engine_load>(
             [this, engine]() -> outcome<upstream::engine_load> { return m_fleet.engines.at(engine).load; },
             done, false);
--- a/libraries/placement/tests/order_keeper_test.cpp
+++ b/libraries/placement/tests/order_keeper_test.cpp
@@ -158,6 +158,21 @@
     REQUIRE(run.fleet.serving("tariff-model", "2") == runners);
 }
 
+TEST_CASE("many right runners are looked at in turn, at a bounded rate", "[orders]")
+{
+    constexpr std::size_t many = 1000;
+    bench run(1, many);
+    run.permission.value = lease{7, 7, time_point::max()};
+    run.keeper.setWanted(version("1", fencing_check::ignored), listOf(many));
+    run.world.advance(30s);
+    const std::size_t before = run.fleet.looks;
+    run.world.advance(100s);
+    REQUIRE(run.fleet.looks - before <= 12'000);
+    REQUIRE(run.fleet.take(addressOf(777), {6, "tariff-model", "0", "", ""}));
+    run.world.advance(60s);
+    REQUIRE(run.fleet.serving("tariff-model", "1") == many);
+}
+
 TEST_CASE("adapter and role are brought to what is wanted", "[orders]")
 {
     bench run(1, 3);
--- a/utilities/measure-placement/slope_run.cpp
+++ b/utilities/measure-placement/slope_run.cpp
@@ -177,7 +177,7 @@
     world.advance(warm_up);
     const double heapAfter = heapBytes();
 
-    const std::size_t callsBefore = cloudClient.calls;
+    const std::size_t callsBefore = cloudClient.calls + fleet.looks;
     const double begin = processorSeconds();
     for (duration passed{}; passed < measured; passed += std::chrono::seconds(5)) {
         demand.value = service_demand{rate * (1.0 - demand_wave * randomness.uniform()), 0.0};
@@ -186,8 +186,8 @@
     slope_result result;
     result.processorPart = (processorSeconds() - begin) / seconds(measured);
     result.memoryBytes = heapAfter - heapBefore;
-    const double looks = static_cast<double>(upstreams) / seconds(order_options().interval);
-    result.callsPerSecond = static_cast<double>(cloudClient.calls - callsBefore) / seconds(measured) + looks;
+    result.callsPerSecond
+        = static_cast<double>(cloudClient.calls + fleet.looks - callsBefore) / seconds(measured);
     result.listBytes = static_cast<double>(cloudClient.listText().size());
     return result;
 }
