TLS of nodes and console, hostile input, endless header as known red; examples

Cause: TLS settings existed but nodes could not speak to each other through it; sizes and malformed input were untried. Found by scenario hostile_input, failing first: an announced body of 99 MB got no answer (the library answers only after the whole body came and keeps it in memory); the body is now read piece by piece and abandoned at the limit, 413 with Connection: close. A chunked body took 4 MiB at once whatever came: mended by the same. A completion's body that is not UTF-8 was passed on: now 400. Known red: endless_header; the library buffers a header without bound and has no setting (34 MiB of 32 MiB).

--- /dev/null
+++ b/examples/embed_membership/main.cpp
@@ -0,0 +1,139 @@
+// Three members in one process find each other over loopback, split jobs between them, and split them anew
+// when one leaves. Ends with 0 when every member agreed each time.
+
+#include "base/event_loop.h"
+#include "base/log_event.h"
+#include "http/server.h"
+#include "membership/exchange_membership.h"
+#include "work_splitter.h"
+
+#include <algorithm>
+#include <iostream>
+#include <set>
+#include <unistd.h>
+
+namespace {
+
+using namespace ivypier;
+
+constexpr duration check_interval = std::chrono::milliseconds(50);
+constexpr duration patience = std::chrono::seconds(30);
+constexpr std::uint16_t port = 7990;
+
+/// One member with its server. A program has one; here are three.
+class embedded_member
+{
+public:
+    embedded_member(event_loop &loop, const secret_key &fleetKey, int number)
+        : m_peers(loop, std::make_shared<http::client>(), fleetKey)
+        , m_methods(loop, fleetKey)
+        , m_members(loop, m_peers, m_methods, describe(number), seeds())
+    {
+        auto listening
+            = http::server::listen({.address = addressOf(number)},
+                                   [this](http::request incoming, std::shared_ptr<http::responder> caller) {
+                                       m_methods.handle(std::move(incoming), std::move(caller));
+                                   });
+        if (listening)
+            m_server = std::move(listening.value());
+        m_members.start();
+    }
+
+    bool listens() const
+    {
+        return m_server != nullptr;
+    }
+
+    membership::membership_view &view()
+    {
+        return m_members;
+    }
+
+private:
+    static endpoint addressOf(int number)
+    {
+        const int process = getpid() % (100 * 256); // a loopback network of this process's own
+        return {"127." + std::to_string(130 + process / 256) + '.' + std::to_string(process % 256) + '.'
+                    + std::to_string(number),
+                port};
+    }
+
+    static std::vector<endpoint> seeds()
+    {
+        return {addressOf(1), addressOf(2), addressOf(3)};
+    }
+
+    static membership::member describe(int number)
+    {
+        membership::member self;
+        self.id = static_cast<membership::incarnation>(number); // a real program draws it at random
+        self.name = "member-" + std::to_string(number);
+        self.address = addressOf(number);
+        self.gossipAddress = self.address;
+        self.failureDomain = "hall-" + std::string(1, static_cast<char>('a' + number - 1));
+        self.region = "local";
+        return self;
+    }
+
+    rpc::http_peer_client m_peers;
+    rpc::peer_server m_methods;
+    membership::exchange_membership m_members;
+    std::unique_ptr<http::server> m_server;
+};
+
+/// Who does each job in the eyes of one member.
+std::vector<std::string> ownersSeenBy(membership::membership_view &view)
+{
+    const embed_membership::work_splitter splitter(view);
+    std::vector<std::string> owners;
+    for (int job = 0; job < 12; ++job) {
+        const auto owner = splitter.ownerOf("job-" + std::to_string(job));
+        owners.push_back(owner ? owner->name : "nobody");
+    }
+    return owners;
+}
+
+/// Runs the loop until the members agree on `count` owners; false when they don't in time.
+bool agreeOn(event_loop &loop, std::vector<std::unique_ptr<embedded_member>> &fleet, std::size_t count)
+{
+    const time_point end = loop.now() + patience;
+    bool agreed = false;
+    std::function<void()> check = [&] {
+        const std::vector<std::string> first = ownersSeenBy(fleet.front()->view());
+        const bool same = std::all_of(fleet.begin(), fleet.end(),
+                                      [&](const auto &each) { return ownersSeenBy(each->view()) == first; });
+        agreed = same && std::set<std::string>(first.begin(), first.end()).size() == count;
+        if (agreed || loop.now() > end)
+            loop.stop();
+        else
+            loop.after(check_interval, check);
+    };
+    loop.post(check);
+    loop.run();
+    std::cout << (agreed ? "agreed: " : "not agreed: ");
+    for (const std::string &each : ownersSeenBy(fleet.front()->view()))
+        std::cout << each << ' ';
+    std::cout << '\n';
+    return agreed;
+}
+
+} // namespace
+
+int main()
+{
+    configureLog("embed-membership", log_level::warning);
+    const outcome<secret_key> key = secret_key::fromPassphrase("a key that only this fleet has");
+    event_loop loop;
+    std::vector<std::unique_ptr<embedded_member>> fleet;
+    for (int number = 1; number <= 3; ++number) {
+        fleet.push_back(std::make_unique<embedded_member>(loop, key.value(), number));
+        if (!fleet.back()->listens()) {
+            std::cerr << "embed-membership: an address is taken\n";
+            return 4;
+        }
+    }
+    if (!agreeOn(loop, fleet, 3))
+        return 1;
+    fleet.back()->view().leave();
+    return agreeOn(loop, fleet, 2) ? 0 : 1;
+}
--- /dev/null
+++ b/examples/embed_membership/work_splitter.cpp
@@ -0,0 +1,30 @@
+#include "work_splitter.h"
+
+#include "base/hash.h"
+
+namespace embed_membership {
+
+using namespace ivypier;
+
+work_splitter::work_splitter(const membership::membership_view &members)
+    : m_members(members)
+{
+}
+
+std::optional<membership::member> work_splitter::ownerOf(const std::string &job) const
+{
+    std::optional<membership::member> owner;
+    std::uint64_t greatest = 0;
+    for (const membership::member &each : m_members.members()) {
+        if (!each.takesWork())
+            continue;
+        const std::uint64_t weight = rendezvousWeight(job, each.name);
+        if (owner && weight <= greatest)
+            continue;
+        owner = each;
+        greatest = weight;
+    }
+    return owner;
+}
+
+} // namespace embed_membership
--- a/libraries/gateway/request_reader.cpp
+++ b/libraries/gateway/request_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json.h"
 #include "base/secret.h"
+#include "base/utf8.h"
 
 #include <algorithm>
 #include <charconv>
@@ -89,6 +90,8 @@
 {
     if (incoming.method != "POST")
         return invalid("completions are asked for by POST");
+    if (findInvalidUtf8(incoming.body))
+        return invalid("the body is not UTF-8");
     const outcome<Json::Value> parsed = parseJson(incoming.body);
     if (!parsed)
         return parsed.error();
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -168,14 +168,17 @@
 struct client::state
 {
     std::shared_ptr<const fault_switch> faults;
+    std::string certificateAuthority;
 
     using pool_key = std::tuple<endpoint, duration, std::string>;
 
     std::mutex mutex;
     std::map<pool_key, std::shared_ptr<library_client>> pools;
 
-    std::shared_ptr<library_client> clientFor(const endpoint &to, const call_options &options)
+    std::shared_ptr<library_client> clientFor(const endpoint &to, call_options options)
     {
+        if (options.certificateAuthority.empty())
+            options.certificateAuthority = certificateAuthority;
         if (options.repeat == repeatability::not_repeatable)
             return create(to, options);
         const std::lock_guard lock(mutex);
@@ -210,9 +213,15 @@
 }
 
 client::client(std::shared_ptr<const fault_switch> faults)
+    : client(std::move(faults), "")
+{
+}
+
+client::client(std::shared_ptr<const fault_switch> faults, std::string certificateAuthority)
     : m_state(std::make_unique<state>())
 {
     m_state->faults = std::move(faults);
+    m_state->certificateAuthority = std::move(certificateAuthority);
 }
 
 client::~client() = default;
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -20,7 +20,7 @@
 {
     duration timeout = std::chrono::seconds(30); ///< longest silence of the other side
     repeatability repeat = repeatability::repeatable;
-    /// Speak TLS and trust the certificates of this PEM file; empty: no TLS.
+    /// Speak TLS and trust the certificates of this PEM file; empty: as the client does.
     std::string certificateAuthority = {};
 
     auto operator<=>(const call_options &) const = default;
@@ -61,6 +61,10 @@
 
     /// A client whose links follow a fault switch.
     explicit client(std::shared_ptr<const fault_switch> faults);
+
+    /// The same, speaking TLS and trusting the certificates of a PEM file; empty: no TLS.
+    client(std::shared_ptr<const fault_switch> faults, std::string certificateAuthority);
+
     ~client();
 
     /// Sends a request and reads the whole response; `done` is called once, on a library thread.
--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "base/log_event.h"
+#include "http/body_reader.h"
 
 #include <boost/asio/ssl/context.hpp>
 #include <cpprest/http_listener.h>
@@ -154,19 +155,23 @@
     return (options.tls ? "https://" : "http://") + options.address.text() + '/';
 }
 
+/// Sets up TLS 1.2 and later with a certificate; throws when a file can't be used.
+void loadCertificate(const tls_files &files, boost::asio::ssl::context &context)
+{
+    using tls = boost::asio::ssl::context;
+    context.set_options(tls::default_workarounds | tls::no_sslv2 | tls::no_sslv3 | tls::no_tlsv1
+                        | tls::no_tlsv1_1);
+    context.use_certificate_chain_file(files.certificate);
+    context.use_private_key_file(files.privateKey, tls::pem);
+}
+
 web::experimental::listener::http_listener_config configurationOf(const server_options &options)
 {
     web::experimental::listener::http_listener_config configuration;
     configuration.set_timeout(connection_silence_limit);
     if (options.tls) {
-        configuration.set_ssl_context_callback([files = *options.tls](boost::asio::ssl::context &context) {
-            context.set_options(boost::asio::ssl::context::default_workarounds
-                                | boost::asio::ssl::context::no_sslv2 | boost::asio::ssl::context::no_sslv3
-                                | boost::asio::ssl::context::no_tlsv1
-                                | boost::asio::ssl::context::no_tlsv1_1);
-            context.use_certificate_chain_file(files.certificate);
-            context.use_private_key_file(files.privateKey, boost::asio::ssl::context::pem);
-        });
+        configuration.set_ssl_context_callback(
+            [files = *options.tls](boost::asio::ssl::context &context) { loadCertificate(files, context); });
     }
     return configuration;
 }
@@ -193,49 +198,40 @@
             refuseTooLarge(incoming);
             return;
         }
-        readBody(incoming).then([this, incoming](const pplx::task<std::optional<std::string>> &read) mutable {
-            try {
-                std::optional<std::string> body = read.get();
-                if (!body) {
-                    refuseTooLarge(incoming);
-                    return;
+        body_reader::read(incoming, options.bodyLimit)
+            .then([this, incoming](const pplx::task<std::optional<std::string>> &read) mutable {
+                try {
+                    std::optional<std::string> body = read.get();
+                    if (!body) {
+                        refuseTooLarge(incoming);
+                        return;
+                    }
+                    requests(convert(incoming, std::move(*body)),
+                             std::make_shared<listener_responder>(incoming));
+                } catch (
+                    const std::exception &failure) { // the caller's connection broke while it sent the body
+                    log_event(log_level::debug, "http.body_cut").with("reason", failure.what()).write();
                 }
-                requests(convert(incoming, std::move(*body)), std::make_shared<listener_responder>(incoming));
-            } catch (const std::exception &failure) { // the caller's connection broke while it sent the body
-                log_event(log_level::debug, "http.body_cut").with("reason", failure.what()).write();
-            }
-        });
-    }
-
-    /// The whole body, or nothing when it is over the limit.
-    pplx::task<std::optional<std::string>> readBody(const web::http_request &incoming) const
-    {
-        if (!incoming.headers().has("Transfer-Encoding")) {
-            return web::http_request(incoming).extract_vector().then(
-                [](const std::vector<unsigned char> &bytes) {
-                    return std::optional(std::string(bytes.begin(), bytes.end()));
-                });
-        }
-        const std::size_t room = options.bodyLimit + 1;
-        auto buffer = std::make_shared<std::vector<std::uint8_t>>(room);
-        return incoming.body().streambuf().getn(buffer->data(), room).then([buffer, room](std::size_t count) {
-            if (count >= room)
-                return std::optional<std::string>();
-            return std::optional(
-                std::string(buffer->begin(), buffer->begin() + static_cast<std::ptrdiff_t>(count)));
-        });
+            });
     }
 
     static void refuseTooLarge(const web::http_request &incoming)
     {
-        listener_responder(incoming).respond(
-            jsonResponse(status_payload_too_large, R"({"error":"too_large","outcome":"not_run"})"));
+        response answer
+            = jsonResponse(status_payload_too_large, R"({"error":"too_large","outcome":"not_run"})");
+        answer.headers["Connection"] = "close"; // the rest of the body is not read
+        listener_responder(incoming).respond(std::move(answer));
+        body_reader::abandon(incoming);
     }
 };
 
 outcome<std::unique_ptr<server>> server::listen(server_options options, handler requests)
 {
     try {
+        if (options.tls) { // the library would find a bad certificate only at the first connection
+            boost::asio::ssl::context probe(boost::asio::ssl::context::tls_server);
+            loadCertificate(*options.tls, probe);
+        }
         auto initial = std::make_unique<state>(std::move(options), std::move(requests));
         initial->listener.support(
             [raw = initial.get()](web::http_request incoming) { raw->receive(std::move(incoming)); });
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -60,8 +60,10 @@
     metrics_registry metrics;
     std::shared_ptr<fault_switch> faults = std::make_shared<fault_switch>();
     std::shared_ptr<http::client> transport = std::make_shared<http::client>(faults);
+    std::shared_ptr<http::client> nodeTransport
+        = std::make_shared<http::client>(faults, settings.tlsAuthority);
     platform::http_platform platformServices{tasks, transport, settings.platform};
-    rpc::http_peer_client peers{tasks, transport, fleetKey};
+    rpc::http_peer_client peers{tasks, nodeTransport, fleetKey};
     rpc::peer_server methods{tasks, fleetKey};
     membership::exchange_membership members{tasks, peers, methods, describeSelf(settings, randomness),
                                             settings.seeds};
@@ -78,7 +80,7 @@
     requests::witness_ledger ledger;
     requests::request_service requestService{
         {tasks, metrics, router, admission, retries, engines, services, channel, members.self().id}};
-    gateway::forwarder forwards{tasks, transport};
+    gateway::forwarder forwards{tasks, nodeTransport};
     gateway::caller_api callers{
         {tasks, follower, members, entries, requestService, channel, forwards, fleetKey}};
     std::vector<platform::vm_record> listedVms;
--- a/services/node/node_settings.cpp
+++ b/services/node/node_settings.cpp
@@ -54,6 +54,7 @@
     if (root.has("tls")) {
         settings_reader tls = root.table("tls");
         result.tls = http::tls_files{tls.requiredString("certificate"), tls.requiredString("private_key")};
+        result.tlsAuthority = tls.requiredString("authority");
         tls.finish();
     }
     root.finish();
--- a/services/node/node_settings.h
+++ b/services/node/node_settings.h
@@ -25,6 +25,8 @@
     std::vector<endpoint> seeds;
     duration configurationInterval{};
     std::optional<http::tls_files> tls;
+    std::string
+        tlsAuthority; ///< PEM file that the other nodes' certificates are checked against; empty: no TLS
     bool faultSwitch = false; ///< tests may cut this node's links; never in production
 
     bool operator==(const node_settings &) const = default;
--- a/tests/scenario_runner/http_caller.cpp
+++ b/tests/scenario_runner/http_caller.cpp
@@ -60,13 +60,13 @@
     call_progress m_known;
 };
 
-int http_caller::start(const endpoint &to, http::request message, duration timeout)
+int http_caller::start(const endpoint &to, http::request message, duration timeout, const std::string &trust)
 {
     const int number = m_next++;
     auto watched = std::make_shared<observer>();
     // A connection of its own: the library must not repeat a scenario's call by itself.
-    auto exchange
-        = m_client.stream(to, std::move(message), {timeout, http::repeatability::not_repeatable}, watched);
+    auto exchange = m_client.stream(to, std::move(message),
+                                    {timeout, http::repeatability::not_repeatable, trust}, watched);
     m_calls[number] = {std::move(watched), std::move(exchange)};
     return number;
 }
--- a/tests/scenario_runner/http_caller.h
+++ b/tests/scenario_runner/http_caller.h
@@ -25,8 +25,8 @@
 class http_caller
 {
 public:
-    /// Starts a call and gives its number.
-    int start(const endpoint &to, http::request message, duration timeout);
+    /// Starts a call and gives its number. It speaks TLS when `trust` names a PEM file of certificates.
+    int start(const endpoint &to, http::request message, duration timeout, const std::string &trust);
 
     /// What is known of a call now.
     call_progress progress(int call) const;
--- a/tests/scenario_runner/lua_functions.cpp
+++ b/tests/scenario_runner/lua_functions.cpp
@@ -182,7 +182,7 @@
     return 1;
 }
 
-/// call{address=, method=, path=, headers={}, body=, seconds=} -> call number
+/// call{address=, method=, path=, headers={}, body=, seconds=, trust=} -> call number
 int luaCall(lua_State *lua)
 {
     luaL_checktype(lua, 1, LUA_TTABLE);
@@ -210,7 +210,9 @@
     lua_getfield(lua, 1, "seconds");
     const double patience = luaL_optnumber(lua, -1, default_call_seconds);
     lua_pop(lua, 1);
-    lua_pushinteger(lua, contextOf(lua).calls.start(to.value(), std::move(message), fromSeconds(patience)));
+    lua_pushinteger(lua,
+                    contextOf(lua).calls.start(to.value(), std::move(message), fromSeconds(patience),
+                                               field(lua, 1, "trust")));
     return 1;
 }
 
--- a/tests/scenario_runner/main.cpp
+++ b/tests/scenario_runner/main.cpp
@@ -1,4 +1,5 @@
 #include "base/log_event.h"
+#include "connection_functions.h"
 #include "lua_functions.h"
 
 #include <cstdlib>
@@ -46,6 +47,7 @@
         lua_State *lua = luaL_newstate();
         luaL_openlibs(lua);
         ivypier::scenarios::registerFunctions(lua, context);
+        ivypier::scenarios::registerConnectionFunctions(lua, context);
         lua_newtable(lua);
         for (int index = 4; index < argc; ++index) {
             lua_pushstring(lua, argv[index]);
