--- /dev/null
+++ b/meta/cmake/ivypierConfig.cmake
@@ -0,0 +1,13 @@
+# Package file of the installed libraries: find_package(ivypier) gives the targets ivypier::<slice>.
+include(CMakeFindDependencyMacro)
+find_dependency(absl)
+find_dependency(cpprestsdk)
+find_dependency(jsoncpp)
+find_dependency(tomlplusplus)
+find_dependency(Boost)
+find_dependency(OpenSSL)
+find_dependency(Threads)
+find_dependency(PkgConfig)
+pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+include("${CMAKE_CURRENT_LIST_DIR}/ivypierTargets.cmake")
