--- a/libraries/console/console.cpp
+++ b/libraries/console/console.cpp
@@ -312,12 +312,13 @@
     }
     m_parts.store.submit(configuration::writeDocument(*content), own.base.head.version,
                          configuration::makeWriterToken(own.operatorName),
-                         [this, identifier, caller](const outcome<configuration::document_head> &accepted) {
-                             finishSubmit(identifier, accepted, caller);
+                         [this, identifier, sent = submission{own.own, *content},
+                          caller](const outcome<configuration::document_head> &accepted) {
+                             finishSubmit(identifier, sent, accepted, caller);
                          });
 }
 
-void console::finishSubmit(const std::string &identifier,
+void console::finishSubmit(const std::string &identifier, const submission &sent,
                            const outcome<configuration::document_head> &accepted,
                            const caller_pointer &caller)
 {
@@ -335,8 +336,9 @@
     if (accepted) {
         own->notice = "Version " + std::to_string(accepted.value().version)
             + " is accepted. Nodes take it up within seconds.";
-        own->base = m_known; // the next page reads the new version and starts from it
-        own->own = draft::of(m_known.content);
+        own->base = {accepted.value(), sent.content};
+        if (own->own == sent.entered) // otherwise it was edited on while the platform was asked
+            own->own = draft::of(sent.content);
         respond(caller, redirect("/"));
         return;
     }
--- a/libraries/console/console.h
+++ b/libraries/console/console.h
@@ -40,6 +40,13 @@
 private:
     using caller_pointer = std::shared_ptr<http::responder>;
 
+    /// A draft that was sent, and the document that it is.
+    struct submission
+    {
+        draft entered;
+        configuration::document content;
+    };
+
     void handleWithDocument(const http::request &incoming, const outcome<configuration::in_force> &read,
                             const caller_pointer &caller);
     http::response route(const http::request &incoming, session &own);
@@ -53,8 +60,8 @@
     std::string operatorOf(const std::string &digest) const;
     void submit(const http::request &incoming, const std::string &identifier, session &own,
                 const caller_pointer &caller);
-    void finishSubmit(const std::string &identifier, const outcome<configuration::document_head> &accepted,
-                      const caller_pointer &caller);
+    void finishSubmit(const std::string &identifier, const submission &sent,
+                      const outcome<configuration::document_head> &accepted, const caller_pointer &caller);
     void handleApi(const http::request &incoming, const caller_pointer &caller);
     void respond(const caller_pointer &caller, http::response answer);
 
--- /dev/null
+++ b/libraries/console/tests/fake_platform.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "platform/object_store.h"
+#include "platform/table_service.h"
+
+#include <functional>
+#include <map>
+
+namespace ivypier::console::tests {
+
+/// A table and an object store in memory, with the faults that matter to a submission.
+class fake_platform final : public platform::table_service, public platform::object_store
+{
+public:
+    bool down = false;
+    bool loseNextWrite = false; ///< the next write takes effect and its answer is lost
+    bool holdWrites = false; ///< writes wait for release()
+
+    void read(const std::string &key, read_completion done) override
+    {
+        if (down) {
+            done(error{error_code::unavailable, "down"});
+            return;
+        }
+        const auto found = m_rows.find(key);
+        done(found == m_rows.end() ? std::nullopt : std::optional(found->second));
+    }
+
+    void list(const std::string &, list_completion done) override
+    {
+        done(std::vector<platform::table_row>());
+    }
+
+    void write(const std::string &key, std::uint64_t expected, const std::string &value,
+               write_completion done) override
+    {
+        if (holdWrites) {
+            m_held.push_back([=, this] { apply(key, expected, value, done); });
+            return;
+        }
+        apply(key, expected, value, done);
+    }
+
+    void get(const std::string &name, get_completion done) override
+    {
+        const auto found = m_objects.find(name);
+        if (found == m_objects.end())
+            done(error{error_code::not_found, name});
+        else
+            done(found->second);
+    }
+
+    void put(const std::string &name, std::string content, put_completion done) override
+    {
+        if (down) {
+            done(error{error_code::unavailable, "down"});
+            return;
+        }
+        m_objects[name] = std::move(content);
+        done(success());
+    }
+
+    /// Lets the held writes go on.
+    void release()
+    {
+        for (const auto &each : std::exchange(m_held, {}))
+            each();
+    }
+
+private:
+    void apply(const std::string &key, std::uint64_t expected, const std::string &value,
+               const write_completion &done)
+    {
+        platform::table_row &row = m_rows[key];
+        if (row.version != expected) {
+            done(error{error_code::conflict, key});
+            return;
+        }
+        row = {key, expected + 1, value};
+        if (std::exchange(loseNextWrite, false)) {
+            down = true; // nor can it be read back
+            done(error{error_code::timed_out, "lost"});
+            return;
+        }
+        done(row);
+    }
+
+    std::map<std::string, platform::table_row> m_rows;
+    std::map<std::string, std::string> m_objects;
+    std::vector<std::function<void()>> m_held;
+};
+
+} // namespace ivypier::console::tests
