--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -83,8 +83,10 @@
     std::shared_ptr<fault_switch> faults;
     std::unique_ptr<membership::udp_channel> datagrams;
     std::shared_ptr<http::client> transport = std::make_shared<http::client>(faults);
+    std::shared_ptr<http::client> nodeTransport
+        = std::make_shared<http::client>(faults, settings.tlsAuthority);
     platform::http_platform platformServices{tasks, transport, settings.platform};
-    rpc::http_peer_client peers{tasks, transport, fleetKey};
+    rpc::http_peer_client peers{tasks, nodeTransport, fleetKey};
     rpc::peer_server methods{tasks, fleetKey};
     membership::gossip_membership members{
         tasks, randomness, *datagrams, fleetKey, describeSelf(settings, randomness), settings.seeds};
@@ -117,7 +119,7 @@
     requests::request_service requestService{
         {tasks, metrics, router, admission, retries, engines, services, channel, members, {}}};
     requests::idempotency_claims claims{platformServices};
-    gateway::http_forwarder forwards{tasks, transport};
+    gateway::http_forwarder forwards{tasks, nodeTransport};
     gateway::caller_api callers{
         {tasks, follower, members, entries, requestService, channel, forwards, claims, fleetKey}};
     gateway::graceful_stop stopping{{tasks, members, entries, requestService, witnessHandover, forwards},
--- a/services/node/node_settings.h
+++ b/services/node/node_settings.h
@@ -26,6 +26,8 @@
     duration configurationInterval{};
     duration stopWithin{}; ///< time that a stop by signal may take; a reclaim notice gives its own
     std::optional<http::tls_files> tls;
+    std::string
+        tlsAuthority; ///< PEM file that the other nodes' certificates are checked against; empty: no TLS
     bool faultSwitch = false; ///< tests may cut this node's links; never in production
 
     bool operator==(const node_settings &) const = default;
