Scenario of broken connections: a good call after each broken one

The scenario's expectation of 'unknown' held only for a router that never sets aside.

Change: each broken call is followed by one that must be answered. The check of outcome and count of runs stays as it was, and the new one is stricter: the upstream must be used again.

--- a/tests/scenarios/broken_upstream.lua
+++ b/tests/scenarios/broken_upstream.lua
@@ -5,6 +5,7 @@
 
 local fleet = deployment.new {}
 local entry = fleet:entry(1, "kumasi")[1]
+local node_address = entry.address
 local number = 0
 for _, fault in ipairs { "cut_before_run", "cut_before_answer" } do
     for _ = 1, 5 do
@@ -25,6 +26,9 @@
             if request:find(".q" .. number .. "$") then count = ran end
         end
         assert(count == (fault == "cut_before_answer" and 1 or 0), fault .. ": ran " .. count .. " times")
+        -- A good answer in between: an upstream that fails three times in a row is set aside for a while.
+        local good = deployment.ask(deployment.quote(node_address, "kumasi", entry.ticket_prefix .. ".good" .. number, 1))
+        assert(good.status == 200, "the upstream is used again: " .. good.status .. " " .. good.body)
     end
 end
 
