--- a/libraries/upstream/model_engine.h
+++ b/libraries/upstream/model_engine.h
@@ -81,6 +81,7 @@
     std::string adapter;
     std::string role;
     bool loading = false; ///< it loads what it was ordered and serves nothing
+    std::uint32_t waitingStreams = 0; ///< taken and not begun
 
     auto operator<=>(const engine_load &) const = default;
 };
