--- a/libraries/configuration/section_tree.cpp
+++ b/libraries/configuration/section_tree.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t digest_digits = 64;
 constexpr std::size_t index_line_bytes = digest_digits + 3; ///< kind, space, digest, line end
 constexpr std::size_t index_limit = 32; ///< lines of one index before it is split
-constexpr std::uint64_t mean_group = 16; ///< upstreams in a group, lines in a split index
+constexpr std::uint64_t mean_group = 8; ///< upstreams in a group, lines in a split index
 constexpr std::size_t largest_group = 64;
 constexpr std::size_t deepest_tree = 8;
 
--- a/libraries/membership/gossip_codec.cpp
+++ b/libraries/membership/gossip_codec.cpp
@@ -14,9 +14,9 @@
 constexpr std::string_view authenticated_context = "ivypier gossip 1:";
 constexpr std::size_t most_entries = 256;
 constexpr std::size_t deepest_nesting = 8;
-constexpr std::size_t member_overhead = 24;
+constexpr std::size_t member_overhead = 15; ///< beside the generation and the texts
 constexpr std::size_t details_overhead = 32;
-constexpr std::size_t fact_overhead = 24;
+constexpr std::size_t fact_overhead = 7; ///< beside version, age and the texts
 constexpr std::uint8_t liveness_mask = 3;
 constexpr std::uint8_t leaving_bit = 4;
 
@@ -230,6 +230,18 @@
     return message;
 }
 
+/// Bytes of an unsigned integer in msgpack.
+std::size_t packedSize(std::uint64_t value)
+{
+    if (value < 0x80)
+        return 1;
+    if (value <= 0xff)
+        return 2;
+    if (value <= 0xffff)
+        return 3;
+    return value <= 0xffffffff ? 5 : 9;
+}
+
 std::string authenticated(std::string_view body)
 {
     std::string text(authenticated_context);
@@ -283,7 +295,7 @@
 
 std::size_t encodedSize(const member_news &news)
 {
-    std::size_t size = member_overhead + news.accuserDomain.size();
+    std::size_t size = member_overhead + packedSize(news.generation) + news.accuserDomain.size();
     if (news.details) {
         size += details_overhead + news.details->name.size() + news.details->failureDomain.size()
             + news.details->region.size();
@@ -293,7 +305,8 @@
 
 std::size_t encodedSize(const fact_news &news)
 {
-    return fact_overhead + news.content.key.size() + news.content.value.size();
+    return fact_overhead + packedSize(news.content.version) + packedSize(news.ageSeconds)
+        + news.content.key.size() + news.content.value.size();
 }
 
 } // namespace ivypier::membership
--- a/libraries/membership/gossip_membership.cpp
+++ b/libraries/membership/gossip_membership.cpp
@@ -12,6 +12,8 @@
 constexpr duration late_tick = std::chrono::milliseconds(500); ///< past it, this process was stopped
 constexpr duration spread_interval = std::chrono::milliseconds(200);
 constexpr std::size_t spread_fanout = 3;
+constexpr std::size_t news_of_datagram = 24;
+constexpr std::size_t most_datagrams_at_once = 6;
 constexpr duration compare_interval = std::chrono::seconds(5);
 constexpr duration quick_compare_interval = std::chrono::seconds(1);
 constexpr duration compare_again_interval = std::chrono::milliseconds(500);
@@ -228,10 +230,14 @@
 {
     if (m_queue.empty() || !due(m_nextSpread, spread_interval) || !m_sender.withinBudget())
         return;
+    // With much to tell, several datagrams go to each: the time to spread must not grow with the amount.
+    const std::size_t datagrams = std::min(1 + m_queue.size() / news_of_datagram, most_datagrams_at_once);
     for (const member_record *each : m_members.pick(m_random, spread_fanout)) {
-        gossip_message message;
-        message.kind = message_kind::news;
-        m_sender.send(each->entry.gossipAddress, std::move(message));
+        for (std::size_t count = 0; count < datagrams && !m_queue.empty(); ++count) {
+            gossip_message message;
+            message.kind = message_kind::news;
+            m_sender.send(each->entry.gossipAddress, std::move(message));
+        }
     }
 }
 
@@ -257,6 +263,8 @@
     };
     for (const endpoint &each : m_seeds)
         offer(each);
+    for (const endpoint &each : m_regions.ownContacts())
+        offer(each);
     for (const auto &[id, record] : m_members.records()) {
         if (record.dead() && !record.leaving)
             offer(record.entry.gossipAddress);
--- a/libraries/membership/gossip_sender.cpp
+++ b/libraries/membership/gossip_sender.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double budget_bytes_per_second = 2000.0;
-constexpr double budget_burst_bytes = 48.0 * 1024.0;
+constexpr double budget_burst_bytes = 256.0 * 1024.0;
 constexpr std::size_t hash_bytes = 4;
 
 } // namespace
--- a/libraries/membership/region_links.cpp
+++ b/libraries/membership/region_links.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t summary_contacts = 3;
 constexpr std::size_t contacts_kept = 12;
 constexpr double compares_per_second = 2.0; ///< of a whole region
+constexpr unsigned version_random_bits = 16;
 constexpr double interval_jitter = 0.4;
 
 } // namespace
@@ -102,6 +103,17 @@
     return region->second[m_random.index(region->second.size())];
 }
 
+std::vector<endpoint> region_links::ownContacts() const
+{
+    std::vector<endpoint> contacts;
+    for (const fact &each :
+         m_facts.withPrefix(std::string(summary_prefix) + m_members.self().entry.region + '/')) {
+        if (const std::optional<domain_summary> summary = domain_summary::parse(each))
+            contacts.insert(contacts.end(), summary->contacts.begin(), summary->contacts.end());
+    }
+    return contacts;
+}
+
 duration region_links::compareInterval() const
 {
     const double mean = static_cast<double>(m_members.liveCount()) / compares_per_second;
@@ -136,12 +148,20 @@
         const std::optional<fact> known = m_facts.find(news.key);
         if (known && known->value == news.value)
             continue;
-        news.version = known ? known->version + 1 : 1;
+        news.version = nextVersion(known ? known->version : 0);
         due.push_back(std::move(news));
     }
     return due;
 }
 
+std::uint64_t region_links::nextVersion(std::uint64_t known) const
+{
+    // Members that don't know of each other yet may all speak for one domain: random digits tell their
+    // versions apart, so that one of them wins everywhere.
+    const std::uint64_t digits = m_random.next() >> (64 - version_random_bits);
+    return (((known >> version_random_bits) + 1) << version_random_bits) | digits;
+}
+
 domain_summary region_links::summaryOf(const std::string &failureDomain) const
 {
     domain_summary result{m_members.self().entry.region, failureDomain, 0, {}};
--- a/libraries/membership/region_links.h
+++ b/libraries/membership/region_links.h
@@ -45,6 +45,9 @@
     /// A member of another region, at random over regions first.
     std::optional<endpoint> pickContact() const;
 
+    /// Members of this node's own region that other regions were told of: a way to them when no seed is one.
+    std::vector<endpoint> ownContacts() const;
+
     /// Time until this node's next comparison with another region: the region as a whole makes a fixed number
     /// a second.
     duration compareInterval() const;
@@ -54,6 +57,7 @@
     std::vector<fact> dueSummaries() const;
 
 private:
+    std::uint64_t nextVersion(std::uint64_t known) const;
     domain_summary summaryOf(const std::string &failureDomain) const;
 
     const clock &m_time;
--- a/libraries/membership/tests/gossip_membership_test.cpp
+++ b/libraries/membership/tests/gossip_membership_test.cpp
@@ -139,6 +139,22 @@
     }
 }
 
+TEST_CASE("notices for all 228 upstreams of a failure domain reach a region of 267 members within 3 s")
+{
+    gossip_fleet fleet(1);
+    fleet.startAll(267);
+    REQUIRE(fleet.allKnow(267));
+    fleet.time.advance(60s);
+    for (std::size_t index = 0; index < 228; ++index)
+        fleet.nodes[index]->membership.publish(
+            {"leaving/10.9.0." + std::to_string(index) + ":9100", 1, "vm"});
+    CHECK(fleet.waitUntil(3s, [&] {
+        return std::all_of(fleet.nodes.begin(), fleet.nodes.end(),
+                           [](const auto &each) { return each->membership.facts("leaving/").size() == 228; });
+    }));
+    CHECK(fleet.network.longest() <= datagram_limit);
+}
+
 TEST_CASE("a member that leaves takes no work anywhere after 1 s, and its end needs no detection")
 {
     for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
@@ -222,3 +238,20 @@
         });
     }));
 }
+
+TEST_CASE("a region whose seeds are all in another region finds itself")
+{
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        INFO("seed " << seed);
+        gossip_fleet fleet(seed);
+        for (std::size_t index = 0; index < 9; ++index)
+            fleet.start(index, index < 3 ? "hall-a" : "hall-b", index < 3 ? "accra" : "almaty");
+        CHECK(fleet.waitUntil(60s, [&] {
+            for (std::size_t index = 0; index < 9; ++index) {
+                if (fleet.nodes[index]->membership.memberCount() != (index < 3 ? 3U : 6U))
+                    return false;
+            }
+            return true;
+        }));
+    }
+}
--- /dev/null
+++ b/utilities/measure-membership/exchange_measurement.cpp
@@ -0,0 +1,147 @@
+#include "measurement.h"
+
+#include "base/random_source.h"
+#include "base/virtual_scheduler.h"
+#include "membership/exchange_membership.h"
+#include "rpc/codec/rpc_codec.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace ivypier::measurement {
+
+namespace {
+
+constexpr duration settle_time = std::chrono::seconds(10);
+constexpr duration steady_time = std::chrono::seconds(20);
+constexpr duration call_delay = std::chrono::milliseconds(1);
+constexpr std::size_t headers_of_call = 300; ///< HTTP head lines, TCP and IPv4, both ways, at least
+
+/// Hands an answer's body back to the caller.
+class local_responder final : public http::responder
+{
+public:
+    explicit local_responder(std::function<void(const std::string &)> done)
+        : m_done(std::move(done))
+    {
+    }
+
+    void respond(http::response answer) override
+    {
+        m_done(answer.body);
+    }
+
+    void begin(int, http::header_map) override
+    {
+    }
+    void write(std::string) override
+    {
+    }
+    void finish() override
+    {
+    }
+    bool isOpen() const override
+    {
+        return true;
+    }
+    void onClosed(std::function<void()>) override
+    {
+    }
+
+private:
+    std::function<void(const std::string &)> m_done;
+};
+
+struct call_network
+{
+    virtual_scheduler &tasks;
+    secret_key key;
+    std::map<endpoint, rpc::peer_server *> servers;
+    std::uint64_t calls = 0;
+    std::uint64_t bytes = 0;
+};
+
+/// Calls in one process, with the real JSON-RPC texts and authenticators.
+class local_calls final : public rpc::peer_client
+{
+public:
+    explicit local_calls(call_network &network)
+        : m_network(network)
+    {
+    }
+
+    void call(const endpoint &to, const std::string &method, Json::Value parameters, duration,
+              completion done) override
+    {
+        http::request message;
+        message.body = rpc::encodeCall(method, parameters);
+        message.headers[rpc::rpc_authenticator_header] = bytesToHex(m_network.key.authenticate(message.body));
+        ++m_network.calls;
+        m_network.bytes += message.body.size() + headers_of_call;
+        auto answer
+            = std::make_shared<local_responder>([this, done = std::move(done)](const std::string &body) {
+                  m_network.bytes += body.size();
+                  const rpc::decoded_answer decoded = rpc::decodeAnswer(body);
+                  done(decoded.result);
+              });
+        m_network.tasks.after(
+            call_delay, [this, to, message, answer] { m_network.servers.at(to)->handle(message, answer); });
+    }
+
+private:
+    call_network &m_network;
+};
+
+struct exchanging_node
+{
+    exchanging_node(call_network &network, const membership::member &self, std::vector<endpoint> seeds)
+        : calls(network)
+        , methods(network.tasks, network.key)
+        , members(network.tasks, calls, methods, self, std::move(seeds))
+    {
+        network.servers[self.address] = &methods;
+    }
+
+    local_calls calls;
+    rpc::peer_server methods;
+    membership::exchange_membership members;
+};
+
+} // namespace
+
+void measureExchange(std::size_t members, std::uint64_t seed)
+{
+    virtual_scheduler time;
+    seeded_random randomness(seed);
+    call_network network{time, secret_key::fromPassphrase("key of the measurement").value(), {}};
+    std::vector<endpoint> seeds;
+    for (std::size_t index = 0; index < members; ++index)
+        seeds.push_back({"10.0.0." + std::to_string(index + 1), 8080});
+    std::vector<std::unique_ptr<exchanging_node>> nodes;
+    for (std::size_t index = 0; index < members; ++index) {
+        const membership::member self{randomness.next() | 1,
+                                      "node-" + std::to_string(index),
+                                      seeds[index],
+                                      seeds[index],
+                                      "domain-" + std::to_string(index % 3),
+                                      "region",
+                                      {}};
+        nodes.push_back(std::make_unique<exchanging_node>(network, self, seeds));
+    }
+    for (const auto &each : nodes)
+        each->members.start();
+    time.advance(settle_time);
+    const std::uint64_t calls = network.calls;
+    const std::uint64_t bytes = network.bytes;
+    const double processor = processorSeconds();
+    time.advance(steady_time);
+    const double memberSeconds = seconds(steady_time) * static_cast<double>(members);
+    figure_line("exchange")
+        .with("members", static_cast<double>(members))
+        .with("bytes_per_second", static_cast<double>(network.bytes - bytes) / memberSeconds)
+        .with("calls_per_second", static_cast<double>(network.calls - calls) / memberSeconds)
+        .with("processor_share", (processorSeconds() - processor) / memberSeconds);
+}
+
+} // namespace ivypier::measurement
--- /dev/null
+++ b/utilities/measure-membership/main.cpp
@@ -0,0 +1,54 @@
+#include "base/log_event.h"
+#include "measurement.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <iostream>
+
+ABSL_FLAG(std::string, what, "all", "gossip, domain, regions, exchange, configuration or all");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the randomness");
+
+int main(int argc, char **argv)
+{
+    using namespace ivypier::measurement;
+    absl::SetProgramUsageMessage(
+        "Measures membership and configuration in virtual time, with the real code.\n"
+        "Prints one line of key=value pairs for each size.\n\n"
+        "  measure-membership --what=gossip");
+    absl::ParseCommandLine(argc, argv);
+    ivypier::configureLog("measure-membership", ivypier::log_level::error);
+    const std::string what = absl::GetFlag(FLAGS_what);
+    const std::uint64_t seed = absl::GetFlag(FLAGS_seed);
+    const auto wanted = [&](const char *name) { return what == "all" || what == name; };
+    bool any = false;
+    if (wanted("gossip")) {
+        any = true;
+        for (const std::size_t members : {8, 50, 200, 800})
+            measureGossip(members, seed);
+    }
+    if (wanted("domain")) {
+        any = true;
+        measureDomainLoss(267, 228, seed); // a region, and the upstreams of one of 21 domains
+    }
+    if (wanted("regions")) {
+        any = true;
+        for (const std::size_t membersInDomain : {2, 10, 30})
+            measureRegions(membersInDomain, seed);
+    }
+    if (wanted("exchange")) {
+        any = true;
+        for (const std::size_t members : {8, 16})
+            measureExchange(members, seed);
+    }
+    if (wanted("configuration")) {
+        any = true;
+        for (const std::size_t upstreams : {10, 100, 500, 1200, 4800})
+            measureConfiguration(upstreams);
+    }
+    if (any)
+        return 0;
+    std::cerr << "measure-membership: nothing is called \"" << what << "\" (see --help)\n";
+    return 2;
+}
--- /dev/null
+++ b/utilities/measure-membership/measurement.cpp
@@ -0,0 +1,40 @@
+#include "measurement.h"
+
+#include <malloc.h>
+
+#include <cstdio>
+#include <ctime>
+
+namespace ivypier::measurement {
+
+figure_line::figure_line(const std::string &what)
+    : m_text("what=" + what)
+{
+}
+
+figure_line::~figure_line()
+{
+    std::puts(m_text.c_str());
+    std::fflush(stdout);
+}
+
+figure_line &figure_line::with(const std::string &key, double value)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.6g", value);
+    m_text += ' ' + key + '=' + text;
+    return *this;
+}
+
+double processorSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+std::size_t heapBytes()
+{
+    const auto use = mallinfo2();
+    return use.uordblks + use.hblkhd;
+}
+
+} // namespace ivypier::measurement
