Orders: runners that are not right are looked at in turn too

Cause: during a change of version every runner not yet changed was looked at in each interval: 100,476 looks in 100 s before 2,000 runners (test seen failing first; bound 14,000, from 100 a second and 30 for the right ones, with the interval's jitter).

--- a/libraries/placement/order_keeper.cpp
+++ b/libraries/placement/order_keeper.cpp
@@ -74,37 +74,34 @@
     m_parts.tasks.after(fromSeconds(seconds(m_options.interval) * jitter), [this] { turn(); });
     if (!permission())
         return;
-    lookAtWrong();
-    lookAround();
+    lookInTurn(m_lastWrong, m_options.mostLooksAtWrongPerSecond, false);
+    lookInTurn(m_lastRight, m_options.mostLooksPerSecond, true);
     m_parts.metrics.set("ivypier_runners_wanted", {{"service", m_wanted.service}},
                         static_cast<double>(m_runners.size()));
     m_parts.metrics.set("ivypier_runners_right", {{"service", m_wanted.service}},
                         static_cast<double>(rightCount()));
 }
 
-void order_keeper::lookAtWrong()
+bool order_keeper::isFenced(const runner_state &state) const
 {
     const std::optional<lease> held = permission();
-    const bool checks = m_wanted.fencing == configuration::fencing_check::checked;
-    for (auto &[id, state] : m_runners) {
-        const bool fenced = !checks || state.fencedTenure >= held->tenure;
-        if (!state.reading && !(isRight(state) && fenced))
-            look(id, state);
-    }
+    return m_wanted.fencing == configuration::fencing_check::ignored
+        || (held && state.fencedTenure >= held->tenure);
 }
 
-void order_keeper::lookAround()
+void order_keeper::lookInTurn(std::string &last, double mostPerSecond, bool right)
 {
-    const auto most
-        = static_cast<std::size_t>(std::max(1.0, m_options.mostLooksPerSecond * seconds(m_options.interval)));
-    auto next = m_runners.upper_bound(m_lastLooked);
-    for (std::size_t looked = 0; looked < std::min(most, m_runners.size()); ++looked) {
+    auto left = static_cast<std::size_t>(std::max(1.0, mostPerSecond * seconds(m_options.interval)));
+    auto next = m_runners.upper_bound(last);
+    for (std::size_t passed = 0; passed < m_runners.size() && left > 0; ++passed, ++next) {
         if (next == m_runners.end())
             next = m_runners.begin();
-        m_lastLooked = next->first;
-        if (!next->second.reading)
-            look(next->first, next->second);
-        ++next;
+        auto &[id, state] = *next;
+        if (state.reading || (isRight(state) && isFenced(state)) != right)
+            continue;
+        last = id;
+        --left;
+        look(id, state);
     }
 }
 
--- a/libraries/placement/order_keeper.h
+++ b/libraries/placement/order_keeper.h
@@ -41,6 +41,7 @@
 {
     duration interval = std::chrono::seconds(2); ///< between two looks at each runner
     double mostLooksPerSecond = 30.0; ///< at runners that were right when last seen
+    double mostLooksAtWrongPerSecond = 100.0; ///< at the others
     double mostLoading = 0.2; ///< part of a service's runners that may be without service at once
     duration loadLimit = std::chrono::minutes(10); ///< after which a load that does not end is ordered again
     duration longestBackoff = std::chrono::seconds(30);
@@ -54,8 +55,8 @@
 /// It compares what each engine reports with what is wanted and orders the difference; an order names the
 /// state and not a step, so that giving it again is harmless. Engines that check fencing numbers get one
 /// order from each new holder even when nothing differs, so that they refuse what an earlier holder still
-/// sends. Engines that don't are brought back at the next look. Runners that are not right are looked at in
-/// every interval, the others in turn, so that many of them take no more calls.
+/// sends. Engines that don't are brought back at the next look. Runners are looked at in turn at a bounded
+/// rate, those that are not right more often than the others.
 class order_keeper
 {
 public:
@@ -97,8 +98,7 @@
     };
 
     void turn();
-    void lookAtWrong();
-    void lookAround();
+    void lookInTurn(std::string &last, double mostPerSecond, bool right);
     void look(const std::string &id, runner_state &state);
     void compare(const std::string &id);
     void load(const std::string &id, runner_state &state);
@@ -112,6 +112,7 @@
     std::optional<lease> permission() const;
     duration backoff(unsigned failures);
     bool isRight(const runner_state &state) const;
+    bool isFenced(const runner_state &state) const;
     void count(const std::string &result);
     runner_state *find(const std::string &id);
 
@@ -119,7 +120,8 @@
     order_options m_options;
     wanted_state m_wanted;
     std::map<std::string, runner_state> m_runners;
-    std::string m_lastLooked; ///< where the round over the right ones goes on
+    std::string m_lastRight; ///< where the round over the right ones goes on
+    std::string m_lastWrong; ///< where the round over the others goes on
     std::uint64_t m_refusedFencing = 0; ///< an engine knows a higher one than this
     bool m_weightsAsked = false;
     time_point m_weightsNotBefore{};
--- a/libraries/placement/tests/order_keeper_test.cpp
+++ b/libraries/placement/tests/order_keeper_test.cpp
@@ -173,6 +173,22 @@
     REQUIRE(run.fleet.serving("tariff-model", "1") == many);
 }
 
+TEST_CASE("a change of version before many runners is looked after at a bounded rate", "[orders]")
+{
+    constexpr std::size_t many = 2000;
+    bench run(1, many);
+    run.weights.interval = 10ms;
+    run.keeper.setWanted(version("1"), listOf(many));
+    run.world.advance(60s);
+    run.keeper.setWanted(version("2"), listOf(many));
+    const std::size_t before = run.fleet.looks;
+    run.world.advance(100s);
+    REQUIRE(run.fleet.looks - before <= 14'000);
+    run.world.advance(60min);
+    REQUIRE(run.fleet.serving("tariff-model", "2") == many);
+    REQUIRE(run.fleet.mostLoading <= many / 5);
+}
+
 TEST_CASE("adapter and role are brought to what is wanted", "[orders]")
 {
     bench run(1, 3);
--- a/services/planner/main.cpp
+++ b/services/planner/main.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <absl/strings/match.h>
 
 #include <fstream>
 #include <iostream>
@@ -36,6 +37,9 @@
 {
     absl::FlagsUsageConfig usage;
     usage.version_string = [] { return std::string("ivypier-planner 0.1.0\n"); };
+    // Without this --help lists no flag: the library looks for the program's name in the file's.
+    usage.contains_help_flags
+        = [](absl::string_view file) { return absl::EndsWith(file, "planner/main.cpp"); };
     absl::SetFlagsUsageConfig(usage);
     absl::SetProgramUsageMessage("Plans the VMs of ivypier and gives orders to its runners.\n\n  "
                                  "ivypier-planner --settings planner.toml");
