--- a/services/console/console_settings.cpp
+++ b/services/console/console_settings.cpp
@@ -1,22 +1,13 @@
 #include "console_settings.h"
 
+#include "base/endpoint_setting.h"
+
 namespace ivypier::console {
 
 namespace {
 
 constexpr std::size_t digest_digits = 64;
 
-endpoint readEndpoint(settings_reader &table, std::string_view key)
-{
-    const std::string text = table.requiredString(key);
-    const outcome<endpoint> parsed = endpoint::parse(text);
-    if (parsed)
-        return parsed.value();
-    if (!text.empty())
-        table.fault(key, parsed.error().message);
-    return {};
-}
-
 } // namespace
 
 std::variant<console_settings, std::vector<settings_error>> readConsoleSettings(std::string_view text)
@@ -24,9 +15,9 @@
     settings_reader root = settings_reader::parse(text);
     console_settings result;
     result.name = root.requiredString("name");
-    result.address = readEndpoint(root, "address");
+    result.address = requiredEndpoint(root, "address");
     result.failureDomain = root.requiredString("failure_domain");
-    result.platform = readEndpoint(root, "platform");
+    result.platform = requiredEndpoint(root, "platform");
     result.bootstrapKeySha256 = root.optionalString("bootstrap_key_sha256", "");
     const bool digest = result.bootstrapKeySha256.empty()
         || (result.bootstrapKeySha256.size() == digest_digits
