--- a/utilities/replay/experiments.cpp
+++ b/utilities/replay/experiments.cpp
@@ -30,6 +30,20 @@
 
 } // namespace
 
+std::vector<figure> recordedFigures(const std::string &trace, const replay_result &run)
+{
+    std::vector<figure> result;
+    for (const auto &[key, counts] : run.byAccountAndClass) {
+        const std::string variant = key.first + ", " + key.second;
+        result.push_back({"replay", trace, variant, "offered", static_cast<double>(counts.offered), {}});
+        result.push_back({"replay", trace, variant, "answered", static_cast<double>(counts.answered), {}});
+        result.push_back({"replay", trace, variant, "refused", static_cast<double>(counts.refused), {}});
+        result.push_back(
+            {"replay", trace, variant, "first token p95 s", quantile(counts.firstTokenSeconds, 0.95), {}});
+    }
+    return result;
+}
+
 experiments::experiments(trace_parameters parameters, std::uint64_t seed, duration span)
     : m_parameters(std::move(parameters))
     , m_seed(seed)
--- a/utilities/replay/experiments.h
+++ b/utilities/replay/experiments.h
@@ -13,6 +13,9 @@
 
 namespace ivypier::replay {
 
+/// The figures of a recorded trace's run, by account and class.
+std::vector<figure> recordedFigures(const std::string &trace, const replay_result &run);
+
 /// The measurements of the decisions on one deployment's trace, in virtual time. Every experiment is a set of
 /// runs that differ in one thing.
 class experiments
--- a/utilities/replay/main.cpp
+++ b/utilities/replay/main.cpp
@@ -1,6 +1,8 @@
 #include "base/log_event.h"
 #include "experiments.h"
 #include "histograms.h"
+#include "live_pairs.h"
+#include "virtual_replay.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -13,6 +15,8 @@
 #include <sstream>
 
 ABSL_FLAG(std::string, parameters, "", "TOML file that traces are generated from (tests/traces/*.toml)");
+ABSL_FLAG(std::string, trace, "",
+          "recorded trace to replay as it is (tests/traces/*.jsonl), in place of experiments");
 ABSL_FLAG(std::string, experiment, "all", "experiment to run, or all");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the trace and of every decision");
 ABSL_FLAG(int, span_seconds, 300, "length of a generated trace in virtual time");
@@ -20,6 +24,13 @@
 ABSL_FLAG(std::string, histograms, "", "file for the histograms of the typical run (CSV)");
 ABSL_FLAG(std::string, write_trace, "", "write a generated trace to this file and stop");
 ABSL_FLAG(double, rate, 10.0, "requests a second of a trace that is written");
+ABSL_FLAG(std::string, live_node, "", "node to measure, against the same calls to --live_upstream");
+ABSL_FLAG(std::string, live_upstream, "", "plain service behind that node");
+ABSL_FLAG(std::string, live_service, "rates", "its name at the node");
+ABSL_FLAG(std::string, live_path, "/quote", "path of the calls");
+ABSL_FLAG(std::string, live_body, "{\"kilograms\": 2}", "body of the calls");
+ABSL_FLAG(std::string, live_key, "", "account key of the calls");
+ABSL_FLAG(unsigned, live_count, 1000, "pairs of calls");
 
 namespace {
 
@@ -48,6 +59,48 @@
     return file.good() ? exit_ok : exit_failed;
 }
 
+int replayRecorded(const std::string &path)
+{
+    const std::optional<std::string> text = readFile(path);
+    const auto requests = ivypier::replay::readTrace(text.value_or("not readable"));
+    if (!requests) {
+        std::cerr << "ivypier-replay: " << path << ": " << requests.error().message << '\n';
+        return exit_usage;
+    }
+    ivypier::replay::replay_plan plan;
+    plan.seed = absl::GetFlag(FLAGS_seed);
+    plan.measuredUntil = std::chrono::hours(24);
+    const auto figures = ivypier::replay::recordedFigures(
+        path, ivypier::replay::virtual_replay(plan, requests.value()).run());
+    std::cout << (absl::GetFlag(FLAGS_json) ? jsonTable(figures) : textTable(figures));
+    return exit_ok;
+}
+
+int measureLivePairs()
+{
+    ivypier::replay::live_pairs wanted;
+    const auto upstream = ivypier::endpoint::parse(absl::GetFlag(FLAGS_live_upstream));
+    const auto node = ivypier::endpoint::parse(absl::GetFlag(FLAGS_live_node));
+    if (!upstream || !node) {
+        std::cerr << "ivypier-replay: --live_upstream and --live_node are needed, both as host:port\n";
+        return exit_usage;
+    }
+    wanted.upstream = upstream.value();
+    wanted.node = node.value();
+    wanted.service = absl::GetFlag(FLAGS_live_service);
+    wanted.path = absl::GetFlag(FLAGS_live_path);
+    wanted.body = absl::GetFlag(FLAGS_live_body);
+    wanted.accountKey = absl::GetFlag(FLAGS_live_key);
+    wanted.count = absl::GetFlag(FLAGS_live_count);
+    const auto figures = ivypier::replay::measurePairs(wanted);
+    if (!figures) {
+        std::cerr << "ivypier-replay: " << figures.error().message << '\n';
+        return exit_failed;
+    }
+    std::cout << (absl::GetFlag(FLAGS_json) ? jsonTable(figures.value()) : textTable(figures.value()));
+    return exit_ok;
+}
+
 int measure(const ivypier::replay::trace_parameters &parameters)
 {
     ivypier::replay::experiments bench(parameters, absl::GetFlag(FLAGS_seed),
@@ -83,6 +136,10 @@
     absl::ParseCommandLine(argc, argv);
     ivypier::configureLog("ivypier-replay", ivypier::log_level::warning);
 
+    if (!absl::GetFlag(FLAGS_live_node).empty())
+        return measureLivePairs();
+    if (!absl::GetFlag(FLAGS_trace).empty())
+        return replayRecorded(absl::GetFlag(FLAGS_trace));
     const std::string path = absl::GetFlag(FLAGS_parameters);
     const std::optional<std::string> text = readFile(path);
     if (!text) {
