--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -75,8 +75,11 @@
     configuration::configuration_follower follower{tasks, randomness, documents,
                                                    settings.configurationInterval};
     entry::entry_directory entries{members, fleetKey};
-    routing::expected_time_router router{
-        tasks, randomness, {.node = settings.name, .failureDomain = settings.failureDomain}};
+    routing::expected_time_router router{tasks,
+                                         randomness,
+                                         {.node = settings.name,
+                                          .failureDomain = settings.failureDomain,
+                                          .reportLag = settings.loadReportLag}};
     admission::share_ledger shares{members};
     admission::early_refusal_admission refusals{randomness};
     admission::limited_admission admission{tasks, shares, refusals};
--- a/services/node/node_settings.cpp
+++ b/services/node/node_settings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::int64_t default_configuration_interval_milliseconds = 1000;
+constexpr std::int64_t most_lag_milliseconds = 60'000;
 
 endpoint readEndpoint(settings_reader &table, std::string_view key)
 {
@@ -50,6 +51,8 @@
     result.seeds = readSeeds(root);
     result.configurationInterval = std::chrono::milliseconds(root.optionalInteger(
         "configuration_interval_ms", default_configuration_interval_milliseconds, 10, 600'000));
+    result.loadReportLag
+        = std::chrono::milliseconds(root.optionalInteger("load_report_lag_ms", 0, 0, most_lag_milliseconds));
     result.faultSwitch = root.optionalBoolean("fault_switch", false);
     if (root.has("tls")) {
         settings_reader tls = root.table("tls");
--- a/services/node/node_settings.h
+++ b/services/node/node_settings.h
@@ -24,6 +24,7 @@
     endpoint platform;
     std::vector<endpoint> seeds;
     duration configurationInterval{};
+    duration loadReportLag{}; ///< age of an engine's load report when it arrives
     std::optional<http::tls_files> tls;
     bool faultSwitch = false; ///< tests may cut this node's links; never in production
 
