--- a/services/node/node_settings.cpp
+++ b/services/node/node_settings.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::int64_t default_configuration_interval_milliseconds = 1000;
 constexpr std::int64_t default_stop_seconds = 30;
+constexpr std::int64_t most_lag_milliseconds = 60'000;
 
 } // namespace
 
@@ -30,6 +31,8 @@
         "configuration_interval_ms", default_configuration_interval_milliseconds, 10, 600'000));
     result.stopWithin
         = std::chrono::seconds(root.optionalInteger("stop_within_s", default_stop_seconds, 1, 600));
+    result.loadReportLag
+        = std::chrono::milliseconds(root.optionalInteger("load_report_lag_ms", 0, 0, most_lag_milliseconds));
     result.faultSwitch = root.optionalBoolean("fault_switch", false);
     if (root.has("tls")) {
         settings_reader tls = root.table("tls");
--- a/services/node/node_settings.h
+++ b/services/node/node_settings.h
@@ -25,6 +25,7 @@
     std::vector<endpoint> seeds;
     duration configurationInterval{};
     duration stopWithin{}; ///< time that a stop by signal may take; a reclaim notice gives its own
+    duration loadReportLag{}; ///< age of an engine's load report when it arrives
     std::optional<http::tls_files> tls;
     std::string
         tlsAuthority; ///< PEM file that the other nodes' certificates are checked against; empty: no TLS
