--- a/libraries/membership/vm_watch.cpp
+++ b/libraries/membership/vm_watch.cpp
@@ -17,6 +17,16 @@
     return std::string(leaving_prefix) + upstream.text();
 }
 
+/// The address in the key of a `leaving/<address>` fact.
+std::optional<endpoint> upstreamOf(const fact &news)
+{
+    if (!news.key.starts_with(leaving_prefix))
+        return std::nullopt;
+    const outcome<endpoint> address
+        = endpoint::parse(std::string_view(news.key).substr(leaving_prefix.size()));
+    return address ? std::optional(address.value()) : std::nullopt;
+}
+
 } // namespace
 
 vm_watch::vm_watch(vm_watch_parts parts)
@@ -59,11 +69,12 @@
 
 std::optional<endpoint> vm_watch::leavingUpstream(const fact &news)
 {
-    if (!news.key.starts_with(leaving_prefix) || news.value.empty())
-        return std::nullopt;
-    const outcome<endpoint> address
-        = endpoint::parse(std::string_view(news.key).substr(leaving_prefix.size()));
-    return address ? std::optional(address.value()) : std::nullopt;
+    return news.value.empty() ? std::nullopt : upstreamOf(news);
+}
+
+std::optional<endpoint> vm_watch::replacedUpstream(const fact &news)
+{
+    return news.value.empty() ? upstreamOf(news) : std::nullopt;
 }
 
 void vm_watch::pollVms()
--- a/libraries/membership/vm_watch.h
+++ b/libraries/membership/vm_watch.h
@@ -52,6 +52,9 @@
     /// The upstream that a fact says is leaving; nothing for other facts and for those that take it back.
     static std::optional<endpoint> leavingUpstream(const fact &news);
 
+    /// The address that a fact says has another VM now; nothing for other facts.
+    static std::optional<endpoint> replacedUpstream(const fact &news);
+
 private:
     void pollVms();
     void pollNotices();
--- a/libraries/routing/baseline_router.cpp
+++ b/libraries/routing/baseline_router.cpp
@@ -15,6 +15,11 @@
     m_leaving.insert(upstream);
 }
 
+void baseline_router::markReplaced(const endpoint &upstream)
+{
+    m_leaving.erase(upstream);
+}
+
 outcome<routing_choice> baseline_router::choose(const routing_request &request)
 {
     const candidate *best = nullptr;
--- a/libraries/routing/baseline_router.h
+++ b/libraries/routing/baseline_router.h
@@ -16,6 +16,7 @@
 public:
     void setCandidates(std::vector<candidate> all) override;
     void markLeaving(const endpoint &upstream) override;
+    void markReplaced(const endpoint &upstream) override;
     outcome<routing_choice> choose(const routing_request &request) override;
     void dispatched(const endpoint &upstream, const std::string &attempt,
                     const routing_request &request) override;
--- a/libraries/routing/expected_time_router.cpp
+++ b/libraries/routing/expected_time_router.cpp
@@ -70,6 +70,14 @@
         follow(m_services[found->second->target.service]);
 }
 
+void expected_time_router::markReplaced(const endpoint &upstream)
+{
+    m_leaving.erase(upstream);
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end())
+        follow(m_services[found->second->target.service]);
+}
+
 outcome<routing_choice> expected_time_router::choose(const routing_request &request)
 {
     const auto found = m_services.find(request.service);
--- a/libraries/routing/router.h
+++ b/libraries/routing/router.h
@@ -68,6 +68,9 @@
     /// Takes an upstream that leaves out of every choice from now on.
     virtual void markLeaving(const endpoint &upstream) = 0;
 
+    /// Takes markLeaving() back: another upstream has the address now.
+    virtual void markReplaced(const endpoint &upstream) = 0;
+
     /// The upstream for a request; `unavailable` when none is fit.
     virtual outcome<routing_choice> choose(const routing_request &request) = 0;
 
--- a/libraries/routing/tests/expected_time_router_test.cpp
+++ b/libraries/routing/tests/expected_time_router_test.cpp
@@ -225,6 +225,15 @@
     CHECK_FALSE(with.router.choose(request()));
 }
 
+TEST_CASE("an address that another upstream has now is chosen again")
+{
+    bench with(1);
+    with.router.markLeaving(at(1));
+    CHECK_FALSE(with.router.choose(request()));
+    with.router.markReplaced(at(1));
+    CHECK(with.chosen() == at(1));
+}
+
 TEST_CASE("an upstream that fails is set aside, then probed by one request at a time")
 {
     bench with(2);
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -248,6 +248,8 @@
 void node::parts::followVms()
 {
     members.onFact([this](const membership::fact &news) {
+        if (const auto replaced = membership::vm_watch::replacedUpstream(news))
+            router.markReplaced(*replaced);
         const std::optional<endpoint> leaving = membership::vm_watch::leavingUpstream(news);
         if (!leaving)
             return;
