Moved answers keep the caller's scheme

Cause: a moved event and a 303 named http://, also to callers that use TLS, who then met a port that answers TLS only; docs/OPERATING.md listed it as a gap.

Weighed: passing the listener's scheme down to each writer (five places); a network-path reference, which leaves the scheme to the caller (RFC 9110 allows it in Location). Taken: the latter.

A redirect under TLS has no scenario of its own yet.

--- a/libraries/gateway/answer_writer.cpp
+++ b/libraries/gateway/answer_writer.cpp
@@ -52,9 +52,11 @@
     return json;
 }
 
+/// A network-path reference (RFC 3986, section 4.2): the caller goes on under the scheme it came by, so that
+/// one that uses TLS is not sent to plain text.
 std::string locationAt(const std::string &address, const std::string &requestId)
 {
-    return "http://" + address + "/v1/requests/" + requestId;
+    return "//" + address + "/v1/requests/" + requestId;
 }
 
 } // namespace
--- a/libraries/gateway/tests/simulated_caller.cpp
+++ b/libraries/gateway/tests/simulated_caller.cpp
@@ -205,7 +205,7 @@
     const auto type = headers.find(std::string_view("Content-Type"));
     if (status == status_see_other) {
         const std::string location = headers.find(std::string_view("Location"))->second;
-        const std::string host = location.substr(7, location.find('/', 7) - 7);
+        const std::string host = location.substr(2, location.find('/', 2) - 2);
         pickUp(endpoint::parse(host).value());
     } else if (type != headers.end() && type->second == "text/event-stream") {
         readEvents(body);
@@ -239,7 +239,7 @@
                     m_violation = "piece " + id + " came with two texts";
             } else if (event == "moved") {
                 const std::string location = json["location"].asString();
-                pickUp(endpoint::parse(location.substr(7, location.find('/', 7) - 7)).value());
+                pickUp(endpoint::parse(location.substr(2, location.find('/', 2) - 2)).value());
             } else if (event == "outcome") {
                 note(stringMember(json, "outcome"), stringMember(json, "cause"));
                 std::string text;
--- a/meta/demo.lua
+++ b/meta/demo.lua
@@ -51,8 +51,8 @@
         local part, answered, ids = deployment.read_stream(answer.body)
         text = text .. part
         if answered then return text, moves, tonumber(answer.body:match('"cost":([%d%.e%-]+)')) or 0 end
-        local location = answer.body:match('event: moved\ndata: .-"location":"http://([^"]+)"')
-            or (answer.headers.location or ""):match("http://(.+)")
+        local location = answer.body:match('event: moved\ndata: .-"location":"//([^"]+)"')
+            or (answer.headers.location or ""):match("^//(.+)")
         assert(location, "the stream ended without an outcome: " .. answer.body:sub(-300))
         moves = moves + 1
         local address, path = location:match("^([^/]+)(/.*)$")
--- a/tests/scenarios/lib/caller.lua
+++ b/tests/scenarios/lib/caller.lua
@@ -42,7 +42,7 @@
 
 function caller:follow(location)
     self.moves = self.moves + 1
-    self:pick_up(assert(location:match("^http://([^/]+)/"), "a location: " .. location))
+    self:pick_up(assert(location:match("^//([^/]+)/"), "a location: " .. location))
 end
 
 -- Tries again at the next node that is there.
