--- a/meta/measure.d/placement.sh
+++ b/meta/measure.d/placement.sh
@@ -3,7 +3,9 @@
 # upstreams (in virtual time, without transport), and what real planner processes take, active and idle.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-build=${BUILD_DIR:-build}
+build=${1:-build}
+results=${2:-}
+[ -z "$results" ] || exec > >(tee "$results/placement.txt")
 work=$(mktemp -d)
 started=()
 finish() {
--- a/utilities/measure-membership/main.cpp
+++ b/utilities/measure-membership/main.cpp
@@ -1,9 +1,8 @@
 #include "base/log_event.h"
 #include "measurement.h"
+#include "program/command_line.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <iostream>
 
@@ -13,11 +12,12 @@
 int main(int argc, char **argv)
 {
     using namespace ivypier::measurement;
-    absl::SetProgramUsageMessage(
-        "Measures membership and configuration in virtual time, with the real code.\n"
-        "Prints one line of key=value pairs for each size.\n\n"
-        "  measure-membership --what=gossip");
-    absl::ParseCommandLine(argc, argv);
+    ivypier::program::parseCommandLine(
+        {"measure-membership",
+         "Measures membership and configuration in virtual time, with the real code.\n"
+         "Prints one line of key=value pairs for each size.\n\n"
+         "  measure-membership --what=gossip"},
+        argc, argv);
     ivypier::configureLog("measure-membership", ivypier::log_level::error);
     const std::string what = absl::GetFlag(FLAGS_what);
     const std::uint64_t seed = absl::GetFlag(FLAGS_seed);
--- a/utilities/replay/main.cpp
+++ b/utilities/replay/main.cpp
@@ -2,12 +2,10 @@
 #include "experiments.h"
 #include "histograms.h"
 #include "live_pairs.h"
+#include "program/command_line.h"
 #include "virtual_replay.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 
 #include <fstream>
 #include <iostream>
@@ -128,12 +126,10 @@
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage("Replays traces in virtual time through the nodes' decisions.\n\n"
-                                 "  ivypier-replay --parameters tests/traces/ghana-postal.toml");
-    absl::FlagsUsageConfig usage;
-    usage.version_string = [] { return std::string("ivypier-replay ") + IVYPIER_VERSION + '\n'; };
-    absl::SetFlagsUsageConfig(usage);
-    absl::ParseCommandLine(argc, argv);
+    ivypier::program::parseCommandLine({"ivypier-replay",
+                                        "Replays traces in virtual time through the nodes' decisions.\n\n"
+                                        "  ivypier-replay --parameters tests/traces/ghana-postal.toml"},
+                                       argc, argv);
     ivypier::configureLog("ivypier-replay", ivypier::log_level::warning);
 
     if (!absl::GetFlag(FLAGS_live_node).empty())
