The measurement of configuration says when its document is not valid

Cause: since accounts may no longer share a key's digest, the measured document was refused, and the tool printed nothing and exited 0: meta/measure membership wrote a table without those lines.

Change: a digest for each account; a fault is printed and ends with 1.

--- a/utilities/measure-membership/configuration_measurement.cpp
+++ b/utilities/measure-membership/configuration_measurement.cpp
@@ -1,11 +1,15 @@
 #include "measurement.h"
 
+#include "base/secret.h"
+
 #include "configuration/document.h"
 #include "configuration/section_tree.h"
 
 #include <algorithm>
 #include <vector>
 
+#include <iostream>
+
 namespace ivypier::measurement {
 
 namespace {
@@ -24,8 +28,8 @@
             + "\"\nkind = \"plain\"\nanswer_ms = 300\nbudget_per_hour = 5.0\n";
     for (std::size_t index = 0; index < accounts; ++index)
         text += "\n[[client_accounts]]\nname = \"account-" + std::to_string(index) + "\"\nkey_sha256 = \""
-            + std::string(64, 'a') + "\"\nrequests_per_second = 10.0\nconcurrent_requests = 5\n"
-            + "services = [\"service-0\"]\n";
+            + sha256Hex("account-" + std::to_string(index))
+            + "\"\nrequests_per_second = 10.0\nconcurrent_requests = 5\n" + "services = [\"service-0\"]\n";
     for (std::size_t index = 0; index < upstreams; ++index)
         text += "\n[[upstreams]]\nname = \"runner-" + std::to_string(index) + "\"\nservice = \"service-"
             + std::to_string(index % services) + "\"\naddress = \"10." + std::to_string(index / 250) + ".0."
@@ -45,7 +49,7 @@
 
 } // namespace
 
-void measureConfiguration(std::size_t upstreams)
+bool measureConfiguration(std::size_t upstreams)
 {
     const std::string text = documentOf(upstreams);
     const document_objects before = splitDocument(text);
@@ -76,8 +80,10 @@
         begin = processorSeconds();
         const parsed_document parsed = parseDocument(whole.value());
         parsing += processorSeconds() - begin;
-        if (!std::holds_alternative<document>(parsed))
-            return;
+        if (const auto *faults = std::get_if<std::vector<settings_error>>(&parsed)) {
+            std::cerr << describe(faults->front(), "the measured document") << '\n';
+            return false;
+        }
     }
     figure_line("configuration")
         .with("upstreams", static_cast<double>(upstreams))
@@ -88,6 +94,7 @@
         .with("change_round_trips", levels / samples)
         .with("assemble_processor_seconds", applying / samples)
         .with("parse_processor_seconds", parsing / samples);
+    return true;
 }
 
 } // namespace ivypier::measurement
--- a/utilities/measure-membership/main.cpp
+++ b/utilities/measure-membership/main.cpp
@@ -23,6 +23,7 @@
     const std::uint64_t seed = absl::GetFlag(FLAGS_seed);
     const auto wanted = [&](const char *name) { return what == "all" || what == name; };
     bool any = false;
+    bool complete = true;
     if (wanted("gossip")) {
         any = true;
         for (const std::size_t members : {8, 50, 200, 800})
@@ -45,10 +46,10 @@
     if (wanted("configuration")) {
         any = true;
         for (const std::size_t upstreams : {10, 100, 500, 1200, 4800})
-            measureConfiguration(upstreams);
+            complete = measureConfiguration(upstreams) && complete;
     }
     if (any)
-        return 0;
+        return complete ? 0 : 1;
     std::cerr << "measure-membership: nothing is called \"" << what << "\" (see --help)\n";
     return 2;
 }
--- a/utilities/measure-membership/measurement.h
+++ b/utilities/measure-membership/measurement.h
@@ -39,7 +39,8 @@
 /// Full exchange with every seed, the baseline.
 void measureExchange(std::size_t members, std::uint64_t seed);
 
-/// One change of a document with this many upstreams: whole body against sections.
-void measureConfiguration(std::size_t upstreams);
+/// One change of a document with this many upstreams: whole body against sections. False, with the reason on
+/// standard error, when the document is not valid.
+bool measureConfiguration(std::size_t upstreams);
 
 } // namespace ivypier::measurement
