--- a/libraries/cloud/cloud_service.cpp
+++ b/libraries/cloud/cloud_service.cpp
@@ -1,6 +1,6 @@
-#include "platform/cloud_service.h"
+#include "cloud/cloud_service.h"
 
-namespace ivypier::platform {
+namespace ivypier::cloud {
 
 std::string_view name(vm_kind kind)
 {
@@ -12,4 +12,4 @@
     return state == vm_state::live ? "live" : "leaving";
 }
 
-} // namespace ivypier::platform
+} // namespace ivypier::cloud
--- a/libraries/cloud/cloud_service.h
+++ b/libraries/cloud/cloud_service.h
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace ivypier::platform {
+namespace ivypier::cloud {
 
 /// How a VM is paid for; a reclaimable one can be taken back after a notice.
 enum class vm_kind { reclaimable, on_demand };
@@ -93,4 +93,4 @@
         = 0;
 };
 
-} // namespace ivypier::platform
+} // namespace ivypier::cloud
--- a/libraries/cloud/http_platform.cpp
+++ b/libraries/cloud/http_platform.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_platform.h"
+#include "cloud/http_platform.h"
 
 #include "base/json.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace ivypier::platform {
+namespace ivypier::cloud {
 
 namespace {
 
@@ -269,4 +269,4 @@
          });
 }
 
-} // namespace ivypier::platform
+} // namespace ivypier::cloud
--- a/libraries/cloud/http_platform.h
+++ b/libraries/cloud/http_platform.h
@@ -2,16 +2,16 @@
 
 #include "base/scheduler.h"
 #include "http/client.h"
-#include "platform/cloud_service.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
-#include "platform/weight_store.h"
+#include "cloud/cloud_service.h"
+#include "cloud/object_store.h"
+#include "cloud/table_service.h"
+#include "cloud/weight_store.h"
 
 #include <json/value.h>
 
 #include <memory>
 
-namespace ivypier::platform {
+namespace ivypier::cloud {
 
 /// The platform's services over HTTP: `/table`, `/objects`, `/vms`, `/cloud`, `/weights` below one
 /// address.
@@ -51,4 +51,4 @@
     endpoint m_address;
 };
 
-} // namespace ivypier::platform
+} // namespace ivypier::cloud
--- a/libraries/cloud/object_store.h
+++ b/libraries/cloud/object_store.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <string>
 
-namespace ivypier::platform {
+namespace ivypier::cloud {
 
 /// The platform's object store. Objects here are named by their digest and never change, so that putting one
 /// again is harmless. Answers come as tasks of the caller's scheduler.
@@ -21,4 +21,4 @@
     virtual void put(const std::string &name, std::string content, put_completion done) = 0;
 };
 
-} // namespace ivypier::platform
+} // namespace ivypier::cloud
--- a/libraries/cloud/table_service.h
+++ b/libraries/cloud/table_service.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace ivypier::platform {
+namespace ivypier::cloud {
 
 /// A row of the table; `version` is 1 for a new row and grows by 1 with every write.
 struct table_row
@@ -45,4 +45,4 @@
         = 0;
 };
 
-} // namespace ivypier::platform
+} // namespace ivypier::cloud
--- a/libraries/cloud/weight_store.h
+++ b/libraries/cloud/weight_store.h
@@ -8,7 +8,7 @@
 #include <functional>
 #include <string>
 
-namespace ivypier::platform {
+namespace ivypier::cloud {
 
 /// The weight store's answer to a request for one delivery.
 struct weight_delivery
@@ -36,4 +36,4 @@
         = 0;
 };
 
-} // namespace ivypier::platform
+} // namespace ivypier::cloud
--- a/libraries/configuration/document_store.cpp
+++ b/libraries/configuration/document_store.cpp
@@ -26,7 +26,7 @@
     return writeJson(json);
 }
 
-outcome<document_head> decode(const platform::table_row &row)
+outcome<document_head> decode(const cloud::table_row &row)
 {
     const outcome<Json::Value> json = parseJson(row.value);
     if (!json)
@@ -75,7 +75,7 @@
     std::function<void(const transfer &)> done;
 };
 
-document_store::document_store(platform::table_service &table, platform::object_store &objects)
+document_store::document_store(cloud::table_service &table, cloud::object_store &objects)
     : m_table(table)
     , m_objects(objects)
 {
@@ -83,7 +83,7 @@
 
 void document_store::readHead(head_completion done)
 {
-    m_table.read(head_key, [done = std::move(done)](const outcome<std::optional<platform::table_row>> &read) {
+    m_table.read(head_key, [done = std::move(done)](const outcome<std::optional<cloud::table_row>> &read) {
         if (!read)
             done(read.error());
         else if (!read.value())
@@ -211,7 +211,7 @@
 {
     ++pending->writes;
     m_table.write(head_key, pending->base, encode(pending->next),
-                  [this, pending](const outcome<platform::table_row> &written) {
+                  [this, pending](const outcome<cloud::table_row> &written) {
                       if (written)
                           pending->done(decode(written.value()));
                       else
--- a/libraries/configuration/document_store.h
+++ b/libraries/configuration/document_store.h
@@ -2,8 +2,8 @@
 
 #include "base/outcome.h"
 #include "configuration/object_source.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "cloud/object_store.h"
+#include "cloud/table_service.h"
 
 #include <compare>
 #include <cstdint>
@@ -34,7 +34,7 @@
     using head_completion = std::function<void(outcome<document_head>)>;
     using body_completion = std::function<void(outcome<std::string>)>;
 
-    document_store(platform::table_service &table, platform::object_store &objects);
+    document_store(cloud::table_service &table, cloud::object_store &objects);
 
     void readHead(head_completion done);
 
@@ -63,8 +63,8 @@
     void settle(const submission_pointer &pending, const error &failure);
     void refuse(const submission_pointer &pending, const document_head &inForce);
 
-    platform::table_service &m_table;
-    platform::object_store &m_objects;
+    cloud::table_service &m_table;
+    cloud::object_store &m_objects;
 };
 
 } // namespace ivypier::configuration
--- a/libraries/configuration/tests/fake_platform.h
+++ b/libraries/configuration/tests/fake_platform.h
@@ -2,8 +2,8 @@
 
 #include "base/random_source.h"
 #include "base/scheduler.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "cloud/object_store.h"
+#include "cloud/table_service.h"
 
 #include <map>
 #include <string>
@@ -27,7 +27,7 @@
         time_point at;
     };
 
-    std::map<std::string, platform::table_row> rows;
+    std::map<std::string, cloud::table_row> rows;
     std::map<std::string, std::string> objects;
     std::vector<accepted_write> history; ///< every write of a row that took effect
     bool down = false;
@@ -39,7 +39,7 @@
 };
 
 /// One process's way to the platform. Answers come late, as tasks of its scheduler.
-class fake_platform_client final : public platform::table_service, public platform::object_store
+class fake_platform_client final : public cloud::table_service, public cloud::object_store
 {
 public:
     fake_platform_client(fake_platform &platform, scheduler &tasks)
@@ -53,7 +53,7 @@
         if (refuse(done))
             return;
         const auto found = m_platform.rows.find(key);
-        outcome<std::optional<platform::table_row>> answer
+        outcome<std::optional<cloud::table_row>> answer
             = found == m_platform.rows.end() ? std::nullopt : std::optional(found->second);
         later([done = std::move(done), answer] { done(answer); });
     }
@@ -68,7 +68,7 @@
     {
         if (refuse(done))
             return;
-        platform::table_row &row = m_platform.rows[key];
+        cloud::table_row &row = m_platform.rows[key];
         if (row.version != expected) {
             later([done = std::move(done)] { done(error{error_code::conflict, "another version"}); });
             return;
--- a/libraries/console/tests/fake_platform.h
+++ b/libraries/console/tests/fake_platform.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "cloud/object_store.h"
+#include "cloud/table_service.h"
 
 #include <functional>
 #include <map>
@@ -9,7 +9,7 @@
 namespace ivypier::console::tests {
 
 /// A table and an object store in memory, with the faults that matter to a submission.
-class fake_platform final : public platform::table_service, public platform::object_store
+class fake_platform final : public cloud::table_service, public cloud::object_store
 {
 public:
     bool down = false;
@@ -28,7 +28,7 @@
 
     void list(const std::string &, list_completion done) override
     {
-        done(std::vector<platform::table_row>());
+        done(std::vector<cloud::table_row>());
     }
 
     void write(const std::string &key, std::uint64_t expected, const std::string &value,
@@ -71,7 +71,7 @@
     void apply(const std::string &key, std::uint64_t expected, const std::string &value,
                const write_completion &done)
     {
-        platform::table_row &row = m_rows[key];
+        cloud::table_row &row = m_rows[key];
         if (row.version != expected) {
             done(error{error_code::conflict, key});
             return;
@@ -85,7 +85,7 @@
         done(row);
     }
 
-    std::map<std::string, platform::table_row> m_rows;
+    std::map<std::string, cloud::table_row> m_rows;
     std::map<std::string, std::string> m_objects;
     std::vector<std::function<void()>> m_held;
 };
--- a/libraries/gateway/tests/simulated_fleet.cpp
+++ b/libraries/gateway/tests/simulated_fleet.cpp
@@ -283,18 +283,18 @@
 void simulated_table::read(const std::string &key, read_completion done)
 {
     const auto found = m_rows.find(key);
-    done(found == m_rows.end() ? std::optional<platform::table_row>() : std::optional(found->second));
+    done(found == m_rows.end() ? std::optional<cloud::table_row>() : std::optional(found->second));
 }
 
 void simulated_table::list(const std::string &, list_completion done)
 {
-    done(std::vector<platform::table_row>());
+    done(std::vector<cloud::table_row>());
 }
 
 void simulated_table::write(const std::string &key, std::uint64_t expected, const std::string &value,
                             write_completion done)
 {
-    platform::table_row &row = m_rows[key];
+    cloud::table_row &row = m_rows[key];
     if (row.version != expected) {
         done(error{error_code::conflict, "another version"});
         return;
--- a/libraries/gateway/tests/simulated_fleet.h
+++ b/libraries/gateway/tests/simulated_fleet.h
@@ -74,7 +74,7 @@
 };
 
 /// A table that always answers.
-class simulated_table final : public platform::table_service
+class simulated_table final : public cloud::table_service
 {
 public:
     void read(const std::string &key, read_completion done) override;
@@ -83,7 +83,7 @@
                write_completion done) override;
 
 private:
-    std::map<std::string, platform::table_row> m_rows;
+    std::map<std::string, cloud::table_row> m_rows;
 };
 
 /// Repeats at once, a few times: faults are common here, and a retry budget would hide what follows them.
--- a/libraries/membership/tests/vm_watch_test.cpp
+++ b/libraries/membership/tests/vm_watch_test.cpp
@@ -13,10 +13,10 @@
 namespace {
 
 /// A cloud with the list and the notices that a test puts in; down: every answer is an error.
-class fake_cloud final : public platform::cloud_service
+class fake_cloud final : public cloud::cloud_service
 {
 public:
-    void listVms(std::function<void(outcome<std::vector<platform::vm_record>>)> done) override
+    void listVms(std::function<void(outcome<std::vector<cloud::vm_record>>)> done) override
     {
         ++reads;
         if (down)
@@ -26,7 +26,7 @@
     }
 
     void listNotices(const std::string &,
-                     std::function<void(outcome<std::vector<platform::reclaim_notice>>)> done) override
+                     std::function<void(outcome<std::vector<cloud::reclaim_notice>>)> done) override
     {
         ++reads;
         if (down)
@@ -35,26 +35,26 @@
             done(notices);
     }
 
-    void listPrices(std::function<void(outcome<std::vector<platform::vm_price>>)>) override
+    void listPrices(std::function<void(outcome<std::vector<cloud::vm_price>>)>) override
     {
     }
-    void startVm(const platform::vm_order &, std::function<void(outcome<platform::vm_record>)>) override
+    void startVm(const cloud::vm_order &, std::function<void(outcome<cloud::vm_record>)>) override
     {
     }
     void releaseVm(const std::string &, duration, std::function<void(outcome<void>)>) override
     {
     }
 
-    std::vector<platform::vm_record> vms;
-    std::vector<platform::reclaim_notice> notices;
+    std::vector<cloud::vm_record> vms;
+    std::vector<cloud::reclaim_notice> notices;
     std::size_t reads = 0;
     bool down = false;
 };
 
-platform::vm_record runner(const std::string &id, const endpoint &address)
+cloud::vm_record runner(const std::string &id, const endpoint &address)
 {
     return {
-        id, "tariff", address, "hall-a", "small", platform::vm_kind::reclaimable, platform::vm_state::live};
+        id, "tariff", address, "hall-a", "small", cloud::vm_kind::reclaimable, cloud::vm_state::live};
 }
 
 struct watched_fleet
--- a/libraries/membership/vm_watch.cpp
+++ b/libraries/membership/vm_watch.cpp
@@ -40,7 +40,7 @@
     pollNotices();
 }
 
-const std::vector<platform::vm_record> &vm_watch::vms() const
+const std::vector<cloud::vm_record> &vm_watch::vms() const
 {
     return m_vms;
 }
@@ -79,7 +79,7 @@
 
 void vm_watch::pollVms()
 {
-    m_parts.cloud.listVms([this](const outcome<std::vector<platform::vm_record>> &listed) {
+    m_parts.cloud.listVms([this](const outcome<std::vector<cloud::vm_record>> &listed) {
         if (listed)
             takeVms(listed.value());
         m_parts.tasks.after(interval(list_reads_per_second), [this] { pollVms(); });
@@ -88,7 +88,7 @@
 
 void vm_watch::pollNotices()
 {
-    m_parts.cloud.listNotices("", [this](const outcome<std::vector<platform::reclaim_notice>> &notices) {
+    m_parts.cloud.listNotices("", [this](const outcome<std::vector<cloud::reclaim_notice>> &notices) {
         if (notices)
             takeNotices(notices.value());
         m_parts.tasks.after(interval(notice_reads_per_second), [this] { pollNotices(); });
@@ -102,12 +102,12 @@
     return fromSeconds(mean * (0.5 + m_parts.randomness.uniform()));
 }
 
-void vm_watch::takeVms(std::vector<platform::vm_record> listed)
+void vm_watch::takeVms(std::vector<cloud::vm_record> listed)
 {
     for (const auto &observer : m_answerObservers)
         observer();
-    for (const platform::vm_record &each : listed) {
-        if (each.state == platform::vm_state::leaving)
+    for (const cloud::vm_record &each : listed) {
+        if (each.state == cloud::vm_state::leaving)
             publishLeaving(each.address, each.id);
         else
             takeBack(each);
@@ -119,12 +119,12 @@
         observer();
 }
 
-void vm_watch::takeNotices(const std::vector<platform::reclaim_notice> &notices)
+void vm_watch::takeNotices(const std::vector<cloud::reclaim_notice> &notices)
 {
     for (const auto &observer : m_answerObservers)
         observer();
     m_noticed.clear();
-    for (const platform::reclaim_notice &each : notices) {
+    for (const cloud::reclaim_notice &each : notices) {
         m_noticed.insert(each.vm);
         if (const std::optional<endpoint> address = addressOf(each.vm))
             publishLeaving(*address, each.vm);
@@ -139,7 +139,7 @@
     m_parts.members.publish({keyOf(upstream), known ? known->version + 1 : 1, vm});
 }
 
-void vm_watch::takeBack(const platform::vm_record &live)
+void vm_watch::takeBack(const cloud::vm_record &live)
 {
     const std::optional<fact> known = m_parts.members.findFact(keyOf(live.address));
     if (!known || known->value.empty() || known->value == live.id || known->value == own_word)
@@ -154,7 +154,7 @@
 std::optional<endpoint> vm_watch::addressOf(const std::string &vm) const
 {
     const auto listed = std::find_if(m_vms.begin(), m_vms.end(),
-                                     [&](const platform::vm_record &each) { return each.id == vm; });
+                                     [&](const cloud::vm_record &each) { return each.id == vm; });
     if (listed != m_vms.end())
         return listed->address;
     const auto named = m_named.find(vm);
--- a/libraries/membership/vm_watch.h
+++ b/libraries/membership/vm_watch.h
@@ -3,7 +3,7 @@
 #include "base/random_source.h"
 #include "base/scheduler.h"
 #include "membership/membership_view.h"
-#include "platform/cloud_service.h"
+#include "cloud/cloud_service.h"
 
 #include <functional>
 #include <map>
@@ -18,7 +18,7 @@
 {
     scheduler &tasks;
     random_source &randomness;
-    platform::cloud_service &cloud;
+    cloud::cloud_service &cloud;
     membership_view &members;
     std::function<std::size_t()> fleetSize; ///< nodes that poll as this one does
 };
@@ -35,7 +35,7 @@
     void start();
 
     /// The VMs as they were last listed.
-    const std::vector<platform::vm_record> &vms() const;
+    const std::vector<cloud::vm_record> &vms() const;
 
     /// Addresses of upstreams that the configuration names, by name; a notice may be for one of them.
     void setNamedUpstreams(std::map<std::string, endpoint> upstreams);
@@ -59,14 +59,14 @@
     void pollVms();
     void pollNotices();
     duration interval(double fleetReadsPerSecond) const;
-    void takeVms(std::vector<platform::vm_record> listed);
-    void takeNotices(const std::vector<platform::reclaim_notice> &notices);
+    void takeVms(std::vector<cloud::vm_record> listed);
+    void takeNotices(const std::vector<cloud::reclaim_notice> &notices);
     void publishLeaving(const endpoint &upstream, const std::string &vm);
-    void takeBack(const platform::vm_record &live);
+    void takeBack(const cloud::vm_record &live);
     std::optional<endpoint> addressOf(const std::string &vm) const;
 
     vm_watch_parts m_parts;
-    std::vector<platform::vm_record> m_vms;
+    std::vector<cloud::vm_record> m_vms;
     std::map<std::string, endpoint> m_named;
     std::set<std::string> m_noticed; ///< VMs with a notice, as of the last answer
     std::vector<std::function<void()>> m_vmObservers;
--- a/libraries/placement/capacity_keeper.cpp
+++ b/libraries/placement/capacity_keeper.cpp
@@ -55,7 +55,7 @@
 void capacity_keeper::readRecord(std::uint64_t turn)
 {
     m_parts.table.read(
-        "placement/" + m_service.name, [this, turn](const outcome<std::optional<platform::table_row>> &read) {
+        "placement/" + m_service.name, [this, turn](const outcome<std::optional<cloud::table_row>> &read) {
             if (!current(turn) || !read)
                 return;
             m_recordVersion = read.value() ? read.value()->version : 0;
@@ -71,21 +71,21 @@
 
 void capacity_keeper::readVms(std::uint64_t turn)
 {
-    m_parts.cloud.listVms([this, turn](const outcome<std::vector<platform::vm_record>> &listed) {
+    m_parts.cloud.listVms([this, turn](const outcome<std::vector<cloud::vm_record>> &listed) {
         if (current(turn) && listed)
             readNotices(turn, listed.value());
     });
 }
 
-void capacity_keeper::readNotices(std::uint64_t turn, std::vector<platform::vm_record> vms)
+void capacity_keeper::readNotices(std::uint64_t turn, std::vector<cloud::vm_record> vms)
 {
     m_parts.cloud.listNotices(
         "",
-        [this, turn, vms = std::move(vms)](const outcome<std::vector<platform::reclaim_notice>> &notices) {
+        [this, turn, vms = std::move(vms)](const outcome<std::vector<cloud::reclaim_notice>> &notices) {
             if (!current(turn))
                 return;
-            for (const platform::reclaim_notice &each :
-                 notices ? notices.value() : std::vector<platform::reclaim_notice>())
+            for (const cloud::reclaim_notice &each :
+                 notices ? notices.value() : std::vector<cloud::reclaim_notice>())
                 m_noticed.insert(each.vm);
             readPrices(turn, stockOf(vms));
         });
@@ -93,21 +93,21 @@
 
 void capacity_keeper::readPrices(std::uint64_t turn, const stock &have)
 {
-    m_parts.cloud.listPrices([this, turn, have](const outcome<std::vector<platform::vm_price>> &prices) {
+    m_parts.cloud.listPrices([this, turn, have](const outcome<std::vector<cloud::vm_price>> &prices) {
         if (!current(turn) || !m_record) // a write that failed meanwhile drops the record
             return;
-        for (const platform::vm_price &each : prices ? prices.value() : std::vector<platform::vm_price>())
+        for (const cloud::vm_price &each : prices ? prices.value() : std::vector<cloud::vm_price>())
             m_prices[{each.failureDomain, each.machineClass, each.kind}] = each.perHour;
         decide(have);
     });
 }
 
-capacity_keeper::stock capacity_keeper::stockOf(const std::vector<platform::vm_record> &vms) const
+capacity_keeper::stock capacity_keeper::stockOf(const std::vector<cloud::vm_record> &vms) const
 {
     stock have;
-    for (const platform::vm_record &each : vms) {
+    for (const cloud::vm_record &each : vms) {
         have.listed.insert(each.id);
-        const bool stays = each.state == platform::vm_state::live && !m_noticed.contains(each.id)
+        const bool stays = each.state == cloud::vm_state::live && !m_noticed.contains(each.id)
             && !m_released.contains(each.id);
         if (each.role == m_service.name && stays)
             have.live[{each.failureDomain, each.machineClass, each.kind}].push_back(each.id);
@@ -274,7 +274,7 @@
     const std::uint64_t tenure = m_tenure;
     m_recordChanged = false;
     m_parts.table.write("placement/" + m_service.name, m_recordVersion, m_record->encode(),
-                        [this, turn, tenure](const outcome<platform::table_row> &written) {
+                        [this, turn, tenure](const outcome<cloud::table_row> &written) {
                             if (tenure != m_tenure)
                                 return;
                             if (!written) {
@@ -292,16 +292,16 @@
     for (const pending_start &each : m_record->pending) {
         if (m_started.contains(each.token) || !m_ordering.insert(each.token).second)
             continue;
-        const platform::vm_order order{each.token, m_service.name, each.type.failureDomain,
+        const cloud::vm_order order{each.token, m_service.name, each.type.failureDomain,
                                        each.type.machineClass, each.type.kind};
-        m_parts.cloud.startVm(order, [this, each](const outcome<platform::vm_record> &answer) {
+        m_parts.cloud.startVm(order, [this, each](const outcome<cloud::vm_record> &answer) {
             m_ordering.erase(each.token);
             onStarted(each, answer);
         });
     }
 }
 
-void capacity_keeper::onStarted(const pending_start &ordered, const outcome<platform::vm_record> &answer)
+void capacity_keeper::onStarted(const pending_start &ordered, const outcome<cloud::vm_record> &answer)
 {
     m_parts.metrics.add("ivypier_vm_starts_total",
                         {{"service", m_service.name},
@@ -324,7 +324,7 @@
         .with("service", m_service.name)
         .with("failure_domain", ordered.type.failureDomain)
         .with("machine_class", ordered.type.machineClass)
-        .with("kind", platform::name(ordered.type.kind))
+        .with("kind", cloud::name(ordered.type.kind))
         .write();
 }
 
--- a/libraries/placement/capacity_keeper.h
+++ b/libraries/placement/capacity_keeper.h
@@ -9,8 +9,8 @@
 #include "placement/mix_policy.h"
 #include "placement/start_backoff.h"
 #include "placement/start_record.h"
-#include "platform/cloud_service.h"
-#include "platform/table_service.h"
+#include "cloud/cloud_service.h"
+#include "cloud/table_service.h"
 
 #include <compare>
 #include <map>
@@ -68,8 +68,8 @@
     {
         scheduler &tasks;
         random_source &randomness;
-        platform::table_service &table;
-        platform::cloud_service &cloud;
+        cloud::table_service &table;
+        cloud::cloud_service &cloud;
         const demand_source &demand;
         const mix_policy &policy;
         const duty &permission;
@@ -96,10 +96,10 @@
     void turn();
     void readRecord(std::uint64_t turn);
     void readVms(std::uint64_t turn);
-    void readNotices(std::uint64_t turn, std::vector<platform::vm_record> vms);
+    void readNotices(std::uint64_t turn, std::vector<cloud::vm_record> vms);
     void readPrices(std::uint64_t turn, const stock &have);
     void decide(const stock &have);
-    stock stockOf(const std::vector<platform::vm_record> &vms) const;
+    stock stockOf(const std::vector<cloud::vm_record> &vms) const;
     void settle(const stock &have);
     mix_question question(const stock &have);
     double planned();
@@ -109,7 +109,7 @@
     void release(const stock &have);
     void writeRecord();
     void orderPending();
-    void onStarted(const pending_start &ordered, const outcome<platform::vm_record> &answer);
+    void onStarted(const pending_start &ordered, const outcome<cloud::vm_record> &answer);
     void report(const mix_question &asked, const stock &have);
     bool current(std::uint64_t turn) const;
 
--- a/libraries/placement/cheapest_mix.cpp
+++ b/libraries/placement/cheapest_mix.cpp
@@ -33,7 +33,7 @@
     supplies result;
     for (const vm_offer &each : question.offers) {
         if (each.requestsPerSecond <= 0.0
-            || (options.onDemandOnly && each.type.kind != platform::vm_kind::on_demand))
+            || (options.onDemandOnly && each.type.kind != cloud::vm_kind::on_demand))
             continue;
         std::vector<supply> &domain = result[each.type.failureDomain];
         const auto most = static_cast<std::uint32_t>(std::ceil(demand / each.requestsPerSecond)) + 1;
--- a/libraries/placement/lease.cpp
+++ b/libraries/placement/lease.cpp
@@ -20,7 +20,7 @@
     return writeJson(json);
 }
 
-std::string holderIn(const platform::table_row &row)
+std::string holderIn(const cloud::table_row &row)
 {
     const outcome<Json::Value> json = parseJson(row.value);
     return json ? stringMember(json.value(), "holder") : "";
@@ -33,7 +33,7 @@
 
 } // namespace
 
-lease_keeper::lease_keeper(scheduler &tasks, platform::table_service &table, std::string name,
+lease_keeper::lease_keeper(scheduler &tasks, cloud::table_service &table, std::string name,
                            std::string holder, duration term)
     : m_tasks(tasks)
     , m_table(table)
@@ -102,7 +102,7 @@
     m_busy = true;
     m_busySince = startedAt;
     m_table.read(m_key,
-                 [this, startedAt, operation](const outcome<std::optional<platform::table_row>> &read) {
+                 [this, startedAt, operation](const outcome<std::optional<cloud::table_row>> &read) {
                      if (operation != m_operation)
                          return;
                      m_busy = false;
@@ -110,7 +110,7 @@
                  });
 }
 
-void lease_keeper::onRead(const outcome<std::optional<platform::table_row>> &read, time_point startedAt)
+void lease_keeper::onRead(const outcome<std::optional<cloud::table_row>> &read, time_point startedAt)
 {
     if (m_releasing) {
         giveUp(release_attempts);
@@ -126,7 +126,7 @@
     observe(*read.value(), startedAt);
 }
 
-void lease_keeper::observe(const platform::table_row &row, time_point startedAt)
+void lease_keeper::observe(const cloud::table_row &row, time_point startedAt)
 {
     const std::optional<pending_write> pending = std::exchange(m_pending, std::nullopt);
     const std::string holder = holderIn(row);
@@ -163,7 +163,7 @@
     m_busy = true;
     m_busySince = m_pending->startedAt;
     m_table.write(m_key, expected, m_pending->value,
-                  [this, operation, tenure](const outcome<platform::table_row> &written) {
+                  [this, operation, tenure](const outcome<cloud::table_row> &written) {
                       if (operation != m_operation)
                           return;
                       m_busy = false;
@@ -171,7 +171,7 @@
                   });
 }
 
-void lease_keeper::onWritten(const outcome<platform::table_row> &written, std::uint64_t tenure)
+void lease_keeper::onWritten(const outcome<cloud::table_row> &written, std::uint64_t tenure)
 {
     if (m_releasing) {
         giveUp(release_attempts);
@@ -224,7 +224,7 @@
         released();
         return;
     }
-    m_table.read(m_key, [this, attempts](const outcome<std::optional<platform::table_row>> &read) {
+    m_table.read(m_key, [this, attempts](const outcome<std::optional<cloud::table_row>> &read) {
         if (read && (!read.value() || holderIn(*read.value()) != m_holder)) {
             released();
             return;
@@ -234,7 +234,7 @@
             return;
         }
         m_table.write(m_key, read.value()->version, encode("", ++m_writes),
-                      [this, attempts](const outcome<platform::table_row> &written) {
+                      [this, attempts](const outcome<cloud::table_row> &written) {
                           if (written)
                               released();
                           else
--- a/libraries/placement/lease.h
+++ b/libraries/placement/lease.h
@@ -2,7 +2,7 @@
 
 #include "base/scheduler.h"
 #include "placement/duty.h"
-#include "platform/table_service.h"
+#include "cloud/table_service.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,7 +27,7 @@
 {
 public:
     /// `holder` names this incarnation of this process and no other.
-    lease_keeper(scheduler &tasks, platform::table_service &table, std::string name, std::string holder,
+    lease_keeper(scheduler &tasks, cloud::table_service &table, std::string name, std::string holder,
                  duration term);
 
     /// Starts to acquire the lease, and to renew it once it is held.
@@ -58,17 +58,17 @@
 
     void turn();
     void readRow();
-    void onRead(const outcome<std::optional<platform::table_row>> &read, time_point startedAt);
-    void observe(const platform::table_row &row, time_point startedAt);
+    void onRead(const outcome<std::optional<cloud::table_row>> &read, time_point startedAt);
+    void observe(const cloud::table_row &row, time_point startedAt);
     void write(std::uint64_t expected, std::uint64_t tenure);
-    void onWritten(const outcome<platform::table_row> &written, std::uint64_t tenure);
+    void onWritten(const outcome<cloud::table_row> &written, std::uint64_t tenure);
     void take(std::uint64_t version, std::uint64_t tenure, time_point startedAt);
     void giveUp(int attempts);
     void released();
     bool lapsed() const;
 
     scheduler &m_tasks;
-    platform::table_service &m_table;
+    cloud::table_service &m_table;
     std::string m_name;
     std::string m_key;
     std::string m_holder;
--- a/libraries/placement/order_keeper.cpp
+++ b/libraries/placement/order_keeper.cpp
@@ -169,10 +169,10 @@
     if (!m_wanted.adapter.empty())
         name += '+' + m_wanted.adapter;
     m_parts.weights.requestDelivery(
-        name, [this, id](const outcome<platform::weight_delivery> &answer) { onDelivery(id, answer); });
+        name, [this, id](const outcome<cloud::weight_delivery> &answer) { onDelivery(id, answer); });
 }
 
-void order_keeper::onDelivery(const std::string &id, const outcome<platform::weight_delivery> &answer)
+void order_keeper::onDelivery(const std::string &id, const outcome<cloud::weight_delivery> &answer)
 {
     m_weightsAsked = false;
     runner_state *state = find(id);
--- a/libraries/placement/order_keeper.h
+++ b/libraries/placement/order_keeper.h
@@ -5,7 +5,7 @@
 #include "base/scheduler.h"
 #include "configuration/document.h"
 #include "placement/duty.h"
-#include "platform/weight_store.h"
+#include "cloud/weight_store.h"
 #include "upstream/model_engine.h"
 
 #include <compare>
@@ -65,7 +65,7 @@
         scheduler &tasks;
         random_source &randomness;
         upstream::model_engine &engines;
-        platform::weight_store &weights;
+        cloud::weight_store &weights;
         const duty &permission;
         metrics_registry &metrics;
     };
@@ -103,7 +103,7 @@
     void compare(const std::string &id);
     void load(const std::string &id, runner_state &state);
     void askForWeights(const std::string &id);
-    void onDelivery(const std::string &id, const outcome<platform::weight_delivery> &answer);
+    void onDelivery(const std::string &id, const outcome<cloud::weight_delivery> &answer);
     void order(const std::string &id, runner_state &state, upstream::engine_order wanted, bool loads);
     void onOrdered(const std::string &id, const lease &under, bool loads, const outcome<void> &answer);
     bool matches(const upstream::engine_load &load) const;
--- a/libraries/placement/start_record.cpp
+++ b/libraries/placement/start_record.cpp
@@ -14,7 +14,7 @@
         entry["token"] = each.token;
         entry["failure_domain"] = each.type.failureDomain;
         entry["machine_class"] = each.type.machineClass;
-        entry["kind"] = std::string(platform::name(each.type.kind));
+        entry["kind"] = std::string(cloud::name(each.type.kind));
         json["pending"].append(entry);
     }
     return writeJson(json);
@@ -30,11 +30,11 @@
     start_record result;
     result.nextToken = unsignedMember(json.value(), "next_token", 1);
     for (const Json::Value &each : json.value()["pending"]) {
-        const bool onDemand = stringMember(each, "kind") == platform::name(platform::vm_kind::on_demand);
+        const bool onDemand = stringMember(each, "kind") == cloud::name(cloud::vm_kind::on_demand);
         result.pending.push_back(
             {stringMember(each, "token"),
              {stringMember(each, "failure_domain"), stringMember(each, "machine_class"),
-              onDemand ? platform::vm_kind::on_demand : platform::vm_kind::reclaimable}});
+              onDemand ? cloud::vm_kind::on_demand : cloud::vm_kind::reclaimable}});
     }
     return result;
 }
--- a/libraries/placement/tests/capacity_keeper_test.cpp
+++ b/libraries/placement/tests/capacity_keeper_test.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using platform::vm_kind;
+using cloud::vm_kind;
 
 constexpr std::uint64_t seeds = 200;
 
@@ -138,7 +138,7 @@
             return type.failureDomain == "a"
                 || (type.failureDomain == "b" && type.kind == vm_kind::reclaimable);
         };
-        run.cloud.reclaim(30s, [](const platform::vm_record &vm) { return vm.failureDomain == "a"; });
+        run.cloud.reclaim(30s, [](const cloud::vm_record &vm) { return vm.failureDomain == "a"; });
         run.world.advance(15min);
         const auto live = run.cloud.liveByDomain();
         REQUIRE(live.at("b") * 4.0 >= 39.0);
--- a/libraries/placement/tests/cheapest_mix_test.cpp
+++ b/libraries/placement/tests/cheapest_mix_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-using platform::vm_kind;
+using cloud::vm_kind;
 
 constexpr std::uint64_t seeds = 1000;
 
--- a/libraries/placement/tests/demand_test.cpp
+++ b/libraries/placement/tests/demand_test.cpp
@@ -81,7 +81,7 @@
 {
     start_record record;
     record.nextToken = 7;
-    record.pending = {{"tariff-3-6", {"a", "small", platform::vm_kind::on_demand}}};
+    record.pending = {{"tariff-3-6", {"a", "small", cloud::vm_kind::on_demand}}};
     REQUIRE(start_record::decode(record.encode()).value() == record);
     REQUIRE_FALSE(start_record::decode("[]"));
     REQUIRE_FALSE(start_record::decode("nonsense"));
--- a/libraries/placement/tests/fake_cloud.h
+++ b/libraries/placement/tests/fake_cloud.h
@@ -4,7 +4,7 @@
 #include "base/scheduler.h"
 #include "placement/demand_source.h"
 #include "placement/vm_type.h"
-#include "platform/cloud_service.h"
+#include "cloud/cloud_service.h"
 
 #include <deque>
 #include <functional>
@@ -24,7 +24,7 @@
     {
     }
 
-    outcome<platform::vm_record> start(const platform::vm_order &order)
+    outcome<cloud::vm_record> start(const cloud::vm_order &order)
     {
         const auto known = byToken.find(order.token);
         if (known != byToken.end())
@@ -34,13 +34,13 @@
             ++refusals;
             return error{error_code::refused, "none to give"};
         }
-        platform::vm_record vm{"vm" + std::to_string(++started),
+        cloud::vm_record vm{"vm" + std::to_string(++started),
                                order.role,
                                {"127.0.0.1", 1},
                                order.failureDomain,
                                order.machineClass,
                                order.kind,
-                               platform::vm_state::live};
+                               cloud::vm_state::live};
         byToken.emplace(order.token, vm);
         tasks.after(startTime, [this, vm] {
             vms[vm.id] = vm;
@@ -54,7 +54,7 @@
         const auto found = vms.find(vm);
         if (found == vms.end())
             return;
-        found->second.state = platform::vm_state::leaving;
+        found->second.state = cloud::vm_state::leaving;
         record();
         tasks.after(notice, [this, vm] {
             vms.erase(vm);
@@ -64,11 +64,11 @@
     }
 
     /// Takes back every VM for which `chosen` is true, with a notice.
-    void reclaim(duration notice, const std::function<bool(const platform::vm_record &)> &chosen)
+    void reclaim(duration notice, const std::function<bool(const cloud::vm_record &)> &chosen)
     {
         std::vector<std::string> ids;
         for (const auto &[id, vm] : vms) {
-            if (vm.state == platform::vm_state::live && chosen(vm))
+            if (vm.state == cloud::vm_state::live && chosen(vm))
                 ids.push_back(id);
         }
         for (const std::string &id : ids) {
@@ -79,7 +79,7 @@
 
     void record()
     {
-        std::vector<platform::vm_record> list;
+        std::vector<cloud::vm_record> list;
         for (const auto &[id, vm] : vms)
             list.push_back(vm);
         history.push_back({tasks.now(), std::move(list)});
@@ -87,9 +87,9 @@
             history.pop_front();
     }
 
-    std::vector<platform::vm_record> list() const
+    std::vector<cloud::vm_record> list() const
     {
-        std::vector<platform::vm_record> shown;
+        std::vector<cloud::vm_record> shown;
         for (const auto &[at, each] : history) {
             if (at + listLag <= tasks.now())
                 shown = each;
@@ -101,7 +101,7 @@
     {
         std::size_t count = 0;
         for (const auto &[id, vm] : vms)
-            count += vm.state == platform::vm_state::live ? 1 : 0;
+            count += vm.state == cloud::vm_state::live ? 1 : 0;
         return count;
     }
 
@@ -109,18 +109,18 @@
     {
         std::map<std::string, std::size_t> count;
         for (const auto &[id, vm] : vms)
-            count[vm.failureDomain] += vm.state == platform::vm_state::live ? 1 : 0;
+            count[vm.failureDomain] += vm.state == cloud::vm_state::live ? 1 : 0;
         return count;
     }
 
     scheduler &tasks;
     random_source &randomness;
     std::map<vm_type, double> prices;
-    std::map<std::string, platform::vm_record> vms;
-    std::map<std::string, platform::vm_record> byToken;
+    std::map<std::string, cloud::vm_record> vms;
+    std::map<std::string, cloud::vm_record> byToken;
     std::set<std::string> notices;
     std::function<bool(const vm_type &)> refuses;
-    std::deque<std::pair<time_point, std::vector<platform::vm_record>>> history;
+    std::deque<std::pair<time_point, std::vector<cloud::vm_record>>> history;
     std::size_t started = 0;
     std::size_t refusals = 0;
     duration startTime = std::chrono::seconds(60);
@@ -129,7 +129,7 @@
 };
 
 /// One process's way to the cloud.
-class fake_cloud_client final : public platform::cloud_service
+class fake_cloud_client final : public cloud::cloud_service
 {
 public:
     fake_cloud_client(scheduler &process, fake_cloud &cloud)
@@ -138,17 +138,17 @@
     {
     }
 
-    void listVms(std::function<void(outcome<std::vector<platform::vm_record>>)> done) override
+    void listVms(std::function<void(outcome<std::vector<cloud::vm_record>>)> done) override
     {
-        call<std::vector<platform::vm_record>>(
-            [this]() -> outcome<std::vector<platform::vm_record>> { return m_cloud.list(); }, done);
+        call<std::vector<cloud::vm_record>>(
+            [this]() -> outcome<std::vector<cloud::vm_record>> { return m_cloud.list(); }, done);
     }
 
-    void listPrices(std::function<void(outcome<std::vector<platform::vm_price>>)> done) override
+    void listPrices(std::function<void(outcome<std::vector<cloud::vm_price>>)> done) override
     {
-        call<std::vector<platform::vm_price>>(
-            [this]() -> outcome<std::vector<platform::vm_price>> {
-                std::vector<platform::vm_price> prices;
+        call<std::vector<cloud::vm_price>>(
+            [this]() -> outcome<std::vector<cloud::vm_price>> {
+                std::vector<cloud::vm_price> prices;
                 for (const auto &[type, price] : m_cloud.prices)
                     prices.push_back({type.failureDomain, type.machineClass, type.kind, price});
                 return prices;
@@ -156,10 +156,10 @@
             done);
     }
 
-    void startVm(const platform::vm_order &order,
-                 std::function<void(outcome<platform::vm_record>)> done) override
+    void startVm(const cloud::vm_order &order,
+                 std::function<void(outcome<cloud::vm_record>)> done) override
     {
-        call<platform::vm_record>([this, order] { return m_cloud.start(order); }, done);
+        call<cloud::vm_record>([this, order] { return m_cloud.start(order); }, done);
     }
 
     void releaseVm(const std::string &id, duration notice, std::function<void(outcome<void>)> done) override
@@ -173,11 +173,11 @@
     }
 
     void listNotices(const std::string &,
-                     std::function<void(outcome<std::vector<platform::reclaim_notice>>)> done) override
+                     std::function<void(outcome<std::vector<cloud::reclaim_notice>>)> done) override
     {
-        call<std::vector<platform::reclaim_notice>>(
-            [this]() -> outcome<std::vector<platform::reclaim_notice>> {
-                std::vector<platform::reclaim_notice> list;
+        call<std::vector<cloud::reclaim_notice>>(
+            [this]() -> outcome<std::vector<cloud::reclaim_notice>> {
+                std::vector<cloud::reclaim_notice> list;
                 for (const std::string &vm : m_cloud.notices)
                     list.push_back({vm, 1000});
                 return list;
--- a/libraries/placement/tests/fake_engines.h
+++ b/libraries/placement/tests/fake_engines.h
@@ -2,7 +2,7 @@
 
 #include "base/random_source.h"
 #include "base/scheduler.h"
-#include "platform/weight_store.h"
+#include "cloud/weight_store.h"
 #include "upstream/model_engine.h"
 
 #include <map>
@@ -169,7 +169,7 @@
 };
 
 /// A weight store that grants one delivery in every `interval` and counts requests inside a wait it gave.
-class fake_weight_store final : public platform::weight_store
+class fake_weight_store final : public cloud::weight_store
 {
 public:
     explicit fake_weight_store(scheduler &tasks)
@@ -178,12 +178,12 @@
     }
 
     void requestDelivery(const std::string &name,
-                         std::function<void(outcome<platform::weight_delivery>)> done) override
+                         std::function<void(outcome<cloud::weight_delivery>)> done) override
     {
         names.push_back(name);
         tooEarly += m_tasks.now() < m_freeAt && m_refused ? 1 : 0;
         m_refused = m_tasks.now() < m_freeAt;
-        platform::weight_delivery answer{1000, m_refused ? m_freeAt - m_tasks.now() : duration::zero()};
+        cloud::weight_delivery answer{1000, m_refused ? m_freeAt - m_tasks.now() : duration::zero()};
         if (!m_refused)
             m_freeAt = m_tasks.now() + interval;
         m_tasks.post([done, answer] { done(answer); });
--- a/libraries/placement/tests/fake_table.h
+++ b/libraries/placement/tests/fake_table.h
@@ -2,7 +2,7 @@
 
 #include "base/random_source.h"
 #include "base/scheduler.h"
-#include "platform/table_service.h"
+#include "cloud/table_service.h"
 
 #include <map>
 #include <string>
@@ -14,7 +14,7 @@
 struct table_change
 {
     time_point at{};
-    platform::table_row row;
+    cloud::table_row row;
 };
 
 /// How often the table of a test misbehaves.
@@ -37,13 +37,13 @@
     {
     }
 
-    std::optional<platform::table_row> find(const std::string &key) const
+    std::optional<cloud::table_row> find(const std::string &key) const
     {
         const auto found = rows.find(key);
         return found == rows.end() ? std::nullopt : std::optional(found->second);
     }
 
-    outcome<platform::table_row> change(const std::string &key, std::uint64_t expected,
+    outcome<cloud::table_row> change(const std::string &key, std::uint64_t expected,
                                         const std::string &value)
     {
         const auto found = rows.find(key);
@@ -58,12 +58,12 @@
     scheduler &tasks;
     random_source &randomness;
     table_faults faults;
-    std::map<std::string, platform::table_row> rows;
+    std::map<std::string, cloud::table_row> rows;
     std::vector<table_change> changes;
 };
 
 /// One process's way to the table: calls run on the table's scheduler, answers on the process's own.
-class fake_table_client final : public platform::table_service
+class fake_table_client final : public cloud::table_service
 {
 public:
     fake_table_client(scheduler &process, fake_table &table)
@@ -74,8 +74,8 @@
 
     void read(const std::string &key, read_completion done) override
     {
-        call<std::optional<platform::table_row>>(
-            [this, key]() -> outcome<std::optional<platform::table_row>> { return m_table.find(key); }, done);
+        call<std::optional<cloud::table_row>>(
+            [this, key]() -> outcome<std::optional<cloud::table_row>> { return m_table.find(key); }, done);
     }
 
     void list(const std::string &, list_completion done) override
@@ -86,7 +86,7 @@
     void write(const std::string &key, std::uint64_t expected, const std::string &value,
                write_completion done) override
     {
-        call<platform::table_row>(
+        call<cloud::table_row>(
             [this, key, expected, value] { return m_table.change(key, expected, value); }, done);
     }
 
--- a/libraries/placement/vm_type.h
+++ b/libraries/placement/vm_type.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/cloud_service.h"
+#include "cloud/cloud_service.h"
 
 #include <compare>
 #include <string>
@@ -12,7 +12,7 @@
 {
     std::string failureDomain;
     std::string machineClass;
-    platform::vm_kind kind = platform::vm_kind::reclaimable;
+    cloud::vm_kind kind = cloud::vm_kind::reclaimable;
 
     auto operator<=>(const vm_type &) const = default;
 };
--- a/libraries/requests/idempotency_claims.cpp
+++ b/libraries/requests/idempotency_claims.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-idempotency_claims::idempotency_claims(platform::table_service &table)
+idempotency_claims::idempotency_claims(cloud::table_service &table)
     : m_table(table)
 {
 }
@@ -37,7 +37,7 @@
     json["ticket"] = what.ticket;
     json["digest"] = what.digest;
     m_table.write(rowOf(what), 0, writeJson(json),
-                  [this, what, done = std::move(done)](const outcome<platform::table_row> &written) {
+                  [this, what, done = std::move(done)](const outcome<cloud::table_row> &written) {
                       if (written) {
                           done(what.ticket);
                           return;
@@ -51,7 +51,7 @@
                                    std::function<void(outcome<std::string>)> done)
 {
     m_table.read(
-        rowOf(what), [what, done = std::move(done)](const outcome<std::optional<platform::table_row>> &read) {
+        rowOf(what), [what, done = std::move(done)](const outcome<std::optional<cloud::table_row>> &read) {
             if (!read)
                 done(read.error());
             else if (!read.value())
--- a/libraries/requests/idempotency_claims.h
+++ b/libraries/requests/idempotency_claims.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/outcome.h"
-#include "platform/table_service.h"
+#include "cloud/table_service.h"
 
 #include <compare>
 #include <functional>
@@ -25,7 +25,7 @@
 class idempotency_claims
 {
 public:
-    explicit idempotency_claims(platform::table_service &table);
+    explicit idempotency_claims(cloud::table_service &table);
 
     /// Gives the ticket that owns the key: the proposed one, or that of the request that came first.
     /// `conflict`: the key belongs to another request; any other error: the table gave no word, and nothing
@@ -35,7 +35,7 @@
 private:
     void readOwner(const idempotency_claim &what, std::function<void(outcome<std::string>)> done);
 
-    platform::table_service &m_table;
+    cloud::table_service &m_table;
 };
 
 } // namespace ivypier::requests
--- a/libraries/requests/tests/idempotency_claims_test.cpp
+++ b/libraries/requests/tests/idempotency_claims_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// A table whose next write may be lost, before or after it took effect, and that may be down.
-class faulty_table final : public platform::table_service
+class faulty_table final : public cloud::table_service
 {
 public:
     bool down = false;
@@ -23,7 +23,7 @@
         if (down)
             done(error{error_code::unavailable, "down"});
         else
-            done(found == m_rows.end() ? std::optional<platform::table_row>() : std::optional(found->second));
+            done(found == m_rows.end() ? std::optional<cloud::table_row>() : std::optional(found->second));
     }
 
     void list(const std::string &, list_completion done) override
@@ -39,7 +39,7 @@
             done(error{error_code::unavailable, "down"});
             return;
         }
-        const auto [place, added] = m_rows.try_emplace(key, platform::table_row{key, 1, value});
+        const auto [place, added] = m_rows.try_emplace(key, cloud::table_row{key, 1, value});
         if (!added || expected != 0)
             done(error{error_code::conflict, "another version"});
         else if (std::exchange(loseAnswer, false))
@@ -49,7 +49,7 @@
     }
 
 private:
-    std::map<std::string, platform::table_row> m_rows;
+    std::map<std::string, cloud::table_row> m_rows;
 };
 
 outcome<std::string> claim(idempotency_claims &claims, const std::string &ticket,
--- a/services/console/main.cpp
+++ b/services/console/main.cpp
@@ -4,7 +4,7 @@
 #include "console/console.h"
 #include "console_settings.h"
 #include "http/client.h"
-#include "platform/http_platform.h"
+#include "cloud/http_platform.h"
 #include "program/daemon.h"
 
 namespace {
@@ -33,7 +33,7 @@
 {
     event_loop loop;
     metrics_registry metrics;
-    platform::http_platform services(loop, std::make_shared<http::client>(), settings.platform);
+    cloud::http_platform services(loop, std::make_shared<http::client>(), settings.platform);
     configuration::document_store store(services, services);
     console::console running({loop, store, metrics, settings.bootstrapKeySha256, settings.tls.has_value()});
     const auto handle = [&](const http::request &incoming, const std::shared_ptr<http::responder> &caller) {
--- a/services/ctl/platform_session.cpp
+++ b/services/ctl/platform_session.cpp
@@ -50,9 +50,9 @@
         m_loop, [&](auto done) { m_store.submit(body, base, writerToken, std::move(done)); });
 }
 
-outcome<std::vector<platform::vm_record>> platform_session::listVms()
+outcome<std::vector<cloud::vm_record>> platform_session::listVms()
 {
-    return waitFor<std::vector<platform::vm_record>>(
+    return waitFor<std::vector<cloud::vm_record>>(
         m_loop, [this](auto done) { m_services.listVms(std::move(done)); });
 }
 
--- a/services/ctl/platform_session.h
+++ b/services/ctl/platform_session.h
@@ -3,7 +3,7 @@
 #include "base/event_loop.h"
 #include "configuration/in_force.h"
 #include "http/client.h"
-#include "platform/http_platform.h"
+#include "cloud/http_platform.h"
 
 #include <memory>
 #include <string>
@@ -20,13 +20,13 @@
     outcome<configuration::in_force> readInForce();
     outcome<configuration::document_head> submit(const std::string &body, std::uint64_t base,
                                                  const std::string &writerToken);
-    outcome<std::vector<platform::vm_record>> listVms();
+    outcome<std::vector<cloud::vm_record>> listVms();
 
 private:
     explicit platform_session(endpoint address);
 
     event_loop m_loop;
-    platform::http_platform m_services;
+    cloud::http_platform m_services;
     configuration::document_store m_store;
 };
 
--- a/services/ctl/status_command.cpp
+++ b/services/ctl/status_command.cpp
@@ -26,7 +26,7 @@
     if (!listed)
         return listed.error();
     std::vector<endpoint> nodes;
-    for (const platform::vm_record &each : listed.value()) {
+    for (const cloud::vm_record &each : listed.value()) {
         if (each.role == "node")
             nodes.push_back(each.address);
     }
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -20,7 +20,7 @@
 #include "membership/gossip_membership.h"
 #include "membership/udp_channel.h"
 #include "membership/vm_watch.h"
-#include "platform/http_platform.h"
+#include "cloud/http_platform.h"
 #include "price_list.h"
 #include "requests/idempotency_claims.h"
 #include "requests/request_service.h"
@@ -85,7 +85,7 @@
     std::shared_ptr<http::client> transport = std::make_shared<http::client>(faults);
     std::shared_ptr<http::client> nodeTransport
         = std::make_shared<http::client>(faults, settings.tlsAuthority);
-    platform::http_platform platformServices{tasks, transport, settings.platform};
+    cloud::http_platform platformServices{tasks, transport, settings.platform};
     rpc::http_peer_client peers{tasks, nodeTransport, fleetKey};
     rpc::peer_server methods{tasks, fleetKey};
     membership::gossip_membership members{
@@ -221,7 +221,7 @@
                               each.pricePerHour, reportsLoad(*current, each.service)});
     }
     vms.setNamedUpstreams(std::move(named));
-    for (const platform::vm_record &each : vms.vms()) {
+    for (const cloud::vm_record &each : vms.vms()) {
         if (!current->content.findService(each.role))
             continue;
         candidates.push_back({each.id, each.role, each.address, each.failureDomain, each.machineClass,
@@ -263,7 +263,7 @@
     vms.onPlatformAnswered([this] { members.platformAnswered(); });
     vms.onVmsChanged([this] {
         std::vector<endpoint> seeds = settings.seeds;
-        for (const platform::vm_record &each : vms.vms()) {
+        for (const cloud::vm_record &each : vms.vms()) {
             if (each.role == node_role)
                 seeds.push_back(each.address);
         }
@@ -276,9 +276,9 @@
 void node::parts::readOwnNotices()
 {
     platformServices.listNotices(
-        settings.vm, [this](const outcome<std::vector<platform::reclaim_notice>> &listed) {
-            for (const platform::reclaim_notice &each :
-                 listed ? listed.value() : std::vector<platform::reclaim_notice>()) {
+        settings.vm, [this](const outcome<std::vector<cloud::reclaim_notice>> &listed) {
+            for (const cloud::reclaim_notice &each :
+                 listed ? listed.value() : std::vector<cloud::reclaim_notice>()) {
                 if (each.vm == settings.vm)
                     stopping.start(std::chrono::milliseconds(each.remainingMilliseconds), "notice");
             }
--- a/services/node/price_list.cpp
+++ b/services/node/price_list.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-price_list::price_list(scheduler &tasks, platform::cloud_service &cloud,
+price_list::price_list(scheduler &tasks, cloud::cloud_service &cloud,
                        std::function<std::size_t()> fleetSize)
     : m_tasks(tasks)
     , m_cloud(cloud)
@@ -25,7 +25,7 @@
     poll();
 }
 
-double price_list::perHour(const platform::vm_record &vm) const
+double price_list::perHour(const cloud::vm_record &vm) const
 {
     const auto found = m_prices.find({vm.failureDomain, vm.machineClass, vm.kind});
     return found == m_prices.end() ? 0.0 : found->second;
@@ -33,9 +33,9 @@
 
 void price_list::poll()
 {
-    m_cloud.listPrices([this](const outcome<std::vector<platform::vm_price>> &listed) {
+    m_cloud.listPrices([this](const outcome<std::vector<cloud::vm_price>> &listed) {
         std::map<price_key, double> prices;
-        for (const platform::vm_price &each : listed ? listed.value() : std::vector<platform::vm_price>())
+        for (const cloud::vm_price &each : listed ? listed.value() : std::vector<cloud::vm_price>())
             prices[{each.failureDomain, each.machineClass, each.kind}] = each.perHour;
         if (listed && prices != m_prices) {
             m_prices = std::move(prices);
--- a/services/node/price_list.h
+++ b/services/node/price_list.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/scheduler.h"
-#include "platform/cloud_service.h"
+#include "cloud/cloud_service.h"
 
 #include <functional>
 #include <map>
@@ -13,22 +13,22 @@
 class price_list
 {
 public:
-    price_list(scheduler &tasks, platform::cloud_service &cloud, std::function<std::size_t()> fleetSize);
+    price_list(scheduler &tasks, cloud::cloud_service &cloud, std::function<std::size_t()> fleetSize);
 
     /// Starts to poll, so seldom that the fleet as a whole stays under a fixed rate. `changed` is called
     /// after prices changed.
     void start(std::function<void()> changed);
 
     /// What a VM costs, in the deployment's currency; 0 when the cloud names no price for its kind.
-    double perHour(const platform::vm_record &vm) const;
+    double perHour(const cloud::vm_record &vm) const;
 
 private:
-    using price_key = std::tuple<std::string, std::string, platform::vm_kind>;
+    using price_key = std::tuple<std::string, std::string, cloud::vm_kind>;
 
     void poll();
 
     scheduler &m_tasks;
-    platform::cloud_service &m_cloud;
+    cloud::cloud_service &m_cloud;
     std::function<std::size_t()> m_fleetSize;
     std::function<void()> m_changed;
     std::map<price_key, double> m_prices;
--- a/services/planner/planner.cpp
+++ b/services/planner/planner.cpp
@@ -9,7 +9,7 @@
 #include "demand_poller.h"
 #include "http/server.h"
 #include "placement/cheapest_mix.h"
-#include "platform/http_platform.h"
+#include "cloud/http_platform.h"
 #include "service_duties.h"
 #include "upstream/http_model_engine.h"
 
@@ -52,7 +52,7 @@
         Json::Value entry(Json::objectValue);
         entry["failure_domain"] = type.failureDomain;
         entry["machine_class"] = type.machineClass;
-        entry["kind"] = std::string(platform::name(type.kind));
+        entry["kind"] = std::string(cloud::name(type.kind));
         entry["count"] = Json::UInt{count};
         json["vms"].append(entry);
     }
@@ -75,7 +75,7 @@
     std::string holder = settings.name + '/' + toHex(randomness.next());
     metrics_registry metrics;
     std::shared_ptr<http::client> transport = std::make_shared<http::client>();
-    platform::http_platform platformServices{tasks, transport, settings.platform};
+    cloud::http_platform platformServices{tasks, transport, settings.platform};
     configuration::document_store documents{platformServices, platformServices};
     configuration::configuration_follower follower{tasks, randomness, documents,
                                                    settings.configurationInterval};
@@ -83,7 +83,7 @@
     demand_poller demand{tasks, randomness, transport, demand_interval};
     placement::cheapest_mix policy{{}};
     std::map<std::string, std::unique_ptr<service_duties>> services;
-    std::vector<platform::vm_record> listedVms;
+    std::vector<cloud::vm_record> listedVms;
     std::unique_ptr<http::server> listener;
     time_point nextList{};
     bool active = false; ///< a duty is held
@@ -163,8 +163,8 @@
 std::vector<placement::runner> planner::parts::runnersOf(const std::string &service) const
 {
     std::vector<placement::runner> runners;
-    for (const platform::vm_record &each : listedVms) {
-        if (each.role == service && each.state == platform::vm_state::live)
+    for (const cloud::vm_record &each : listedVms) {
+        if (each.role == service && each.state == cloud::vm_state::live)
             runners.push_back({each.id, each.address});
     }
     const auto current = follower.current();
@@ -180,8 +180,8 @@
 {
     std::vector<std::string> planners;
     std::vector<endpoint> nodes;
-    for (const platform::vm_record &each : listedVms) {
-        if (each.role != node_role || each.state != platform::vm_state::live)
+    for (const cloud::vm_record &each : listedVms) {
+        if (each.role != node_role || each.state != cloud::vm_state::live)
             continue;
         planners.push_back(each.id);
         nodes.push_back(each.address);
@@ -210,7 +210,7 @@
     const double jitter = 0.75 + randomness.uniform() / 2;
     nextList
         = tasks.now() + fromSeconds(seconds(active ? active_list_interval : idle_list_interval) * jitter);
-    platformServices.listVms([this](const outcome<std::vector<platform::vm_record>> &listed) {
+    platformServices.listVms([this](const outcome<std::vector<cloud::vm_record>> &listed) {
         if (!listed || listed.value() == listedVms)
             return;
         listedVms = listed.value();
--- a/services/planner/service_duties.h
+++ b/services/planner/service_duties.h
@@ -20,9 +20,9 @@
     {
         scheduler &tasks;
         random_source &randomness;
-        platform::table_service &table;
-        platform::cloud_service &cloud;
-        platform::weight_store &weights;
+        cloud::table_service &table;
+        cloud::cloud_service &cloud;
+        cloud::weight_store &weights;
         upstream::model_engine &engines;
         const placement::demand_source &demand;
         const placement::mix_policy &policy;
--- a/standins/platform/cloud_state.cpp
+++ b/standins/platform/cloud_state.cpp
@@ -24,7 +24,7 @@
     return http::jsonResponse(status, "{}");
 }
 
-Json::Value encode(const platform::vm_record &vm)
+Json::Value encode(const cloud::vm_record &vm)
 {
     Json::Value json(Json::objectValue);
     json["id"] = vm.id;
@@ -32,20 +32,20 @@
     json["address"] = vm.address.text();
     json["failure_domain"] = vm.failureDomain;
     json["machine_class"] = vm.machineClass;
-    json["kind"] = std::string(platform::name(vm.kind));
-    json["state"] = std::string(platform::name(vm.state));
+    json["kind"] = std::string(cloud::name(vm.kind));
+    json["state"] = std::string(cloud::name(vm.state));
     return json;
 }
 
-platform::vm_kind kindIn(const Json::Value &json)
+cloud::vm_kind kindIn(const Json::Value &json)
 {
-    return stringMember(json, "kind") == platform::name(platform::vm_kind::on_demand)
-        ? platform::vm_kind::on_demand
-        : platform::vm_kind::reclaimable;
+    return stringMember(json, "kind") == cloud::name(cloud::vm_kind::on_demand)
+        ? cloud::vm_kind::on_demand
+        : cloud::vm_kind::reclaimable;
 }
 
 /// The VM that an order or a control call describes.
-platform::vm_record vmIn(const Json::Value &json, const std::string &id, const endpoint &address)
+cloud::vm_record vmIn(const Json::Value &json, const std::string &id, const endpoint &address)
 {
     return {id,
             stringMember(json, "role"),
@@ -53,7 +53,7 @@
             stringMember(json, "failure_domain"),
             stringMember(json, "machine_class"),
             kindIn(json),
-            platform::vm_state::live};
+            cloud::vm_state::live};
 }
 
 } // namespace
@@ -161,14 +161,14 @@
         Json::Value json(Json::objectValue);
         json["failure_domain"] = std::get<0>(type);
         json["machine_class"] = std::get<1>(type);
-        json["kind"] = std::string(platform::name(std::get<2>(type)));
+        json["kind"] = std::string(cloud::name(std::get<2>(type)));
         json["per_hour"] = current->perHour;
         list.append(json);
     }
     return http::jsonResponse(status_ok, writeJson(list));
 }
 
-bool cloud_state::refuses(const platform::vm_record &vm)
+bool cloud_state::refuses(const cloud::vm_record &vm)
 {
     if (m_faults.refuseStarts > 0) {
         --m_faults.refuseStarts;
@@ -180,7 +180,7 @@
     };
     return std::any_of(m_refused.begin(), m_refused.end(), [&](const Json::Value &each) {
         return fits(each, "failure_domain", vm.failureDomain) && fits(each, "machine_class", vm.machineClass)
-            && fits(each, "kind", platform::name(vm.kind));
+            && fits(each, "kind", cloud::name(vm.kind));
     });
 }
 
@@ -205,7 +205,7 @@
     const auto known = m_byToken.find(token);
     if (known != m_byToken.end())
         return http::jsonResponse(status_ok, writeJson(encode(known->second)));
-    platform::vm_record vm = vmIn(parsed.value(), "vm-" + token, {});
+    cloud::vm_record vm = vmIn(parsed.value(), "vm-" + token, {});
     const std::optional<endpoint> address = refuses(vm) ? std::nullopt : addressFor(vm.role);
     if (!address) {
         record("refused", vm, token);
@@ -229,7 +229,7 @@
     std::int64_t notice = 0;
     std::from_chars(text.data(), text.data() + text.size(), notice);
     record("released", found->second, "");
-    found->second.state = platform::vm_state::leaving;
+    found->second.state = cloud::vm_state::leaving;
     m_goneAt[found->first] = m_time.now() + std::chrono::milliseconds(notice);
     recordVms();
     passTime();
@@ -241,7 +241,7 @@
     const auto found = m_vms.find(stringMember(json, "vm"));
     if (found == m_vms.end())
         return empty(status_not_found);
-    found->second.state = platform::vm_state::leaving;
+    found->second.state = cloud::vm_state::leaving;
     const time_point at = m_time.now()
         + std::chrono::milliseconds(integerMember(json, "notice_ms", default_notice_milliseconds));
     m_reclaimAt[found->first] = at;
@@ -273,13 +273,13 @@
     const auto newest = std::find_if(m_history.rbegin(), m_history.rend(),
                                      [&](const listed_snapshot &each) { return each.at <= shown; });
     if (newest != m_history.rend()) {
-        for (const platform::vm_record &each : newest->vms)
+        for (const cloud::vm_record &each : newest->vms)
             vms.append(encode(each));
     }
     return http::jsonResponse(status_ok, writeJson(vms));
 }
 
-void cloud_state::record(const std::string &event, const platform::vm_record &vm, const std::string &token)
+void cloud_state::record(const std::string &event, const cloud::vm_record &vm, const std::string &token)
 {
     Json::Value entry = encode(vm);
     entry["event"] = event;
--- a/standins/platform/cloud_state.h
+++ b/standins/platform/cloud_state.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "http/message.h"
-#include "platform/cloud_service.h"
+#include "cloud/cloud_service.h"
 
 #include <json/value.h>
 
@@ -41,7 +41,7 @@
     struct listed_snapshot
     {
         time_point at;
-        std::vector<platform::vm_record> vms;
+        std::vector<cloud::vm_record> vms;
     };
 
     /// A price from some moment on.
@@ -51,7 +51,7 @@
         double perHour = 0.0;
     };
 
-    using vm_type = std::tuple<std::string, std::string, platform::vm_kind>;
+    using vm_type = std::tuple<std::string, std::string, cloud::vm_kind>;
 
     void passTime();
     http::response prices() const;
@@ -61,18 +61,18 @@
     http::response releaseVm(const http::request &incoming);
     http::response addVm(const Json::Value &json);
     http::response reclaim(const Json::Value &json);
-    bool refuses(const platform::vm_record &vm);
+    bool refuses(const cloud::vm_record &vm);
     std::optional<endpoint> addressFor(const std::string &role);
-    void record(const std::string &event, const platform::vm_record &vm, const std::string &token);
+    void record(const std::string &event, const cloud::vm_record &vm, const std::string &token);
     void recordVms();
 
     const clock &m_time;
     cloud_faults m_faults;
-    std::map<std::string, platform::vm_record> m_vms;
+    std::map<std::string, cloud::vm_record> m_vms;
     std::map<std::string, time_point> m_liveAt; ///< of VMs that are being started
     std::map<std::string, time_point> m_goneAt; ///< of VMs that are leaving
     std::map<std::string, time_point> m_reclaimAt; ///< of those, the ones that the cloud takes back
-    std::map<std::string, platform::vm_record> m_byToken;
+    std::map<std::string, cloud::vm_record> m_byToken;
     std::map<vm_type, std::vector<price_change>> m_prices;
     std::vector<Json::Value> m_refused; ///< types that get no new VM; an empty field stands for any
     std::map<std::string, std::deque<endpoint>> m_pools; ///< by role
--- a/standins/platform/platform_state.cpp
+++ b/standins/platform/platform_state.cpp
@@ -25,7 +25,7 @@
     return http::jsonResponse(status, "{}");
 }
 
-Json::Value encode(const platform::table_row &row)
+Json::Value encode(const cloud::table_row &row)
 {
     Json::Value json(Json::objectValue);
     json["key"] = row.key;
--- a/standins/platform/platform_state.h
+++ b/standins/platform/platform_state.h
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "cloud_state.h"
 #include "http/message.h"
-#include "platform/table_service.h"
+#include "cloud/table_service.h"
 #include "rate_limit.h"
 
 #include <json/value.h>
@@ -51,7 +51,7 @@
     bool overRate(const http::request &incoming);
 
     platform_faults m_faults;
-    std::map<std::string, platform::table_row> m_rows;
+    std::map<std::string, cloud::table_row> m_rows;
     std::map<std::string, std::string> m_objects;
     cloud_state m_cloud;
     rate_limit m_writes;
--- a/utilities/measure-placement/cost_run.cpp
+++ b/utilities/measure-placement/cost_run.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 using namespace placement;
-using platform::vm_kind;
+using cloud::vm_kind;
 
 constexpr duration step = std::chrono::seconds(10);
 constexpr double seconds_per_hour = 3600.0;
@@ -98,7 +98,7 @@
 
     void reclaim(const reclaim_wave &wave)
     {
-        m_cloud.reclaim(reclaim_notice, [&](const platform::vm_record &vm) {
+        m_cloud.reclaim(reclaim_notice, [&](const cloud::vm_record &vm) {
             const bool there = wave.failureDomain.empty() || wave.failureDomain == vm.failureDomain;
             const bool kind = wave.part >= 1.0 || vm.kind == vm_kind::reclaimable;
             return there && kind && m_random.uniform() < wave.part;
@@ -114,7 +114,7 @@
             running.insert(id);
             m_result.cost += m_trace.priceAt({vm.failureDomain, vm.machineClass, vm.kind}, now())
                 * seconds(step) / seconds_per_hour;
-            if (vm.state != platform::vm_state::live)
+            if (vm.state != cloud::vm_state::live)
                 continue;
             total += carriedBy(vm.machineClass);
             byDomain[vm.failureDomain] += carriedBy(vm.machineClass);
--- a/utilities/measure-placement/price_trace.cpp
+++ b/utilities/measure-placement/price_trace.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-using platform::vm_kind;
+using cloud::vm_kind;
 
 constexpr double seconds_per_hour = 3600.0;
 constexpr int drawn_hours = 48;
@@ -71,7 +71,7 @@
         Json::Value entry(Json::objectValue);
         entry["failure_domain"] = type.failureDomain;
         entry["machine_class"] = type.machineClass;
-        entry["kind"] = std::string(platform::name(type.kind));
+        entry["kind"] = std::string(cloud::name(type.kind));
         entry["per_hour"] = listOf(prices);
         json["prices"].append(entry);
     }
@@ -96,7 +96,7 @@
     trace.stepSeconds = numberMember(json.value(), "step_seconds", 0.0);
     trace.requestsPerSecond = numbersIn(json.value()["requests_per_second"]);
     for (const Json::Value &each : json.value()["prices"]) {
-        const bool onDemand = stringMember(each, "kind") == platform::name(vm_kind::on_demand);
+        const bool onDemand = stringMember(each, "kind") == cloud::name(vm_kind::on_demand);
         trace.pricesPerHour[{stringMember(each, "failure_domain"), stringMember(each, "machine_class"),
                              onDemand ? vm_kind::on_demand : vm_kind::reclaimable}]
             = numbersIn(each["per_hour"]);
--- a/utilities/measure-placement/slope_run.cpp
+++ b/utilities/measure-placement/slope_run.cpp
@@ -41,7 +41,7 @@
 }
 
 /// The cloud with its VM list decoded at every read.
-class decoding_cloud final : public platform::cloud_service
+class decoding_cloud final : public cloud::cloud_service
 {
 public:
     decoding_cloud(scheduler &tasks, tests::fake_cloud &cloud)
@@ -51,29 +51,29 @@
     {
     }
 
-    void listVms(std::function<void(outcome<std::vector<platform::vm_record>>)> done) override
+    void listVms(std::function<void(outcome<std::vector<cloud::vm_record>>)> done) override
     {
         ++calls;
-        std::vector<platform::vm_record> vms;
+        std::vector<cloud::vm_record> vms;
         const outcome<Json::Value> json = parseJson(listText());
         for (const Json::Value &each : json ? json.value() : Json::Value()) {
             const outcome<endpoint> address = endpoint::parse(stringMember(each, "address"));
             vms.push_back({stringMember(each, "id"), stringMember(each, "role"),
                            address ? address.value() : endpoint(), stringMember(each, "failure_domain"),
-                           stringMember(each, "machine_class"), platform::vm_kind::reclaimable,
-                           platform::vm_state::live});
+                           stringMember(each, "machine_class"), cloud::vm_kind::reclaimable,
+                           cloud::vm_state::live});
         }
         m_tasks.post([done = std::move(done), vms = std::move(vms)] { done(vms); });
     }
 
-    void listPrices(std::function<void(outcome<std::vector<platform::vm_price>>)> done) override
+    void listPrices(std::function<void(outcome<std::vector<cloud::vm_price>>)> done) override
     {
         ++calls;
         m_inner.listPrices(std::move(done));
     }
 
-    void startVm(const platform::vm_order &order,
-                 std::function<void(outcome<platform::vm_record>)> done) override
+    void startVm(const cloud::vm_order &order,
+                 std::function<void(outcome<cloud::vm_record>)> done) override
     {
         ++calls;
         m_inner.startVm(order, std::move(done));
@@ -86,7 +86,7 @@
     }
 
     void listNotices(const std::string &vm,
-                     std::function<void(outcome<std::vector<platform::reclaim_notice>>)> done) override
+                     std::function<void(outcome<std::vector<cloud::reclaim_notice>>)> done) override
     {
         ++calls;
         m_inner.listNotices(vm, std::move(done));
@@ -140,7 +140,7 @@
     const std::size_t domains
         = std::min<std::size_t>(domains_of_large_fleet, std::max<std::size_t>(3, upstreams / 10));
     for (std::size_t index = 0; index < domains; ++index)
-        cloud.prices[{"domain-" + std::to_string(index), "small", platform::vm_kind::reclaimable}] = 0.4;
+        cloud.prices[{"domain-" + std::to_string(index), "small", cloud::vm_kind::reclaimable}] = 0.4;
     std::vector<runner> runners;
     for (std::size_t index = 0; index < upstreams; ++index) {
         const endpoint address{"10.0." + std::to_string(index / 250) + '.' + std::to_string(index % 250),
@@ -152,8 +152,8 @@
                                         address,
                                         "domain-" + std::to_string(index % domains),
                                         "small",
-                                        platform::vm_kind::reclaimable,
-                                        platform::vm_state::live};
+                                        cloud::vm_kind::reclaimable,
+                                        cloud::vm_state::live};
     }
     cloud.record();
     const double rate = static_cast<double>(upstreams) * requests_per_second_of_vm
