--- a/libraries/base/event_loop.cpp
+++ b/libraries/base/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "base/event_loop.h"
 
+#include "base/boot_clock.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -28,7 +30,7 @@
 
 time_point event_loop::now() const
 {
-    return std::chrono::steady_clock::now();
+    return bootClockNow();
 }
 
 std::int64_t event_loop::wallMilliseconds() const
--- /dev/null
+++ b/libraries/cloud/table_follower.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "base/scheduler.h"
+#include "cloud/change_feed.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace ivypier::cloud {
+
+/// Receives what a follower learns.
+class table_observer
+{
+public:
+    virtual ~table_observer() = default;
+
+    /// The whole table, read anew.
+    virtual void onRows(const std::vector<feed_row> &rows) = 0;
+
+    /// One row changed or was removed. `uncertain`: the source was away until just now, so that a removed row
+    /// may come back.
+    virtual void onChange(const feed_row &row, bool uncertain) = 0;
+};
+
+struct follower_options
+{
+    duration wait = std::chrono::seconds(8); ///< longest wait for a change
+    duration listTime = std::chrono::seconds(2); ///< longest wait for the whole table
+    duration firstPause = std::chrono::milliseconds(150); ///< after a failure; doubled each time
+    duration longestPause = std::chrono::milliseconds(1200);
+    duration uncertainTime = std::chrono::seconds(3); ///< after the source came back
+
+    auto operator<=>(const follower_options &) const = default;
+};
+
+/// Follows one table through a change feed, for ever: reads it, waits for changes, reads it again when the
+/// history is lost. While the source does not answer, another one (other nodes) is asked for the whole table.
+class table_follower
+{
+public:
+    table_follower(scheduler &tasks, random_source &randomness, change_feed &source, change_feed *substitute,
+                   std::string table, table_observer &observer, follower_options options = {});
+
+    void start();
+
+    /// Something newer is known elsewhere: the table is read at once, from the substitute while the source
+    /// does not answer.
+    void refresh();
+
+    /// Every row as last seen.
+    feed_rows rows() const;
+
+    /// The version up to which changes are known.
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+    /// True while the source answers.
+    bool isConnected() const
+    {
+        return m_connected;
+    }
+
+    /// Calls `observer` each time the source answered.
+    void onAnswered(std::function<void()> observer);
+
+private:
+    void list();
+    void wait();
+    void listFromSubstitute();
+    void takeRows(const feed_rows &read);
+    void takeChanges(const feed_rows &read);
+    void answered();
+    void failed(const error &why);
+
+    scheduler &m_tasks;
+    random_source &m_random;
+    change_feed &m_source;
+    change_feed *m_substitute;
+    std::string m_table;
+    table_observer &m_observer;
+    follower_options m_options;
+    std::map<std::string, feed_row> m_rows;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_turn = 0; ///< answers to earlier turns are dropped
+    std::uint32_t m_failures = 0;
+    time_point m_connectedSince{};
+    bool m_connected = false;
+    bool m_hasRows = false;
+    std::function<void()> m_onAnswered;
+};
+
+} // namespace ivypier::cloud
--- /dev/null
+++ b/libraries/duties/usage_reporter.cpp
@@ -0,0 +1,162 @@
+#include "duties/usage_reporter.h"
+
+#include "base/json.h"
+#include "base/log_event.h"
+
+#include <algorithm>
+
+namespace ivypier::duties {
+
+namespace {
+
+constexpr const char *row_key = "usage";
+/// Pause after a failed call.
+constexpr duration pause = std::chrono::milliseconds(400);
+/// Pause after the platform refused the fencing number: longer than a lease, so that a holder that lost its
+/// lease without knowing finds out first.
+constexpr duration conflict_pause = std::chrono::seconds(6);
+
+} // namespace
+
+usage_reporter::usage_reporter(scheduler &tasks, cloud::table_service &table, cloud::duty_calls &platform,
+                               const placement::duty &lease, const run_board &board, usage_options options)
+    : m_tasks(tasks)
+    , m_table(table)
+    , m_platform(platform)
+    , m_lease(lease)
+    , m_board(board)
+    , m_options(options)
+{
+}
+
+std::string usage_reporter::encode(const cloud::usage_report &report)
+{
+    Json::Value json(Json::objectValue);
+    json["window"] = Json::Int64{report.window};
+    json["counts"] = Json::Value(Json::objectValue);
+    for (const auto &[account, count] : report.counts)
+        json["counts"][account] = Json::UInt64{count};
+    return writeJson(json);
+}
+
+std::optional<cloud::usage_report> usage_reporter::decode(const std::string &text)
+{
+    const outcome<Json::Value> json = parseJson(text);
+    if (!json || !json.value()["counts"].isObject())
+        return std::nullopt;
+    cloud::usage_report result;
+    result.window = integerMember(json.value(), "window", 0);
+    const Json::Value &counts = json.value()["counts"];
+    for (const std::string &account : counts.getMemberNames())
+        result.counts[account] = unsignedMember(counts, account.c_str(), 0);
+    return result;
+}
+
+void usage_reporter::turn(std::int64_t wallMilliseconds)
+{
+    m_wall = wallMilliseconds;
+    const std::optional<placement::lease> held = m_lease.held();
+    if (!held) {
+        m_rowKnown = false;
+        return;
+    }
+    if (m_busy || m_tasks.now() < m_pausedUntil)
+        return;
+    if (!m_rowKnown || m_tenure != held->tenure) {
+        m_tenure = held->tenure;
+        m_rowKnown = false;
+        readRow();
+        return;
+    }
+    if (m_decided && m_decided->window > m_reported) {
+        report();
+        return;
+    }
+    const std::int64_t settled = milliseconds(m_options.settle);
+    const std::int64_t lastEnded = (m_wall - settled) / m_options.windowMilliseconds - 1;
+    std::int64_t next = m_decided ? m_decided->window + 1 : lastEnded;
+    next = std::max(next, lastEnded - m_options.keptWindows);
+    if (next <= lastEnded)
+        decide(next);
+}
+
+bool usage_reporter::ended()
+{
+    m_busy = false;
+    const std::optional<placement::lease> held = m_lease.held();
+    return !held || held->tenure != m_tenure;
+}
+
+void usage_reporter::readRow()
+{
+    m_busy = true;
+    m_table.read(row_key, [this](const outcome<std::optional<cloud::table_row>> &read) {
+        if (ended())
+            return;
+        if (!read) {
+            m_pausedUntil = m_tasks.now() + pause;
+            return;
+        }
+        takeRow(read.value());
+    });
+}
+
+void usage_reporter::takeRow(const std::optional<cloud::table_row> &row)
+{
+    m_rowKnown = true;
+    m_rowVersion = row ? row->version : 0;
+    m_decided = row ? decode(row->value) : std::nullopt;
+}
+
+void usage_reporter::decide(std::int64_t window)
+{
+    const cloud::usage_report report{window, m_board.total(window)};
+    m_busy = true;
+    m_table.write(row_key, m_rowVersion, encode(report),
+                  [this, report](const outcome<cloud::table_row> &written) {
+                      if (ended())
+                          return;
+                      if (!written) {
+                          // Whether it took effect is what the row says.
+                          m_rowKnown = false;
+                          m_pausedUntil = m_tasks.now() + pause;
+                          return;
+                      }
+                      m_rowVersion = written.value().version;
+                      m_decided = report;
+                      this->report();
+                  });
+}
+
+void usage_reporter::report()
+{
+    const cloud::usage_report report = *m_decided;
+    m_busy = true;
+    m_platform.reportUsage(report, m_tenure, [this, report](const outcome<void> &taken) {
+        if (ended())
+            return;
+        if (!taken) {
+            m_pausedUntil = m_tasks.now() + pause;
+            log_event(log_level::warning, "usage.not_taken")
+                .with("window", report.window)
+                .with("fencing", static_cast<std::int64_t>(m_tenure))
+                .with("reason", taken.error().message)
+                .write();
+            // A higher fencing number was seen: another node has the duty, whatever this one believes.
+            if (taken.error().code == error_code::conflict)
+                m_pausedUntil = m_tasks.now() + conflict_pause;
+            return;
+        }
+        m_reported = std::max(m_reported, report.window);
+        std::uint64_t total = 0;
+        for (const auto &[account, count] : report.counts)
+            total += count;
+        log_event(log_level::info, "usage.reported")
+            .with("window", report.window)
+            .with("fencing", static_cast<std::int64_t>(m_tenure))
+            .with("runs", static_cast<std::int64_t>(total))
+            .write();
+    });
+}
+
+} // namespace ivypier::duties
--- /dev/null
+++ b/libraries/duties/usage_reporter.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "base/scheduler.h"
+#include "cloud/duty_calls.h"
+#include "cloud/table_service.h"
+#include "duties/run_board.h"
+#include "placement/duty.h"
+
+#include <functional>
+#include <optional>
+
+namespace ivypier::duties {
+
+struct usage_options
+{
+    std::int64_t windowMilliseconds = 5000;
+    duration settle
+        = std::chrono::milliseconds(2500); ///< after a window's end, for the nodes' counts to arrive
+    std::int64_t keptWindows = 24; ///< of which counts are kept while they can't be reported
+
+    auto operator<=>(const usage_options &) const = default;
+};
+
+/// Reports each window's usage while this node holds the duty.
+///
+/// The row `usage` of the table holds the last window that was decided, with its counts; it is replaced under
+/// its version, one window after the other. Only what the row holds is reported, so that two holders never
+/// report different counts for one window. A new holder repeats the row's report first.
+class usage_reporter
+{
+public:
+    usage_reporter(scheduler &tasks, cloud::table_service &table, cloud::duty_calls &platform,
+                   const placement::duty &lease, const run_board &board, usage_options options);
+
+    /// Goes on with the duty if there is something to do. To be called a few times a second.
+    void turn(std::int64_t wallMilliseconds);
+
+    /// The newest window that the platform has taken from this node; 0: none.
+    std::int64_t reportedWindow() const
+    {
+        return m_reported;
+    }
+
+    static std::string encode(const cloud::usage_report &report);
+    static std::optional<cloud::usage_report> decode(const std::string &text);
+
+private:
+    void readRow();
+    void takeRow(const std::optional<cloud::table_row> &row);
+    void decide(std::int64_t window);
+    void report();
+    bool ended();
+
+    scheduler &m_tasks;
+    cloud::table_service &m_table;
+    cloud::duty_calls &m_platform;
+    const placement::duty &m_lease;
+    const run_board &m_board;
+    usage_options m_options;
+    std::uint64_t m_tenure = 0; ///< fencing number under which the row was read
+    std::uint64_t m_rowVersion = 0;
+    bool m_rowKnown = false;
+    std::optional<cloud::usage_report> m_decided; ///< what the row holds
+    std::int64_t m_reported = 0;
+    std::int64_t m_wall = 0;
+    bool m_busy = false;
+    time_point m_pausedUntil{};
+};
+
+} // namespace ivypier::duties
--- /dev/null
+++ b/libraries/http/connection_pool.cpp
@@ -0,0 +1,196 @@
+#include "http/connection_pool.h"
+
+#include "base/boot_clock.h"
+#include "http/pooled_connection.h"
+
+#include <map>
+#include <vector>
+
+namespace ivypier::http {
+
+namespace {
+
+/// How often idle connections are looked through.
+constexpr duration sweep_interval = std::chrono::seconds(1);
+
+/// The caller's side of an exchange on a pooled connection.
+class pooled_exchange final : public outgoing_exchange
+{
+public:
+    pooled_exchange(std::shared_ptr<pooled_connection> connection, std::uint64_t number)
+        : m_connection(std::move(connection))
+        , m_number(number)
+    {
+    }
+    ~pooled_exchange() override
+    {
+        m_connection->abandon(m_number);
+    }
+    void pause() override
+    {
+        m_connection->pause(m_number);
+    }
+    void resume() override
+    {
+        m_connection->resume(m_number);
+    }
+
+private:
+    std::shared_ptr<pooled_connection> m_connection;
+    std::uint64_t m_number;
+};
+
+/// An exchange that fails without a connection.
+class refused_exchange final : public outgoing_exchange
+{
+public:
+    void pause() override
+    {
+    }
+    void resume() override
+    {
+    }
+
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    ~refused_exchange() override
+    {
+        *alive = false;
+    }
+};
+
+} // namespace
+
+struct connection_pool::state : std::enable_shared_from_this<connection_pool::state>
+{
+    struct peer_connections
+    {
+        std::vector<std::shared_ptr<pooled_connection>> idle; ///< the one used last is at the end
+        std::size_t open = 0;
+    };
+
+    explicit state(event_loop &loop)
+        : tasks(loop)
+        , context(*static_cast<boost::asio::io_context *>(loop.nativeContext()))
+    {
+    }
+
+    std::shared_ptr<pooled_connection> takeIdle(peer_connections &peer);
+    std::shared_ptr<pooled_connection> open(const endpoint &to, peer_connections &peer);
+    void onReleased(const std::shared_ptr<pooled_connection> &connection);
+    void sweep();
+
+    event_loop &tasks;
+    boost::asio::io_context &context;
+    std::map<endpoint, peer_connections> peers;
+    pool_counts counts;
+};
+
+std::shared_ptr<pooled_connection> connection_pool::state::takeIdle(peer_connections &peer)
+{
+    const time_point now = bootClockNow();
+    while (!peer.idle.empty()) {
+        const auto last = peer.idle.back();
+        peer.idle.pop_back();
+        if (last->isOpen() && last->usableUntil() > now)
+            return last;
+        last->close();
+    }
+    return nullptr;
+}
+
+std::shared_ptr<pooled_connection> connection_pool::state::open(const endpoint &to, peer_connections &peer)
+{
+    ++peer.open;
+    ++counts.opened;
+    ++counts.open;
+    return std::make_shared<pooled_connection>(
+        context, to, [weak = weak_from_this()](const std::shared_ptr<pooled_connection> &connection) {
+            if (const auto self = weak.lock())
+                self->onReleased(connection);
+        });
+}
+
+void connection_pool::state::onReleased(const std::shared_ptr<pooled_connection> &connection)
+{
+    const auto found = peers.find(connection->peer());
+    if (found == peers.end())
+        return;
+    peer_connections &peer = found->second;
+    if (connection->isOpen()) {
+        peer.idle.push_back(connection);
+        return;
+    }
+    std::erase(peer.idle, connection);
+    --peer.open;
+    --counts.open;
+}
+
+void connection_pool::state::sweep()
+{
+    const time_point now = bootClockNow();
+    for (auto &[address, peer] : peers) {
+        const auto idle = peer.idle;
+        for (const auto &each : idle) {
+            if (each->usableUntil() <= now)
+                each->close();
+        }
+    }
+    std::erase_if(peers, [](const auto &each) { return each.second.open == 0; });
+    tasks.after(sweep_interval, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->sweep();
+    });
+}
+
+connection_pool::connection_pool(event_loop &loop)
+    : m_state(std::make_shared<state>(loop))
+{
+    m_state->sweep();
+}
+
+connection_pool::~connection_pool()
+{
+    for (auto &[address, peer] : std::exchange(m_state->peers, {})) {
+        for (const auto &each : peer.idle)
+            each->close();
+    }
+}
+
+std::unique_ptr<outgoing_exchange> connection_pool::start(const endpoint &to, std::string bytes,
+                                                          exchange_options options,
+                                                          exchange_observer &observer)
+{
+    state::peer_connections &peer = m_state->peers[to];
+    std::shared_ptr<pooled_connection> connection = m_state->takeIdle(peer);
+    m_state->counts.reused += connection ? 1 : 0;
+    if (!connection && peer.open >= options.connections) {
+        auto refused = std::make_unique<refused_exchange>();
+        m_state->tasks.post([alive = refused->alive, &observer] {
+            if (*alive)
+                observer.onFailed({exchange_stage::not_sent, "every connection to the upstream is in use"});
+        });
+        return refused;
+    }
+    if (!connection)
+        connection = m_state->open(to, peer);
+    const std::uint64_t number = connection->start(std::move(bytes), std::move(options), observer);
+    return std::make_unique<pooled_exchange>(connection, number);
+}
+
+void connection_pool::forget(const endpoint &to)
+{
+    const auto found = m_state->peers.find(to);
+    if (found == m_state->peers.end())
+        return;
+    const auto idle = found->second.idle;
+    for (const auto &each : idle)
+        each->close();
+}
+
+pool_counts connection_pool::counts() const
+{
+    return m_state->counts;
+}
+
+} // namespace ivypier::http
--- /dev/null
+++ b/libraries/http/incoming_head.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "http/field_list.h"
+
+#include <string>
+
+namespace ivypier::http {
+
+/// The start line and the header fields of a request.
+struct request_head
+{
+    std::string method;
+    std::string target; ///< path and query as they came
+    field_list fields;
+
+    bool operator==(const request_head &) const = default;
+
+    /// The target without its query.
+    std::string_view path() const
+    {
+        return std::string_view(target).substr(0, target.find('?'));
+    }
+
+    /// The target's query without the question mark.
+    std::string_view query() const
+    {
+        const std::size_t mark = target.find('?');
+        return mark == std::string::npos ? std::string_view() : std::string_view(target).substr(mark + 1);
+    }
+};
+
+/// The status and the header fields of a response.
+struct response_head
+{
+    int status = 0;
+    field_list fields;
+
+    bool operator==(const response_head &) const = default;
+};
+
+} // namespace ivypier::http
--- /dev/null
+++ b/libraries/http/listener.cpp
@@ -0,0 +1,156 @@
+#include "http/listener.h"
+
+#include "base/boot_clock.h"
+#include "http/listener_connection.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+
+namespace ivypier::http {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+/// How often the callers' time limits are checked.
+constexpr duration check_interval = std::chrono::milliseconds(500);
+/// Pause after accept() failed, e.g. for want of descriptors.
+constexpr duration accept_pause = std::chrono::milliseconds(50);
+constexpr int backlog = 1024;
+
+} // namespace
+
+struct listener::state : std::enable_shared_from_this<listener::state>
+{
+    state(event_loop &loop, connection_limits limits, handler requests)
+        : context(*static_cast<boost::asio::io_context *>(loop.nativeContext()))
+        , acceptor(context)
+        , timer(context)
+        , shared(std::make_shared<listener_environment>(listener_environment{limits, std::move(requests)}))
+    {
+    }
+
+    void accept();
+    void check();
+    void removeClosed();
+
+    boost::asio::io_context &context;
+    tcp::acceptor acceptor;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<listener_environment> shared;
+    std::list<std::shared_ptr<listener_connection>> connections;
+};
+
+void listener::state::accept()
+{
+    acceptor.async_accept(
+        [self = shared_from_this()](const boost::system::error_code &failure, tcp::socket socket) {
+            if (!self->acceptor.is_open())
+                return;
+            if (failure) {
+                self->timer.expires_after(accept_pause);
+                self->timer.async_wait([self](const boost::system::error_code &) {
+                    self->check();
+                    self->accept();
+                });
+                return;
+            }
+            if (self->connections.size() >= self->shared->limits.connections)
+                self->removeClosed();
+            if (self->connections.size() < self->shared->limits.connections) {
+                self->connections.push_back(
+                    std::make_shared<listener_connection>(std::move(socket), self->shared));
+                self->connections.back()->start();
+            }
+            self->accept();
+        });
+}
+
+void listener::state::removeClosed()
+{
+    connections.remove_if([](const auto &each) { return !each->isOpen(); });
+}
+
+void listener::state::check()
+{
+    const time_point now = bootClockNow();
+    for (const auto &each : connections)
+        each->checkTime(now);
+    removeClosed();
+    timer.expires_after(check_interval);
+    timer.async_wait([self = shared_from_this()](const boost::system::error_code &failure) {
+        if (!failure)
+            self->check();
+    });
+}
+
+outcome<std::unique_ptr<listener>> listener::open(event_loop &loop, const endpoint &address,
+                                                  connection_limits limits, handler requests)
+{
+    auto opened = std::make_shared<state>(loop, limits, std::move(requests));
+    boost::system::error_code failure;
+    const tcp::endpoint local(boost::asio::ip::make_address(address.host, failure), address.port);
+    if (!failure)
+        opened->acceptor.open(local.protocol(), failure);
+    if (!failure)
+        opened->acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        opened->acceptor.bind(local, failure);
+    if (!failure)
+        opened->acceptor.listen(backlog, failure);
+    if (failure)
+        return error{error_code::unavailable, "can't listen on " + address.text() + ": " + failure.message()};
+    opened->accept();
+    opened->check();
+    return std::unique_ptr<listener>(new listener(std::move(opened)));
+}
+
+listener::listener(std::shared_ptr<state> opened)
+    : m_state(std::move(opened))
+{
+}
+
+listener::~listener()
+{
+    stopAccepting();
+    m_state->timer.cancel();
+    for (const auto &each : m_state->connections)
+        each->close();
+}
+
+void listener::setLimits(const connection_limits &limits)
+{
+    m_state->shared->limits = limits;
+}
+
+void listener::closeAfterAnswers()
+{
+    m_state->shared->closeAfterAnswer = true;
+}
+
+void listener::closeIdle()
+{
+    for (const auto &each : m_state->connections) {
+        if (each->isIdle())
+            each->close();
+    }
+}
+
+void listener::stopAccepting()
+{
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
+}
+
+std::size_t listener::connectionCount() const
+{
+    return m_state->connections.size();
+}
+
+std::size_t listener::unanswered() const
+{
+    return m_state->shared->unanswered;
+}
+
+} // namespace ivypier::http
--- /dev/null
+++ b/libraries/http/listener_connection.cpp
@@ -0,0 +1,309 @@
+#include "http/listener_connection.h"
+
+#include "base/boot_clock.h"
+#include "http/socket_options.h"
+#include "http/status_text.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace ivypier::http {
+
+namespace {
+
+/// Bytes of pipelined requests that are read while one is answered.
+constexpr std::size_t read_ahead_limit = 64 * 1024;
+constexpr std::size_t read_size = 16 * 1024;
+
+/// One read at a time on one thread: the bytes are taken before the next read.
+std::array<char, read_size> &readBuffer()
+{
+    static std::array<char, read_size> buffer;
+    return buffer;
+}
+
+} // namespace
+
+/// The answer to the request that a connection is answering.
+class connection_reply final : public reply
+{
+public:
+    connection_reply(std::shared_ptr<listener_connection> connection, bool keep, bool headOnly)
+        : m_connection(std::move(connection))
+        , m_keep(keep)
+        , m_headOnly(headOnly)
+    {
+        ++m_connection->m_shared->unanswered;
+    }
+
+    ~connection_reply() override
+    {
+        --m_connection->m_shared->unanswered;
+        m_connection->m_onSent = nullptr;
+        m_connection->m_onClosed = nullptr;
+        m_connection->answerEnded(m_ended, m_keep);
+    }
+
+    void send(int status, const field_list &fields, std::string_view body) override
+    {
+        std::string text = head(status, fields);
+        appendField(text, "Content-Length", std::to_string(body.size()));
+        text.append("\r\n");
+        if (!m_headOnly)
+            text.append(body);
+        m_connection->write(std::move(text));
+        m_ended = true;
+    }
+
+    void begin(int status, const field_list &fields) override
+    {
+        std::string text = head(status, fields);
+        appendField(text, "Transfer-Encoding", "chunked");
+        m_connection->write(text.append("\r\n"));
+    }
+
+    void write(std::string_view piece) override
+    {
+        if (piece.empty() || m_headOnly)
+            return;
+        std::array<char, 20> size{};
+        const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+        std::string text(size.data(), static_cast<std::size_t>(length));
+        text.append(piece).append("\r\n");
+        m_connection->write(std::move(text));
+    }
+
+    void finish() override
+    {
+        if (!m_headOnly)
+            m_connection->write("0\r\n\r\n");
+        m_ended = true;
+    }
+
+    std::size_t unsentBytes() const override
+    {
+        return m_connection->m_output.size() + m_connection->m_writing.size();
+    }
+
+    void onSent(std::function<void()> observer) override
+    {
+        m_connection->m_onSent = std::move(observer);
+    }
+
+    void onClosed(std::function<void()> observer) override
+    {
+        m_connection->m_onClosed = std::move(observer);
+    }
+
+private:
+    std::string head(int status, const field_list &fields)
+    {
+        std::string text
+            = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(statusText(status)) + "\r\n";
+        for (const auto &[name, value] : fields)
+            appendField(text, name, value);
+        m_keep
+            = m_keep && !m_connection->m_shared->closeAfterAnswer && !fields.hasToken("Connection", "close");
+        if (!m_keep && !fields.hasToken("Connection", "close"))
+            appendField(text, "Connection", "close");
+        return text;
+    }
+
+    std::shared_ptr<listener_connection> m_connection;
+    bool m_keep;
+    bool m_headOnly;
+    bool m_ended = false;
+};
+
+listener_connection::listener_connection(boost::asio::ip::tcp::socket socket,
+                                         std::shared_ptr<listener_environment> shared)
+    : m_socket(std::move(socket))
+    , m_shared(std::move(shared))
+    , m_phaseSince(bootClockNow())
+{
+}
+
+listener_connection::~listener_connection() = default;
+
+void listener_connection::start()
+{
+    prepareSocket(m_socket);
+    boost::system::error_code ignored;
+    m_socket.non_blocking(true, ignored);
+    waitForInput();
+}
+
+void listener_connection::waitForInput()
+{
+    if (m_waiting || !m_open)
+        return;
+    m_waiting = true;
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &failure) {
+                            self->m_waiting = false;
+                            self->onReadable(failure);
+                        });
+}
+
+void listener_connection::onReadable(const boost::system::error_code &failure)
+{
+    if (!m_open)
+        return;
+    boost::system::error_code problem = failure;
+    std::size_t size = 0;
+    if (!problem)
+        size = m_socket.read_some(boost::asio::buffer(readBuffer()), problem);
+    if (problem == boost::asio::error::would_block) {
+        waitForInput();
+        return;
+    }
+    if (problem) {
+        close();
+        return;
+    }
+    m_input.append(readBuffer().data(), size);
+    if (m_phase != phase::answering)
+        takeInput();
+    if (m_phase != phase::answering || m_input.size() < read_ahead_limit)
+        waitForInput();
+}
+
+void listener_connection::takeInput()
+{
+    while (m_open && m_phase != phase::answering && !m_input.empty()) {
+        if (m_phase == phase::idle) {
+            m_parser.emplace(
+                request_parser::limits{m_shared->limits.headerBytes, m_shared->limits.bodyBytes});
+            m_phase = phase::reading;
+            m_phaseSince = bootClockNow();
+        }
+        const bool hadHead = m_parser->hasHead();
+        const outcome<std::size_t> taken = m_parser->feed(m_input);
+        if (!taken) {
+            refuse(taken.error());
+            return;
+        }
+        m_input.erase(0, taken.value());
+        if (!hadHead && m_parser->hasHead() && m_parser->head().fields.hasToken("Expect", "100-continue"))
+            write("HTTP/1.1 100 Continue\r\n\r\n");
+        if (m_parser->hasHead())
+            m_phaseSince = bootClockNow();
+        if (m_parser->isDone())
+            dispatch();
+        else if (taken.value() == 0)
+            return;
+    }
+}
+
+void listener_connection::dispatch()
+{
+    m_phase = phase::answering;
+    incoming_request incoming{m_parser->takeHead(), m_parser->takeBody(), bootClockNow()};
+    const bool keep = m_parser->keepsConnection();
+    m_parser.reset();
+    const bool headOnly = incoming.head.method == "HEAD";
+    m_shared->requests(std::move(incoming),
+                       std::make_shared<connection_reply>(shared_from_this(), keep, headOnly));
+}
+
+void listener_connection::refuse(const error &failure)
+{
+    const int status = failure.code != error_code::too_large ? 400 : m_parser->hasHead() ? 413 : 431;
+    write("HTTP/1.1 " + std::to_string(status) + ' ' + std::string(statusText(status))
+          + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    m_phase = phase::answering;
+    m_closeWhenSent = true;
+    flush();
+}
+
+void listener_connection::write(std::string text)
+{
+    if (!m_open)
+        return;
+    m_output.append(text);
+    if (m_sending)
+        return;
+    m_sending = true;
+    // Pieces that are written in one turn of the loop leave together.
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_sending = false;
+        self->flush();
+    });
+}
+
+void listener_connection::flush()
+{
+    if (!m_open || m_sending)
+        return;
+    if (m_output.empty()) {
+        if (m_closeWhenSent)
+            close();
+        return;
+    }
+    m_sending = true;
+    m_writing.swap(m_output);
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
+                             [self = shared_from_this()](const boost::system::error_code &failure,
+                                                         std::size_t) { self->onWritten(failure); });
+}
+
+void listener_connection::onWritten(const boost::system::error_code &failure)
+{
+    m_sending = false;
+    m_writing.clear();
+    if (failure) {
+        close();
+        return;
+    }
+    if (m_output.empty() && m_onSent)
+        m_onSent();
+    flush();
+}
+
+void listener_connection::answerEnded(bool complete, bool keep)
+{
+    if (!m_open)
+        return;
+    if (!complete) {
+        close();
+        return;
+    }
+    m_phase = phase::idle;
+    m_phaseSince = bootClockNow();
+    if (!keep) {
+        m_phase = phase::answering; // nothing more is read as a request
+        m_closeWhenSent = true;
+        flush();
+        return;
+    }
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->takeInput();
+        self->waitForInput();
+    });
+}
+
+void listener_connection::checkTime(time_point now)
+{
+    if (!m_open || (m_phase == phase::answering && !m_closeWhenSent))
+        return;
+    duration limit = m_shared->limits.idleTime;
+    if (m_phase == phase::reading)
+        limit = m_parser->hasHead() ? m_shared->limits.bodyTime : m_shared->limits.headerTime;
+    if (now - m_phaseSince > limit)
+        close();
+}
+
+void listener_connection::close()
+{
+    if (!std::exchange(m_open, false))
+        return;
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+    m_onSent = nullptr;
+    if (const auto observer = std::exchange(m_onClosed, nullptr))
+        observer();
+}
+
+} // namespace ivypier::http
--- /dev/null
+++ b/libraries/http/listener_connection.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "http/listener.h"
+#include "http/message_parser.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+
+namespace ivypier::http {
+
+/// What the connections of one listener share.
+struct listener_environment
+{
+    connection_limits limits;
+    listener::handler requests;
+    bool closeAfterAnswer = false;
+    std::size_t unanswered = 0;
+};
+
+/// One connection of a caller: reads a request, has it answered, reads the next one.
+class listener_connection final : public std::enable_shared_from_this<listener_connection>
+{
+public:
+    listener_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<listener_environment> shared);
+    ~listener_connection();
+
+    void start();
+
+    /// Ends the connection when a time limit of the caller's side is over.
+    void checkTime(time_point now);
+
+    bool isOpen() const
+    {
+        return m_open;
+    }
+    bool isIdle() const
+    {
+        return m_phase == phase::idle && m_input.empty();
+    }
+    void close();
+
+private:
+    friend class connection_reply;
+    enum class phase { idle, reading, answering };
+
+    void waitForInput();
+    void onReadable(const boost::system::error_code &failure);
+    void takeInput();
+    void dispatch();
+    void refuse(const error &failure);
+    void write(std::string text);
+    void flush();
+    void onWritten(const boost::system::error_code &failure);
+    void answerEnded(bool complete, bool keep);
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::shared_ptr<listener_environment> m_shared;
+    std::optional<request_parser> m_parser;
+    std::string m_input; ///< read and not parsed yet
+    std::string m_output; ///< waits for the write under way
+    std::string m_writing;
+    phase m_phase = phase::idle;
+    time_point m_phaseSince{};
+    bool m_open = true;
+    bool m_waiting = false;
+    bool m_closeWhenSent = false;
+    bool m_sending = false;
+    std::function<void()> m_onSent;
+    std::function<void()> m_onClosed;
+};
+
+} // namespace ivypier::http
--- /dev/null
+++ b/libraries/http/message_parser.cpp
@@ -0,0 +1,110 @@
+#include "http/message_parser.h"
+
+#include <boost/beast/http/error.hpp>
+
+namespace ivypier::http {
+
+namespace beast = boost::beast::http;
+
+template <bool IsRequest>
+message_parser<IsRequest>::message_parser(limits bounds)
+{
+    base::eager(true);
+    base::header_limit(bounds.headerBytes);
+    base::body_limit(bounds.bodyBytes);
+}
+
+template <bool IsRequest>
+outcome<std::size_t> message_parser<IsRequest>::feed(std::string_view bytes)
+{
+    m_started = m_started || !bytes.empty();
+    failure_code failure;
+    const std::size_t taken = base::put(boost::asio::const_buffer(bytes.data(), bytes.size()), failure);
+    if (!failure || failure == beast::error::need_more)
+        return taken;
+    const bool tooLarge = failure == beast::error::header_limit || failure == beast::error::body_limit;
+    return error{tooLarge ? error_code::too_large : error_code::invalid_argument, failure.message()};
+}
+
+template <bool IsRequest>
+bool message_parser<IsRequest>::end()
+{
+    if (isDone())
+        return true;
+    if (!hasHead())
+        return false;
+    failure_code failure;
+    base::put_eof(failure);
+    return !failure;
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_request_impl([[maybe_unused]] beast::verb verb,
+                                                [[maybe_unused]] text method, [[maybe_unused]] text target,
+                                                int version, failure_code &failure)
+{
+    if constexpr (IsRequest) {
+        m_head.method.assign(method.data(), method.size());
+        m_head.target.assign(target.data(), target.size());
+        if (version != 11 && version != 10)
+            failure = beast::error::bad_version;
+    }
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_response_impl([[maybe_unused]] int status, text, int, failure_code &)
+{
+    if constexpr (!IsRequest)
+        m_head.status = status;
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_field_impl(beast::field name, text nameText, text value,
+                                              failure_code &failure)
+{
+    const std::string_view content(value.data(), value.size());
+    if (name == beast::field::transfer_encoding && !equalNames(content, "chunked"))
+        failure = beast::error::bad_transfer_encoding;
+    if (IsRequest && name == beast::field::host && m_head.fields.count("Host") > 0)
+        failure = beast::error::bad_field;
+    m_head.fields.add({nameText.data(), nameText.size()}, content);
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_header_impl(failure_code &)
+{
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_body_init_impl(const boost::optional<std::uint64_t> &, failure_code &)
+{
+}
+
+template <bool IsRequest>
+std::size_t message_parser<IsRequest>::on_body_impl(text piece, failure_code &)
+{
+    m_body.append(piece.data(), piece.size());
+    return piece.size();
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_chunk_header_impl(std::uint64_t, text, failure_code &)
+{
+}
+
+template <bool IsRequest>
+std::size_t message_parser<IsRequest>::on_chunk_body_impl(std::uint64_t, text piece, failure_code &)
+{
+    m_body.append(piece.data(), piece.size());
+    return piece.size();
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_finish_impl(failure_code &)
+{
+}
+
+template class message_parser<true>;
+template class message_parser<false>;
+
+} // namespace ivypier::http
--- /dev/null
+++ b/libraries/http/pooled_connection.cpp
@@ -0,0 +1,289 @@
+#include "http/pooled_connection.h"
+
+#include "base/boot_clock.h"
+#include "http/socket_options.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace ivypier::http {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::size_t read_size = 16 * 1024;
+constexpr std::uint32_t header_limit = 32 * 1024;
+constexpr std::uint64_t body_limit = std::uint64_t{1} << 30;
+/// Answers to other requests that are passed over before the connection counts as broken.
+constexpr int foreign_answer_limit = 2;
+/// How long a connection is kept when its peer names no time.
+constexpr duration default_keep = std::chrono::seconds(4);
+/// Part of the time its peer names for which a connection is used.
+constexpr double keep_part = 0.6;
+
+std::array<char, read_size> &readBuffer()
+{
+    static std::array<char, read_size> buffer;
+    return buffer;
+}
+
+/// The time for which the peer keeps an idle connection (`Keep-Alive: timeout=<seconds>`).
+duration keepTime(const field_list &fields)
+{
+    const std::string_view value = fields.find("Keep-Alive");
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = value.find(name);
+    if (at == std::string_view::npos)
+        return default_keep;
+    int whole = 0;
+    const char *first = value.data() + at + name.size();
+    std::from_chars(first, value.data() + value.size(), whole);
+    return fromSeconds(keep_part * std::max(whole, 0));
+}
+
+} // namespace
+
+pooled_connection::pooled_connection(boost::asio::io_context &context, endpoint peer, released onReleased)
+    : m_context(context)
+    , m_socket(context)
+    , m_peer(std::move(peer))
+    , m_released(std::move(onReleased))
+{
+}
+
+std::uint64_t pooled_connection::start(std::string bytes, exchange_options options,
+                                       exchange_observer &observer)
+{
+    ++m_exchange;
+    m_outgoing = std::move(bytes);
+    m_options = std::move(options);
+    m_observer = &observer;
+    m_stage = exchange_stage::not_sent;
+    m_foreignAnswers = 0;
+    m_skipping = m_headTold = m_paused = m_behind = false;
+    m_unparsed.clear();
+    m_parser.emplace(response_parser::limits{header_limit, body_limit});
+    if (m_options.headOnly)
+        m_parser->expectNoBody();
+    if (m_connected)
+        write();
+    else
+        connect();
+    return m_exchange;
+}
+
+void pooled_connection::connect()
+{
+    m_connectTimer = std::make_unique<boost::asio::steady_timer>(m_context, m_options.connectTime);
+    m_connectTimer->async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
+        if (!cancelled && self->m_open && !self->m_connected)
+            self->fail("no connection in time");
+    });
+    boost::system::error_code failure;
+    const tcp::endpoint to(boost::asio::ip::make_address(m_peer.host, failure), m_peer.port);
+    m_socket.async_connect(to, [self = shared_from_this()](const boost::system::error_code &refused) {
+        if (!self->m_open)
+            return;
+        self->m_connectTimer.reset();
+        if (refused) {
+            self->fail(refused.message());
+            return;
+        }
+        self->m_connected = true;
+        prepareSocket(self->m_socket);
+        boost::system::error_code ignored;
+        self->m_socket.non_blocking(true, ignored);
+        self->write();
+    });
+}
+
+void pooled_connection::write()
+{
+    m_writing = true;
+    // Until the write tells otherwise, some bytes may have left.
+    m_stage = exchange_stage::sent;
+    boost::asio::async_write(
+        m_socket, boost::asio::buffer(m_outgoing),
+        [self = shared_from_this()](const boost::system::error_code &failure, std::size_t written) {
+            self->m_writing = false;
+            self->m_outgoing.clear();
+            if (!self->m_open)
+                return;
+            // An answer may stand before a failed write: reading tells.
+            if (!failure || written > 0 || self->m_stage != exchange_stage::sent)
+                return;
+            self->m_stage = exchange_stage::not_sent;
+            self->fail(failure.message());
+        });
+    waitForInput();
+}
+
+void pooled_connection::waitForInput()
+{
+    if (m_waiting || !m_open || m_paused)
+        return;
+    m_waiting = true;
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &failure) {
+                            self->m_waiting = false;
+                            self->onReadable(failure);
+                        });
+}
+
+void pooled_connection::onReadable(const boost::system::error_code &failure)
+{
+    if (!m_open || m_paused)
+        return;
+    boost::system::error_code problem = failure;
+    std::size_t size = 0;
+    if (!problem)
+        size = m_socket.read_some(boost::asio::buffer(readBuffer()), problem);
+    if (problem == boost::asio::error::would_block) {
+        waitForInput();
+        return;
+    }
+    if (!m_observer) { // idle: nothing may come
+        close();
+        return;
+    }
+    if (problem == boost::asio::error::eof && m_headTold && !m_skipping && m_parser->endsWithConnection()
+        && m_parser->end()) {
+        finish();
+        return;
+    }
+    if (problem) {
+        fail(problem.message());
+        return;
+    }
+    takeInput({readBuffer().data(), size});
+    waitForInput();
+}
+
+void pooled_connection::takeInput(std::string_view bytes)
+{
+    const auto alive = shared_from_this();
+    // The parser wants an unfinished head again, together with what follows it.
+    std::string joined;
+    if (!m_unparsed.empty()) {
+        joined = std::exchange(m_unparsed, {});
+        joined.append(bytes);
+        bytes = joined;
+    }
+    while (m_open && m_observer && !bytes.empty()) {
+        const outcome<std::size_t> taken = m_parser->feed(bytes);
+        if (!taken) {
+            fail(taken.error().message);
+            return;
+        }
+        bytes.remove_prefix(taken.value());
+        if (m_parser->hasHead() && !m_headTold && !m_skipping && !takeHead())
+            return;
+        const std::string body = m_parser->takeBody();
+        if (!body.empty() && m_headTold && m_observer)
+            m_observer->onBody(body);
+        if (!m_open || !m_observer)
+            return;
+        if (!m_parser->isDone()) {
+            if (taken.value() == 0) {
+                m_unparsed = bytes;
+                return;
+            }
+            continue;
+        }
+        if (m_headTold) {
+            m_behind = !bytes.empty();
+            finish();
+            return;
+        }
+        m_skipping = false;
+        m_parser.emplace(response_parser::limits{header_limit, body_limit});
+        if (m_options.headOnly)
+            m_parser->expectNoBody();
+    }
+}
+
+bool pooled_connection::takeHead()
+{
+    constexpr int first_final_status = 200;
+    const response_head &head = m_parser->head();
+    if (head.status < first_final_status) { // interim responses carry nothing for the caller
+        m_skipping = true;
+        return true;
+    }
+    if (m_options.isOwnAnswer && !m_options.isOwnAnswer(head)) {
+        if (++m_foreignAnswers > foreign_answer_limit) {
+            fail("answers to other requests");
+            return false;
+        }
+        m_skipping = true;
+        return true;
+    }
+    m_headTold = true;
+    m_stage = exchange_stage::answering;
+    m_keepFor = keepTime(head.fields);
+    m_observer->onHead(m_parser->takeHead());
+    return m_open && m_observer != nullptr;
+}
+
+void pooled_connection::finish()
+{
+    const auto alive = shared_from_this();
+    exchange_observer *observer = std::exchange(m_observer, nullptr);
+    // A connection on which another answer came first is not trusted with another request.
+    const bool keep = m_open && m_parser->keepsConnection() && !m_parser->endsWithConnection() && !m_behind
+        && !m_writing && m_outgoing.empty() && m_foreignAnswers == 0 && m_keepFor > duration::zero();
+    m_parser.reset();
+    if (keep) {
+        m_usableUntil = bootClockNow() + m_keepFor;
+        waitForInput();
+        m_released(alive);
+    } else {
+        close();
+    }
+    observer->onEnd();
+}
+
+void pooled_connection::fail(const std::string &reason)
+{
+    const auto alive = shared_from_this();
+    exchange_observer *observer = std::exchange(m_observer, nullptr);
+    const exchange_failure failure{m_stage, reason};
+    close();
+    if (observer)
+        observer->onFailed(failure);
+}
+
+void pooled_connection::abandon(std::uint64_t exchange)
+{
+    if (exchange != m_exchange || !std::exchange(m_observer, nullptr))
+        return;
+    close();
+}
+
+void pooled_connection::pause(std::uint64_t exchange)
+{
+    m_paused = exchange == m_exchange && m_observer;
+}
+
+void pooled_connection::resume(std::uint64_t exchange)
+{
+    if (exchange != m_exchange || !std::exchange(m_paused, false))
+        return;
+    waitForInput();
+}
+
+void pooled_connection::close()
+{
+    if (!std::exchange(m_open, false))
+        return;
+    m_connectTimer.reset();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_released(shared_from_this());
+}
+
+} // namespace ivypier::http
--- a/libraries/program/daemon.cpp
+++ b/libraries/program/daemon.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/flags/flag.h>
 
+#include <cstdlib>
 #include <iostream>
 
 ABSL_FLAG(std::string, settings, "", "path of the settings, a TOML file; docs/SETTINGS.md lists its fields");
@@ -13,6 +14,13 @@
 
 namespace ivypier::program {
 
+namespace {
+
+/// Names the settings file where there is no --settings.
+constexpr const char *settings_variable = "IVYPIER_SETTINGS";
+
+} // namespace
+
 std::variant<std::string, exit_code> readSettingsText(const program_description &about, int argc, char **argv)
 {
     const std::vector<std::string> words = parseCommandLine(about, argc, argv);
@@ -20,6 +28,10 @@
         std::cerr << about.name << ": \"" << words.front() << "\" is not understood (see --help)\n";
         return exit_usage;
     }
+    if (absl::GetFlag(FLAGS_settings).empty()) {
+        if (const char *named = std::getenv(settings_variable))
+            absl::SetFlag(&FLAGS_settings, named);
+    }
     const std::string path = absl::GetFlag(FLAGS_settings);
     if (path.empty()) {
         std::cerr << about.name << ": --settings is missing (see --help)\n";
--- /dev/null
+++ b/libraries/relay/call_environment.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/metrics_registry.h"
+#include "base/random_source.h"
+#include "base/scheduler.h"
+#include "http/exchange_transport.h"
+#include "relay/repeat_budget.h"
+#include "relay/run_counter.h"
+#include "relay/unit_quota.h"
+#include "relay/upstream_choice.h"
+#include "relay/upstream_directory.h"
+#include "relay/upstream_protocol.h"
+
+#include <functional>
+
+namespace ivypier::relay {
+
+/// What the calls of one node share.
+struct call_environment
+{
+    scheduler &tasks;
+    random_source &randomness;
+    metrics_registry &metrics;
+    http::exchange_transport &transport;
+    const upstream_protocol &protocol;
+    upstream_directory &upstreams;
+    upstream_choice &choice;
+    repeat_budget &repeats;
+    unit_quota &quota;
+    run_counter &runs;
+    /// The time of day by which windows of runs are counted, in milliseconds since 1970.
+    std::function<std::int64_t()> wallMilliseconds;
+    /// The part of an upstream's connections that this node may have.
+    std::function<std::size_t(const service &)> connectionsFor;
+};
+
+} // namespace ivypier::relay
--- /dev/null
+++ b/libraries/relay/configuration_rows.cpp
@@ -0,0 +1,39 @@
+#include "relay/configuration_rows.h"
+
+#include "base/log_event.h"
+
+namespace ivypier::relay {
+
+configuration_rows::configuration_rows(std::string key, decoder decode, receiver onNewer)
+    : m_key(std::move(key))
+    , m_decode(std::move(decode))
+    , m_onNewer(std::move(onNewer))
+{
+}
+
+void configuration_rows::onRows(const std::vector<cloud::feed_row> &rows)
+{
+    for (const cloud::feed_row &each : rows)
+        onChange(each, false);
+}
+
+void configuration_rows::onChange(const cloud::feed_row &row, bool)
+{
+    if (row.key != m_key || row.removed)
+        return;
+    outcome<service_map> decoded = m_decode(row.value);
+    if (!decoded) {
+        log_event(log_level::error, "configuration.rejected")
+            .with("row_version", static_cast<std::int64_t>(row.version))
+            .with("in_force", static_cast<std::int64_t>(m_version))
+            .with("reason", decoded.error().message)
+            .write();
+        return;
+    }
+    if (decoded.value().version <= m_version)
+        return;
+    m_version = decoded.value().version;
+    m_onNewer(std::make_shared<const route_table>(std::move(decoded.value())));
+}
+
+} // namespace ivypier::relay
--- /dev/null
+++ b/libraries/relay/configuration_rows.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/outcome.h"
+#include "cloud/table_follower.h"
+#include "relay/route_table.h"
+
+#include <functional>
+#include <memory>
+
+namespace ivypier::relay {
+
+/// Takes the configuration from the row that holds it. An older version than the one in force is ignored, and
+/// so is a row that can't be read, with a log line.
+class configuration_rows final : public cloud::table_observer
+{
+public:
+    using decoder = std::function<outcome<service_map>(std::string_view)>;
+    using receiver = std::function<void(std::shared_ptr<const route_table>)>;
+
+    configuration_rows(std::string key, decoder decode, receiver onNewer);
+
+    void onRows(const std::vector<cloud::feed_row> &rows) override;
+    void onChange(const cloud::feed_row &row, bool uncertain) override;
+
+    /// The version in force; 0 before the first.
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+private:
+    std::string m_key;
+    decoder m_decode;
+    receiver m_onNewer;
+    std::uint64_t m_version = 0;
+};
+
+} // namespace ivypier::relay
--- /dev/null
+++ b/libraries/relay/prefix_choice.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "relay/upstream_choice.h"
+
+#include <functional>
+#include <vector>
+
+namespace ivypier::relay {
+
+struct prefix_choice_options
+{
+    /// A home with more than this times the mean load, and `slack` calls, passes a call on to the next.
+    double loadBound = 1.4;
+    double slackCalls = 3.0;
+
+    auto operator<=>(const prefix_choice_options &) const = default;
+};
+
+/// Sends prompts that begin with the same parts to the same upstream, as long as it does not have much more
+/// to do than the others: the homes of a prefix are ranked by rendezvous hashing, the same in every node.
+/// Calls without a prompt go to the one of two random upstreams that has less to do, those of the own failure
+/// domain first.
+class prefix_choice final : public upstream_choice
+{
+public:
+    /// Calls under way at an upstream from other nodes, as last heard.
+    using foreign_load = std::function<double(const std::string &upstream)>;
+
+    prefix_choice(const clock &time, random_source &randomness, const upstream_directory &upstreams,
+                  std::string failureDomain, foreign_load othersLoad, prefix_choice_options options = {});
+
+    std::optional<std::string> choose(const choice_question &question) override;
+
+private:
+    std::vector<const upstream *> candidates(const choice_question &question) const;
+    const upstream *chooseHome(const std::vector<const upstream *> &from, std::uint64_t prefix) const;
+    const upstream *chooseLighter(const std::vector<const upstream *> &from);
+    double loadOf(const upstream &each) const;
+
+    const clock &m_time;
+    random_source &m_random;
+    const upstream_directory &m_upstreams;
+    std::string m_failureDomain;
+    foreign_load m_othersLoad;
+    prefix_choice_options m_options;
+};
+
+} // namespace ivypier::relay
--- /dev/null
+++ b/libraries/relay/upstream_directory.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/endpoint.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ivypier::relay {
+
+/// One run of one upstream, as the platform lists it.
+struct upstream_record
+{
+    std::string id; ///< names this run; a restart is another one
+    std::string service;
+    endpoint address;
+    std::string failureDomain;
+    std::uint32_t slots = 1; ///< calls that it works on at once
+    bool draining = false; ///< leaves soon and takes nothing new
+    bool reclaimable = false; ///< may be taken back with its whole failure domain
+    duration coldFor{}; ///< how much longer it is slow after its start, at the time of the record
+
+    auto operator<=>(const upstream_record &) const = default;
+};
+
+/// An upstream with what this node knows of it by its own calls.
+struct upstream
+{
+    upstream_record record;
+    time_point knownSince{};
+    std::uint32_t running = 0; ///< calls of this node that are under way
+    std::uint64_t runningTokens = 0; ///< tokens of these calls that are still to be read or made
+    std::uint32_t failuresInRow = 0;
+    time_point setAsideUntil{};
+    std::uint64_t callsEnded = 0;
+
+    bool isSetAside(time_point now) const
+    {
+        return now < setAsideUntil;
+    }
+};
+
+/// The upstreams that are known, by id.
+class upstream_directory
+{
+public:
+    explicit upstream_directory(const clock &time);
+
+    /// Takes in a new or changed record.
+    void put(const upstream_record &record);
+
+    /// The platform lists it no more: it may serve for a while, and gets nothing new.
+    void remove(const std::string &id);
+
+    /// Replaces all records by a new list.
+    void replaceAll(const std::vector<upstream_record> &records);
+
+    /// The upstream, also when it is draining; nothing once it was removed.
+    const upstream *find(const std::string &id) const;
+
+    /// Upstreams of a service that take new calls, those set aside included.
+    std::vector<const upstream *> ready(const std::string &service) const;
+
+    /// Every upstream that is listed.
+    std::vector<const upstream *> all() const;
+
+    /// A call begins or ends at an upstream. `tokens` is the work that it brings.
+    void callBegins(const std::string &id, std::uint64_t tokens);
+    void callEnds(const std::string &id, std::uint64_t tokens);
+
+    /// An upstream answered as it should.
+    void succeeded(const std::string &id);
+
+    /// An upstream failed: after a few failures in a row it is set aside for a time that grows.
+    void failed(const std::string &id);
+
+    /// Calls `observer` when an upstream no longer takes new calls.
+    void onLeaving(std::function<void(const upstream_record &)> observer);
+
+private:
+    const clock &m_time;
+    std::map<std::string, upstream> m_upstreams;
+    std::vector<std::function<void(const upstream_record &)>> m_leavingObservers;
+};
+
+/// Failures in a row after which an upstream is set aside.
+inline constexpr std::uint32_t failures_until_set_aside = 3;
+
+/// How long it is set aside the first time; twice as long each further time, up to the most.
+inline constexpr duration least_set_aside = std::chrono::milliseconds(800);
+inline constexpr duration most_set_aside = std::chrono::seconds(6);
+
+} // namespace ivypier::relay
--- /dev/null
+++ b/libraries/relay/upstream_rows.cpp
@@ -0,0 +1,66 @@
+#include "relay/upstream_rows.h"
+
+#include "base/log_event.h"
+
+namespace ivypier::relay {
+
+upstream_rows::upstream_rows(scheduler &tasks, upstream_directory &upstreams, decoder decode)
+    : m_tasks(tasks)
+    , m_upstreams(upstreams)
+    , m_decode(std::move(decode))
+{
+}
+
+std::optional<upstream_record> upstream_rows::read(const cloud::feed_row &row) const
+{
+    outcome<upstream_record> decoded = m_decode(row.key, row.value);
+    if (decoded)
+        return std::move(decoded.value());
+    log_event(log_level::warning, "upstream.unreadable")
+        .with("id", row.key)
+        .with("reason", decoded.error().message)
+        .write();
+    return std::nullopt;
+}
+
+void upstream_rows::keep(const std::string &id)
+{
+    const auto found = m_leaving.find(id);
+    if (found == m_leaving.end())
+        return;
+    m_tasks.cancel(found->second);
+    m_leaving.erase(found);
+}
+
+void upstream_rows::onRows(const std::vector<cloud::feed_row> &rows)
+{
+    // Rows that are missing in the new list were told one by one before.
+    for (const cloud::feed_row &each : rows)
+        onChange(each, false);
+}
+
+void upstream_rows::onChange(const cloud::feed_row &row, bool uncertain)
+{
+    if (row.removed) {
+        if (uncertain && m_upstreams.find(row.key))
+            removeLater(row.key);
+        else
+            m_upstreams.remove(row.key);
+        return;
+    }
+    keep(row.key);
+    if (const auto record = read(row))
+        m_upstreams.put(*record);
+}
+
+void upstream_rows::removeLater(const std::string &id)
+{
+    if (m_leaving.contains(id))
+        return;
+    m_leaving[id] = m_tasks.after(missing_row_grace, [this, id] {
+        m_leaving.erase(id);
+        m_upstreams.remove(id);
+    });
+}
+
+} // namespace ivypier::relay
--- a/meta/cmake/ivypier.cmake
+++ b/meta/cmake/ivypier.cmake
@@ -21,7 +21,7 @@
 # ivypier_tests(<name> <targets>): the test program of tests/*_test.cpp in the current folder.
 function(ivypier_tests name)
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-    if(NOT tests)
+    if(NOT tests OR NOT IVYPIER_TESTS)
         return()
     endif()
     add_executable(ivypier-${name}-tests ${tests})
--- /dev/null
+++ b/services/edge/edge_node.cpp
@@ -0,0 +1,422 @@
+#include "edge_node.h"
+
+#include "caller_lookup.h"
+#include "load_board.h"
+#include "peer_rows.h"
+
+#include "base/hash.h"
+#include "base/log_event.h"
+#include "base/random_source.h"
+#include "base/steady_wall_clock.h"
+#include "cloud/table_follower.h"
+#include "duties/usage_reporter.h"
+#include "http/connection_pool.h"
+#include "http/fetcher.h"
+#include "http/listener.h"
+#include "membership/gossip_membership.h"
+#include "membership/udp_channel.h"
+#include "placement/duty_candidates.h"
+#include "placement/lease.h"
+#include "platform/caller_codec.h"
+#include "platform/cloud_client.h"
+#include "platform/configuration_codec.h"
+#include "platform/front_codec.h"
+#include "platform/runner_protocol.h"
+#include "platform/store_client.h"
+#include "platform/upstream_codec.h"
+#include "platform/wire_names.h"
+#include "relay/configuration_rows.h"
+#include "relay/prefix_choice.h"
+#include "relay/relay_service.h"
+#include "relay/upstream_rows.h"
+
+namespace ivypier::edge {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+/// The fact by which nodes tell the newest version of the configuration, and the prefix of those by which
+/// they tell that an upstream leaves.
+constexpr const char *configuration_fact = "configuration";
+constexpr std::string_view leaving_prefix = "leaving/";
+
+/// How often limits, loads and duties are brought up to date.
+constexpr duration update_interval = std::chrono::milliseconds(500);
+/// Nodes that a node counts on until the membership had time to find them.
+constexpr std::size_t assumed_nodes = 8;
+constexpr duration joining_time = std::chrono::seconds(3);
+/// A newer configuration that another node has is asked for again after this time.
+constexpr duration newer_check_interval = std::chrono::milliseconds(300);
+/// Nodes that watch the lease of a duty.
+constexpr std::size_t duty_candidates = 3;
+/// Callers keep an answer to a look-up for up to three times its lifetime.
+constexpr int lookup_lifetimes = 3;
+/// The process ends this long before the platform would kill it.
+constexpr duration stop_margin = std::chrono::milliseconds(500);
+constexpr duration stop_check_interval = std::chrono::milliseconds(50);
+/// Part of the repeats that the pages allow which the nodes use: their counts are not shared.
+constexpr double repeat_part = 0.7;
+constexpr std::size_t least_connections = 4;
+/// Descriptors for upstreams, the store and files; the rest is for callers.
+constexpr std::size_t reserved_descriptors = 900;
+constexpr const char *usage_duty = "usage";
+
+} // namespace
+
+struct edge_node::parts
+{
+    parts(event_loop &loop, const edge_settings &given, secret_key key,
+          std::unique_ptr<membership::udp_channel> opened);
+
+    outcome<void> listen();
+    void start();
+    void stop();
+    void finishStop();
+
+    event_loop &tasks;
+    edge_settings settings;
+    seeded_random randomness = seeded_random::fromSystem();
+    metrics_registry metrics;
+    steady_wall_clock wall{tasks};
+    std::unique_ptr<membership::udp_channel> datagrams;
+    membership::gossip_membership members;
+    http::connection_pool upstreamConnections{tasks};
+    http::connection_pool platformConnections{tasks};
+    http::fetcher platformCalls{tasks, platformConnections};
+    adapter::store_client store{platformCalls, settings.store};
+    adapter::cloud_client cloud{platformCalls, settings.cloud, settings.name};
+    peer_rows peers{randomness, members, platformCalls, settings.control.port};
+
+    relay::upstream_directory upstreams{tasks};
+    load_board loads{members, upstreams};
+    adapter::runner_protocol protocol;
+    relay::prefix_choice choice{tasks, randomness, upstreams, settings.failureDomain,
+                                [this](const std::string &id) { return loads.othersLoad(id); }};
+    relay::repeat_budget repeats{tasks, {repeat_part * settings.repeatRatio, 0.0, settings.repeatWindow}};
+    relay::unit_quota quota{tasks};
+    relay::run_counter runs{milliseconds(settings.usageWindow)};
+    relay::relay_service calls{{tasks, randomness, metrics, upstreamConnections, protocol, upstreams, choice,
+                                repeats, quota, runs, [this] { return wall.milliseconds(); },
+                                [this](const relay::service &of) { return connectionsFor(of); }}};
+
+    relay::configuration_rows configurationRows{
+        adapter::wire::configuration_key, adapter::decodeConfiguration,
+        [this](std::shared_ptr<const relay::route_table> table) { takeConfiguration(std::move(table)); }};
+    relay::upstream_rows upstreamRows{tasks, upstreams, adapter::decodeUpstream};
+    cloud::table_follower configurationTable{
+        tasks, randomness, store, &peers, adapter::wire::operator_table, configurationRows};
+    cloud::table_follower upstreamTable{tasks,       randomness, store, &peers, adapter::wire::upstream_table,
+                                        upstreamRows};
+
+    placement::lease_keeper usageLease{tasks, store, usage_duty,
+                                       settings.name + '/' + toHex(members.self().id), settings.leaseTerm};
+    duties::run_board runBoard{members, runs};
+    duties::usage_reporter usage{tasks,    store,
+                                 cloud,    usageLease,
+                                 runBoard, {.windowMilliseconds = milliseconds(settings.usageWindow)}};
+
+    std::unique_ptr<http::listener> callers;
+    std::unique_ptr<http::listener> readiness;
+    std::unique_ptr<http::listener> lookups;
+    std::unique_ptr<http::listener> control;
+    time_point startedAt{};
+    time_point stopAt{}; ///< when the process ends at the latest
+    bool stopping = false;
+
+    void takeCall(http::incoming_request incoming, const std::shared_ptr<http::reply> &to);
+    void answerReadiness(const http::incoming_request &incoming, http::reply &to) const;
+    void answerLookup(const http::incoming_request &incoming, http::reply &to) const;
+    void answerControl(const http::incoming_request &incoming, http::reply &to) const;
+    void takeConfiguration(std::shared_ptr<const relay::route_table> table);
+    void takeFact(const membership::fact &news);
+    void readNewer(std::uint64_t version, int attempts);
+    void update();
+    std::size_t nodeCount() const;
+    std::size_t connectionsFor(const relay::service &of) const;
+    bool isReady() const;
+};
+
+namespace {
+
+membership::member describeSelf(const edge_settings &settings, random_source &randomness)
+{
+    membership::member self;
+    self.id = randomness.next() | 1; // 0 means none
+    self.name = settings.name;
+    self.address = settings.callers;
+    self.gossipAddress = {settings.callers.host, settings.gossipPort};
+    self.failureDomain = settings.failureDomain;
+    self.region = settings.region;
+    return self;
+}
+
+std::vector<endpoint> gossipSeeds(const edge_settings &settings)
+{
+    std::vector<endpoint> seeds;
+    for (const endpoint &each : settings.seeds)
+        seeds.push_back({each.host, settings.gossipPort});
+    return seeds;
+}
+
+} // namespace
+
+edge_node::parts::parts(event_loop &loop, const edge_settings &given, secret_key key,
+                        std::unique_ptr<membership::udp_channel> opened)
+    : tasks(loop)
+    , settings(given)
+    , datagrams(std::move(opened))
+    , members(tasks, randomness, *datagrams, key, describeSelf(settings, randomness), gossipSeeds(settings))
+{
+}
+
+outcome<void> edge_node::parts::listen()
+{
+    using answering = std::function<void(const http::incoming_request &, http::reply &)>;
+    const auto open = [this](std::unique_ptr<http::listener> &to, const endpoint &at, answering answer) {
+        auto opened = http::listener::open(
+            tasks, at, {},
+            [answer](const http::incoming_request &incoming, std::shared_ptr<http::reply> reply) {
+                answer(incoming, *reply);
+            });
+        if (!opened)
+            return outcome<void>(opened.error());
+        to = std::move(opened.value());
+        return outcome<void>(success());
+    };
+    auto opened
+        = http::listener::open(tasks, settings.callers,
+                               {.connections = settings.descriptors > 2 * reserved_descriptors
+                                    ? settings.descriptors - reserved_descriptors
+                                    : settings.descriptors / 2},
+                               [this](http::incoming_request incoming, std::shared_ptr<http::reply> reply) {
+                                   takeCall(std::move(incoming), reply);
+                               });
+    if (!opened)
+        return opened.error();
+    callers = std::move(opened.value());
+    for (const outcome<void> &each :
+         {open(readiness, settings.readiness,
+               [this](const auto &incoming, auto &to) { answerReadiness(incoming, to); }),
+          open(lookups, settings.lookups,
+               [this](const auto &incoming, auto &to) { answerLookup(incoming, to); }),
+          open(control, settings.control,
+               [this](const auto &incoming, auto &to) { answerControl(incoming, to); })}) {
+        if (!each)
+            return each.error();
+    }
+    return success();
+}
+
+void edge_node::parts::start()
+{
+    startedAt = tasks.now();
+    peers.serve(adapter::wire::operator_table, configurationTable);
+    peers.serve(adapter::wire::upstream_table, upstreamTable);
+    configurationTable.onAnswered([this] { members.platformAnswered(); });
+    members.onFact([this](const membership::fact &news) { takeFact(news); });
+    upstreams.onLeaving([this](const relay::upstream_record &each) {
+        members.publish({std::string(leaving_prefix) + each.id, 1, ""});
+    });
+    members.start();
+    configurationTable.start();
+    upstreamTable.start();
+    usageLease.setEligible(false);
+    usageLease.start();
+    update();
+    log_event(log_level::info, "edge.started")
+        .with("name", settings.name)
+        .with("callers", settings.callers.text())
+        .with("failure_domain", settings.failureDomain)
+        .with("incarnation", toHex(members.self().id))
+        .write();
+}
+
+void edge_node::parts::takeCall(http::incoming_request incoming, const std::shared_ptr<http::reply> &to)
+{
+    outcome<relay::call> decoded = adapter::decodeCall(std::move(incoming));
+    if (!decoded) {
+        log_event(log_level::info, "call.malformed").with("reason", decoded.error().message).write();
+        to->send(status_bad_request, {}, {});
+        return;
+    }
+    calls.handle(std::move(decoded.value()), to);
+}
+
+bool edge_node::parts::isReady() const
+{
+    return calls.table() != nullptr && !stopping;
+}
+
+void edge_node::parts::answerReadiness(const http::incoming_request &incoming, http::reply &to) const
+{
+    const bool known = adapter::isReadinessQuestion(incoming);
+    to.send(!known ? status_not_found : isReady() ? status_ok : status_unavailable, {}, {});
+}
+
+void edge_node::parts::answerLookup(const http::incoming_request &incoming, http::reply &to) const
+{
+    const auto question = adapter::decodeLookup(incoming);
+    if (!question) {
+        to.send(status_not_found, {}, {});
+        return;
+    }
+    const std::vector<endpoint> addresses = addressesFor(members.members(), question->failureDomain);
+    if (addresses.empty()) {
+        to.send(status_unavailable, {}, {});
+        return;
+    }
+    to.send(status_ok, {{"Content-Type", "application/json"}},
+            adapter::encodeLookupAnswer(addresses, settings.lookupLifetime));
+}
+
+void edge_node::parts::answerControl(const http::incoming_request &incoming, http::reply &to) const
+{
+    if (incoming.head.path() == peer_rows::path)
+        peers.answer(incoming, to);
+    else if (incoming.head.path() == "/metrics")
+        to.send(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition());
+    else
+        to.send(status_not_found, {}, {});
+}
+
+void edge_node::parts::takeConfiguration(std::shared_ptr<const relay::route_table> table)
+{
+    const relay::caller_limits &limits = table->content().limits;
+    const std::uint64_t version = table->version();
+    http::connection_limits bounds;
+    bounds.headerBytes = limits.headerBytes;
+    bounds.bodyBytes = limits.bodyBytes;
+    bounds.headerTime = limits.headerTime;
+    bounds.idleTime = limits.idleTime;
+    bounds.connections = settings.descriptors > 2 * reserved_descriptors
+        ? settings.descriptors - reserved_descriptors
+        : settings.descriptors / 2;
+    callers->setLimits(bounds);
+    calls.setTable(std::move(table));
+    members.publish({configuration_fact, version, ""});
+}
+
+void edge_node::parts::takeFact(const membership::fact &news)
+{
+    if (news.key == configuration_fact) {
+        constexpr int attempts = 10;
+        readNewer(news.version, attempts);
+        return;
+    }
+    if (!news.key.starts_with(leaving_prefix))
+        return;
+    const relay::upstream *known = upstreams.find(news.key.substr(leaving_prefix.size()));
+    if (!known || known->record.draining)
+        return;
+    relay::upstream_record leaving = known->record;
+    leaving.draining = true;
+    upstreams.put(leaving);
+}
+
+void edge_node::parts::readNewer(std::uint64_t version, int attempts)
+{
+    if (configurationRows.version() >= version || attempts == 0)
+        return;
+    configurationTable.refresh();
+    tasks.after(newer_check_interval, [this, version, attempts] { readNewer(version, attempts - 1); });
+}
+
+std::size_t edge_node::parts::nodeCount() const
+{
+    const std::size_t known = std::max<std::size_t>(members.memberCount(), 1);
+    return tasks.now() - startedAt < joining_time ? std::max(known, assumed_nodes) : known;
+}
+
+std::size_t edge_node::parts::connectionsFor(const relay::service &of) const
+{
+    return std::max(of.connections / nodeCount(), least_connections);
+}
+
+void edge_node::parts::update()
+{
+    tasks.after(update_interval, [this] { update(); });
+    const auto nodes = static_cast<double>(nodeCount());
+    quota.setPart(1.0 / nodes);
+    repeats.setSlack(repeat_part * settings.repeatSlack / nodes);
+    loads.update();
+    const std::int64_t now = wall.milliseconds();
+    const std::int64_t window = runs.windowAt(now);
+    runBoard.publish(window);
+    runs.forgetBefore(window - 60);
+    std::vector<std::string> names;
+    for (const membership::member &each : members.members()) {
+        if (each.takesWork())
+            names.push_back(each.name);
+    }
+    usageLease.setEligible(!stopping
+                           && placement::isCandidate(usage_duty, settings.name, names, duty_candidates));
+    usage.turn(now);
+}
+
+void edge_node::parts::stop()
+{
+    if (std::exchange(stopping, true))
+        return;
+    log_event(log_level::info, "edge.stopping")
+        .with("calls", static_cast<std::int64_t>(calls.running()))
+        .with("within_ms", milliseconds(settings.stopWithin))
+        .write();
+    stopAt = tasks.now() + settings.stopWithin - stop_margin;
+    members.leave();
+    usageLease.release();
+    callers->closeAfterAnswers();
+    const duration accepting
+        = std::min<duration>(lookup_lifetimes * settings.lookupLifetime, settings.stopWithin / 3);
+    tasks.after(accepting, [this] {
+        callers->stopAccepting();
+        finishStop();
+    });
+}
+
+void edge_node::parts::finishStop()
+{
+    callers->closeIdle();
+    if (callers->unanswered() > 0 && tasks.now() < stopAt) {
+        tasks.after(stop_check_interval, [this] { finishStop(); });
+        return;
+    }
+    members.depart();
+    log_event(log_level::info, "edge.stopped")
+        .with("unanswered", static_cast<std::int64_t>(callers->unanswered()))
+        .write();
+    tasks.stop();
+}
+
+outcome<std::unique_ptr<edge_node>> edge_node::start(event_loop &loop, const edge_settings &settings)
+{
+    const outcome<secret_key> key = secret_key::fromPassphrase(settings.fleetKey);
+    if (!key)
+        return key.error();
+    auto datagrams = membership::udp_channel::bind(loop, {settings.callers.host, settings.gossipPort},
+                                                   std::make_shared<fault_switch>());
+    if (!datagrams)
+        return datagrams.error();
+    auto assembled = std::make_unique<parts>(loop, settings, key.value(), std::move(datagrams.value()));
+    if (const outcome<void> listening = assembled->listen(); !listening)
+        return listening.error();
+    assembled->start();
+    return std::unique_ptr<edge_node>(new edge_node(std::move(assembled)));
+}
+
+edge_node::edge_node(std::unique_ptr<parts> assembled)
+    : m_parts(std::move(assembled))
+{
+}
+
+edge_node::~edge_node() = default;
+
+void edge_node::stop()
+{
+    m_parts->stop();
+}
+
+} // namespace ivypier::edge
--- /dev/null
+++ b/services/edge/edge_settings.cpp
@@ -0,0 +1,51 @@
+#include "edge_settings.h"
+
+#include "base/endpoint_setting.h"
+#include "base/secret.h"
+
+namespace ivypier::edge {
+
+namespace {
+
+duration millisecondsSetting(settings_reader &from, std::string_view key, std::int64_t least,
+                             std::int64_t most)
+{
+    return std::chrono::milliseconds(from.requiredInteger(key, least, most));
+}
+
+} // namespace
+
+std::variant<edge_settings, std::vector<settings_error>> readEdgeSettings(std::string_view text)
+{
+    settings_reader root = settings_reader::parse(text);
+    edge_settings result;
+    result.name = root.requiredString("name");
+    result.failureDomain = root.requiredString("failure_domain");
+    result.region = root.requiredString("region");
+    result.callers = requiredEndpoint(root, "callers");
+    result.readiness = requiredEndpoint(root, "readiness");
+    result.lookups = requiredEndpoint(root, "lookups");
+    result.control = requiredEndpoint(root, "control");
+    result.gossipPort = static_cast<std::uint16_t>(root.requiredInteger("gossip_port", 1, 65535));
+    result.seeds = optionalEndpoints(root, "seeds");
+    result.fleetKey = root.requiredString("fleet_key");
+    if (!result.fleetKey.empty() && !secret_key::fromPassphrase(result.fleetKey))
+        root.fault("fleet_key", "is too short; expected at least 16 bytes");
+    result.store = requiredEndpoint(root, "store");
+    result.cloud = requiredEndpoint(root, "cloud");
+    result.descriptors = static_cast<std::size_t>(root.requiredInteger("descriptors", 64, 10'000'000));
+    result.stopWithin = millisecondsSetting(root, "stop_within_ms", 100, 600'000);
+    result.lookupLifetime = millisecondsSetting(root, "lookup_lifetime_ms", 100, 60'000);
+    result.leaseTerm = millisecondsSetting(root, "lease_term_ms", 500, 60'000);
+    result.usageWindow = millisecondsSetting(root, "usage_window_ms", 100, 3'600'000);
+    result.repeatRatio = root.requiredNumber("repeat_ratio", 0.0, 10.0);
+    result.repeatSlack = root.requiredNumber("repeat_slack", 0.0, 1e6);
+    result.repeatWindow = millisecondsSetting(root, "repeat_window_ms", 100, 600'000);
+    root.finish();
+    std::vector<settings_error> faults = root.faults();
+    if (!faults.empty())
+        return faults;
+    return result;
+}
+
+} // namespace ivypier::edge
--- /dev/null
+++ b/services/edge/edge_settings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/endpoint.h"
+#include "base/settings_reader.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace ivypier::edge {
+
+/// The settings of one edge node. Immutable once read.
+struct edge_settings
+{
+    std::string name;
+    std::string failureDomain;
+    std::string region;
+    endpoint callers; ///< takes calls
+    endpoint readiness; ///< tells whether calls are taken
+    endpoint lookups; ///< tells callers where to connect
+    endpoint control; ///< answers other nodes; metrics
+    std::uint16_t gossipPort = 0; ///< the same on every node
+    std::vector<endpoint> seeds; ///< control addresses of other nodes; only their hosts count
+    std::string fleetKey; ///< secret
+    endpoint store;
+    endpoint cloud;
+    std::size_t descriptors = 0; ///< that the process may have open
+    duration stopWithin{}; ///< between the signal to stop and the kill
+    duration lookupLifetime{}; ///< how long a caller may keep an answer
+    duration leaseTerm{};
+    duration usageWindow{};
+    double repeatRatio = 0.0; ///< repeats for each first sending, over all nodes
+    double repeatSlack = 0.0; ///< repeats beyond that in one window, over all nodes
+    duration repeatWindow{};
+
+    bool operator==(const edge_settings &) const = default;
+};
+
+/// Reads and checks an edge node's settings: all of them, or every fault.
+std::variant<edge_settings, std::vector<settings_error>> readEdgeSettings(std::string_view text);
+
+} // namespace ivypier::edge
