Capacity orders by load, fleet-wide limits, settings read again at SIGHUP

Change: nodes tell their work; the lease's holder plans the cheapest mix of reclaimable and on-demand engines, with replacement on demand from a notice on; each node follows the whole fleet's bucket of each account; settings are read again at SIGHUP and every 5 s.

--- a/libraries/base/event_loop.cpp
+++ b/libraries/base/event_loop.cpp
@@ -14,9 +14,13 @@
 
 struct event_loop::state
 {
+    void waitForReload();
+
     boost::asio::io_context context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{context.get_executor()};
     boost::asio::signal_set signals{context};
+    boost::asio::signal_set reloads{context};
+    task onReload;
     std::unordered_map<timer_id, std::unique_ptr<boost::asio::steady_timer>> timers;
     timer_id nextTimer = 1;
 };
@@ -83,6 +87,23 @@
         });
 }
 
+void event_loop::state::waitForReload()
+{
+    reloads.async_wait([this](const boost::system::error_code &failure, int) {
+        if (failure)
+            return;
+        onReload();
+        waitForReload();
+    });
+}
+
+void event_loop::onReload(task handler)
+{
+    m_state->onReload = std::move(handler);
+    m_state->reloads.add(SIGHUP);
+    m_state->waitForReload();
+}
+
 void *event_loop::nativeContext()
 {
     return &m_state->context;
--- a/libraries/base/event_loop.h
+++ b/libraries/base/event_loop.h
@@ -28,6 +28,9 @@
     /// Calls `handler` as a task when the process gets SIGTERM or SIGINT.
     void onTerminate(task handler);
 
+    /// Calls `handler` as a task each time the process gets SIGHUP, which does not end it then.
+    void onReload(task handler);
+
     /// The loop's Boost.Asio context, a `boost::asio::io_context *`, for sockets that share its thread.
     void *nativeContext();
 
--- a/libraries/cloud/http_platform.h
+++ b/libraries/cloud/http_platform.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "base/scheduler.h"
-#include "http/client.h"
 #include "cloud/cloud_service.h"
 #include "cloud/object_store.h"
 #include "cloud/table_service.h"
 #include "cloud/weight_store.h"
+#include "http/client.h"
 
 #include <json/value.h>
 
--- /dev/null
+++ b/libraries/duties/capacity_policy.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "relay/service_map.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ivypier::duties {
+
+/// Upstreams of one service in one failure domain, by how they are paid for.
+struct domain_capacity
+{
+    std::uint32_t onDemand = 0;
+    std::uint32_t reclaimable = 0;
+
+    auto operator<=>(const domain_capacity &) const = default;
+
+    std::uint32_t total() const
+    {
+        return onDemand + reclaimable;
+    }
+};
+
+/// Upstreams by failure domain.
+using capacity_plan = std::map<std::string, domain_capacity>;
+
+/// What is known of one service's need.
+struct capacity_question
+{
+    relay::scaling_rule rule;
+    double load = 0.0; ///< work as a number of engines that are busy all the time
+    capacity_plan present; ///< upstreams that take calls now
+
+    bool operator==(const capacity_question &) const = default;
+};
+
+struct capacity_options
+{
+    /// Part of the time that engines may be busy: in ordinary times, so that a burst is carried until new
+    /// engines have booted;
+    double ordinaryBusy = 0.3;
+    /// while reclaimable upstreams are missing;
+    double reducedBusy = 0.35;
+    /// and right after a failure domain lost its reclaimable upstreams, until others have booted.
+    double busyAfterLoss = 0.5;
+    std::uint32_t leastOnDemand = 1; ///< kept for the case that all reclaimable ones go at once
+
+    auto operator<=>(const capacity_options &) const = default;
+};
+
+/// Chooses the cheapest numbers of upstreams that carry the load, also after a failure domain lost its
+/// reclaimable ones. Reclaimable upstreams that are planned and not there yet, or are not to be had, are
+/// replaced by ones on demand meanwhile.
+class capacity_policy
+{
+public:
+    explicit capacity_policy(capacity_options options);
+
+    capacity_plan choose(const capacity_question &question) const;
+
+    /// The load under which a number of upstreams is the ordinary one.
+    double loadFor(std::uint32_t upstreams) const;
+
+private:
+    /// A number on demand in all domains together, and a number of reclaimable ones in each domain.
+    struct mix
+    {
+        std::uint32_t onDemand = 0;
+        std::uint32_t reclaimableEach = 0;
+    };
+
+    mix cheapestMix(const capacity_question &question, const std::vector<std::string> &domains) const;
+    std::uint32_t onDemandNeeded(const capacity_question &question) const;
+
+    capacity_options m_options;
+};
+
+} // namespace ivypier::duties
--- /dev/null
+++ b/libraries/duties/upstream_orders.cpp
@@ -0,0 +1,154 @@
+#include "duties/upstream_orders.h"
+
+#include "base/log_event.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ivypier::duties {
+
+upstream_orders::upstream_orders(scheduler &tasks, cloud::duty_calls &platform, const placement::duty &lease,
+                                 const relay::upstream_directory &upstreams, capacity_policy policy,
+                                 order_options options)
+    : m_tasks(tasks)
+    , m_platform(platform)
+    , m_lease(lease)
+    , m_upstreams(upstreams)
+    , m_policy(policy)
+    , m_options(options)
+{
+}
+
+double upstream_orders::follow(const std::string &service, const relay::service_work &work,
+                               const capacity_plan &found)
+{
+    const time_point now = m_tasks.now();
+    known_load &load = m_loads[service];
+    if (load.firstSeen == time_point())
+        load.firstSeen = now;
+    if (now - load.firstSeen < m_options.listing) {
+        std::uint32_t listed = 0;
+        for (const auto &[domain, counts] : found)
+            listed += counts.total();
+        load.found = std::max(load.found, listed);
+    }
+    if (work.tokensPerSecond > 0.0 && load.since == time_point())
+        load.since = now;
+    if (work.engineSpeed > 0.0) {
+        const double current = work.tokensPerSecond / work.engineSpeed;
+        const duration constant = current > load.value ? m_options.rise : m_options.fall;
+        const double part = 1.0 - std::exp(-seconds(now - load.at) / seconds(constant));
+        load.value = std::exchange(load.started, true) ? load.value + (current - load.value) * part : current;
+        load.at = now;
+    }
+    const bool known = load.started && load.since != time_point() && now - load.since > m_options.learning;
+    return known ? load.value : std::max(load.value, m_policy.loadFor(load.found));
+}
+
+double upstream_orders::steady(const std::string &service, double load)
+{
+    double &planned = m_plannedLoads[service];
+    if (load > planned || load < planned * (1.0 - m_options.hysteresis))
+        planned = load;
+    return planned;
+}
+
+capacity_plan upstream_orders::present(const std::string &service) const
+{
+    capacity_plan result;
+    for (const relay::upstream *each : m_upstreams.ready(service)) {
+        domain_capacity &counts = result[each->record.failureDomain];
+        ++(each->record.reclaimable ? counts.reclaimable : counts.onDemand);
+    }
+    return result;
+}
+
+void upstream_orders::turn(const relay::service_map &configuration,
+                           const std::map<std::string, relay::service_work> &work)
+{
+    const std::optional<placement::lease> held = m_lease.held();
+    if (held && m_tenure != held->tenure) {
+        // What the holder before ordered is not known: every order is sent anew.
+        m_tenure = held->tenure;
+        m_sent.clear();
+    }
+    for (const relay::service &each : configuration.services) {
+        if (!each.scaling || each.scaling->most == 0)
+            continue;
+        const auto found = work.find(each.name);
+        const capacity_plan there = present(each.name);
+        const double load = steady(
+            each.name, follow(each.name, found == work.end() ? relay::service_work() : found->second, there));
+        if (!held || there.empty() || m_tasks.now() - m_loads[each.name].firstSeen < m_options.listing)
+            continue;
+        const capacity_plan plan = m_policy.choose({*each.scaling, load, there});
+        logPlan(each.name, load, plan);
+        for (const auto &[domain, counts] : plan) {
+            const auto in = there.find(domain);
+            const domain_capacity now = in == there.end() ? domain_capacity() : in->second;
+            order(each, domain, true, counts.reclaimable, now.reclaimable);
+            order(each, domain, false, counts.onDemand, now.onDemand);
+        }
+    }
+}
+
+void upstream_orders::logPlan(const std::string &service, double load, const capacity_plan &plan)
+{
+    if (std::exchange(m_plans[service], plan) == plan)
+        return;
+    std::string text;
+    for (const auto &[domain, counts] : plan)
+        text += (text.empty() ? "" : " ") + domain + ':' + std::to_string(counts.onDemand) + '+'
+            + std::to_string(counts.reclaimable);
+    log_event(log_level::info, "capacity.planned")
+        .with("service", service)
+        .with("load", load)
+        .with("on_demand_and_reclaimable", text)
+        .write();
+}
+
+void upstream_orders::order(const relay::service &of, const std::string &domain, bool reclaimable,
+                            std::uint32_t count, std::uint32_t there)
+{
+    const order_key key{of.name, domain, reclaimable};
+    const auto found = m_sent.find(key);
+    const time_point now = m_tasks.now();
+    if (found == m_sent.end()) {
+        if (count == there)
+            return;
+    } else {
+        const sent_order &last = found->second;
+        if (last.open || now - last.sentAt < m_options.retryPause)
+            return;
+        const duration settling = of.scaling->bootTime + m_options.bootSlack;
+        const bool unsettled = last.refused || (there != last.count && now - last.sentAt > settling);
+        if (last.count == count && !unsettled)
+            return;
+    }
+    send(key, count, m_tenure);
+}
+
+void upstream_orders::send(const order_key &key, std::uint32_t count, std::uint64_t fencing)
+{
+    m_sent[key] = {count, m_tasks.now(), false, true};
+    const auto &[service, domain, reclaimable] = key;
+    const cloud::capacity_order order{service, domain, reclaimable, count};
+    m_platform.orderCapacity(order, fencing, [this, key, order, fencing](const outcome<void> &taken) {
+        log_event(log_level::info, "capacity.ordered")
+            .with("service", order.service)
+            .with("failure_domain", order.failureDomain)
+            .with("kind", order.reclaimable ? "reclaimable" : "on_demand")
+            .with("count", static_cast<std::int64_t>(order.count))
+            .with("fencing", static_cast<std::int64_t>(fencing))
+            .with("outcome", taken ? "taken" : taken.error().message)
+            .write();
+        const auto found = m_sent.find(key);
+        if (found == m_sent.end() || fencing != m_tenure)
+            return;
+        found->second.open = false;
+        found->second.refused = !taken;
+    });
+}
+
+} // namespace ivypier::duties
--- /dev/null
+++ b/libraries/duties/upstream_orders.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "base/scheduler.h"
+#include "cloud/duty_calls.h"
+#include "duties/capacity_policy.h"
+#include "placement/duty.h"
+#include "relay/upstream_directory.h"
+#include "relay/work_meter.h"
+
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace ivypier::duties {
+
+struct order_options
+{
+    duration bootSlack
+        = std::chrono::seconds(3); ///< on top of an upstream's boot time, until it must be listed
+    duration retryPause = std::chrono::seconds(2); ///< after a refused order
+    duration rise = std::chrono::seconds(2); ///< time constant with which the load follows a rise
+    duration fall = std::chrono::seconds(25); ///< and a fall: a short lull releases nothing
+    double hysteresis = 0.15; ///< part by which the load must fall before fewer are planned
+    duration listing = std::chrono::seconds(3); ///< until upstreams that run have been listed
+    duration learning = std::chrono::seconds(6); ///< calls must have come for so long before the load counts
+
+    auto operator<=>(const order_options &) const = default;
+};
+
+/// Orders upstreams of the services that may be scaled while this node holds the duty.
+///
+/// Orders are levels: the desired number of one kind in one domain. One is sent when it differs from what was
+/// sent last, and again when the list of upstreams still shows another number once they should have booted:
+/// a call without an answer may be carried out late and put back an older number.
+class upstream_orders
+{
+public:
+    upstream_orders(scheduler &tasks, cloud::duty_calls &platform, const placement::duty &lease,
+                    const relay::upstream_directory &upstreams, capacity_policy policy,
+                    order_options options);
+
+    /// Brings the orders up to date. To be called a few times a second.
+    void turn(const relay::service_map &configuration,
+              const std::map<std::string, relay::service_work> &work);
+
+private:
+    using order_key = std::tuple<std::string, std::string, bool>; ///< service, domain, reclaimable
+
+    struct sent_order
+    {
+        std::uint32_t count = 0;
+        time_point sentAt{};
+        bool refused = false;
+        bool open = false; ///< its answer has not come
+    };
+    struct known_load
+    {
+        double value = 0.0;
+        time_point at{};
+        time_point since{}; ///< first calls
+        time_point firstSeen{}; ///< of the service
+        std::uint32_t found = 0; ///< upstreams while they were first listed
+        bool started = false;
+    };
+
+    /// The load to plan for; before calls have come for a while, that of the upstreams which were found.
+    double follow(const std::string &service, const relay::service_work &work, const capacity_plan &found);
+    double steady(const std::string &service, double load);
+    capacity_plan present(const std::string &service) const;
+    void logPlan(const std::string &service, double load, const capacity_plan &plan);
+    void order(const relay::service &of, const std::string &domain, bool reclaimable, std::uint32_t count,
+               std::uint32_t there);
+    void send(const order_key &key, std::uint32_t count, std::uint64_t fencing);
+
+    scheduler &m_tasks;
+    cloud::duty_calls &m_platform;
+    const placement::duty &m_lease;
+    const relay::upstream_directory &m_upstreams;
+    capacity_policy m_policy;
+    order_options m_options;
+    std::uint64_t m_tenure = 0;
+    std::map<order_key, sent_order> m_sent;
+    std::map<std::string, known_load> m_loads;
+    std::map<std::string, double> m_plannedLoads;
+    std::map<std::string, capacity_plan> m_plans; ///< as logged last
+};
+
+} // namespace ivypier::duties
--- a/libraries/duties/usage_reporter.cpp
+++ b/libraries/duties/usage_reporter.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 usage_reporter::usage_reporter(scheduler &tasks, cloud::table_service &table, cloud::duty_calls &platform,
-                               const placement::duty &lease, const run_board &board, usage_options options)
+                               const placement::duty &lease, const fleet::run_board &board,
+                               usage_options options)
     : m_tasks(tasks)
     , m_table(table)
     , m_platform(platform)
--- a/libraries/duties/usage_reporter.h
+++ b/libraries/duties/usage_reporter.h
@@ -3,7 +3,7 @@
 #include "base/scheduler.h"
 #include "cloud/duty_calls.h"
 #include "cloud/table_service.h"
-#include "duties/run_board.h"
+#include "fleet/run_board.h"
 #include "placement/duty.h"
 
 #include <functional>
@@ -30,7 +30,7 @@
 {
 public:
     usage_reporter(scheduler &tasks, cloud::table_service &table, cloud::duty_calls &platform,
-                   const placement::duty &lease, const run_board &board, usage_options options);
+                   const placement::duty &lease, const fleet::run_board &board, usage_options options);
 
     /// Goes on with the duty if there is something to do. To be called a few times a second.
     void turn(std::int64_t wallMilliseconds);
@@ -55,7 +55,7 @@
     cloud::table_service &m_table;
     cloud::duty_calls &m_platform;
     const placement::duty &m_lease;
-    const run_board &m_board;
+    const fleet::run_board &m_board;
     usage_options m_options;
     std::uint64_t m_tenure = 0; ///< fencing number under which the row was read
     std::uint64_t m_rowVersion = 0;
--- a/services/edge/load_board.h
+++ b/libraries/fleet/load_board.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "base/scheduler.h"
-#include "membership/membership_view.h"
+#include "fleet/own_fact.h"
 #include "relay/upstream_directory.h"
 
 #include <map>
 #include <string>
 
-namespace ivypier::edge {
+namespace ivypier::fleet {
 
 /// Tells the other nodes how many calls of this node are under way at each upstream, and adds up what they
 /// told. Upstreams are named by a short hash; a collision makes two of them look busier, nothing worse.
@@ -22,17 +21,13 @@
     /// Calls of other nodes under way at an upstream, as last told.
     double othersLoad(const std::string &upstream) const;
 
-    static std::string encode(const std::map<std::uint32_t, std::uint32_t> &counts);
-    static std::map<std::uint32_t, std::uint32_t> decode(std::string_view text);
-
 private:
     void publish();
 
     membership::membership_view &m_members;
     const relay::upstream_directory &m_upstreams;
-    std::map<std::uint32_t, double> m_others;
-    std::string m_told;
-    std::uint64_t m_version = 0;
+    own_fact m_own;
+    std::map<std::string, double> m_others; ///< by the upstream's short name
 };
 
-} // namespace ivypier::edge
+} // namespace ivypier::fleet
--- a/libraries/duties/run_board.cpp
+++ b/libraries/fleet/run_board.cpp
@@ -1,15 +1,11 @@
-#include "duties/run_board.h"
-
-#include "base/hash.h"
+#include "fleet/run_board.h"
 
 #include <charconv>
 
-namespace ivypier::duties {
+namespace ivypier::fleet {
 
 namespace {
 
-constexpr std::string_view key_prefix = "runs/";
-
 std::string_view cut(std::string_view &rest, char mark)
 {
     const std::size_t at = rest.find(mark);
@@ -30,6 +26,7 @@
 run_board::run_board(membership::membership_view &members, const relay::run_counter &own)
     : m_members(members)
     , m_own(own)
+    , m_fact(members, "runs")
 {
 }
 
@@ -72,18 +69,14 @@
     std::map<std::int64_t, relay::run_counts> windows;
     for (std::int64_t window = current - told_windows + 1; window <= current; ++window)
         windows[window] = m_own.countsOf(window);
-    std::string text = encode(windows);
-    if (text == m_told || text.empty())
-        return;
-    m_told = text;
-    m_members.publish({std::string(key_prefix) + toHex(m_members.self().id), ++m_version, std::move(text)});
+    m_fact.tell(encode(windows));
 }
 
 relay::run_counts run_board::total(std::int64_t window) const
 {
     relay::run_counts sum = m_own.countsOf(window);
-    const std::string ownKey = std::string(key_prefix) + toHex(m_members.self().id);
-    for (const membership::fact &each : m_members.facts(std::string(key_prefix))) {
+    const std::string ownKey = m_fact.keyOf(m_members.self().id);
+    for (const membership::fact &each : m_members.facts(m_fact.prefix())) {
         if (each.key == ownKey)
             continue;
         const auto windows = decode(each.value);
@@ -96,4 +89,4 @@
     return sum;
 }
 
-} // namespace ivypier::duties
+} // namespace ivypier::fleet
--- a/libraries/duties/run_board.h
+++ b/libraries/fleet/run_board.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "membership/membership_view.h"
+#include "fleet/own_fact.h"
 #include "relay/run_counter.h"
 
 #include <string>
 #include <string_view>
 
-namespace ivypier::duties {
+namespace ivypier::fleet {
 
 /// Tells the other nodes how many calls began to run here in the last windows, and adds up what all told.
 ///
@@ -35,8 +35,7 @@
 private:
     membership::membership_view &m_members;
     const relay::run_counter &m_own;
-    std::string m_told;
-    std::uint64_t m_version = 0;
+    own_fact m_fact;
 };
 
-} // namespace ivypier::duties
+} // namespace ivypier::fleet
--- a/libraries/program/daemon.cpp
+++ b/libraries/program/daemon.cpp
@@ -44,6 +44,11 @@
     return exit_usage;
 }
 
+outcome<std::string> settingsTextAgain()
+{
+    return readFile(absl::GetFlag(FLAGS_settings));
+}
+
 void printFaults(const std::vector<settings_error> &faults)
 {
     for (const settings_error &each : faults)
--- a/libraries/program/daemon.h
+++ b/libraries/program/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/outcome.h"
 #include "base/settings_reader.h"
 #include "program/command_line.h"
 #include "program/exit_code.h"
@@ -16,6 +17,9 @@
 std::variant<std::string, exit_code> readSettingsText(const program_description &about, int argc,
                                                       char **argv);
 
+/// The settings file as it is now, once readSettingsText() has found it.
+outcome<std::string> settingsTextAgain();
+
 /// Prints faults of the settings file, one a line with file and line number.
 void printFaults(const std::vector<settings_error> &faults);
 
--- a/libraries/relay/call_environment.h
+++ b/libraries/relay/call_environment.h
@@ -10,6 +10,7 @@
 #include "relay/upstream_choice.h"
 #include "relay/upstream_directory.h"
 #include "relay/upstream_protocol.h"
+#include "relay/work_meter.h"
 
 #include <functional>
 
@@ -28,6 +29,7 @@
     repeat_budget &repeats;
     unit_quota &quota;
     run_counter &runs;
+    work_meter &work;
     /// The time of day by which windows of runs are counted, in milliseconds since 1970.
     std::function<std::int64_t()> wallMilliseconds;
     /// The part of an upstream's connections that this node may have.
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -152,6 +152,8 @@
     ++m_sendings;
     if (m_sendings == 1)
         m_environment.repeats.noteFirst(m_serviceName);
+    if (m_call.size)
+        m_environment.work.sent(m_serviceName, newTokens());
     m_sentAt = m_environment.tasks.now();
     m_sending = sending::sent;
     attempt how{m_upstream, m_account ? m_account->name : std::string(), timeLeft(), std::nullopt,
@@ -375,11 +377,21 @@
 
 void relayed_call::countRun()
 {
-    if (std::exchange(m_runCounted, true) || !m_account)
+    if (std::exchange(m_runCounted, true))
+        return;
+    if (m_call.size && m_sendings == 1)
+        m_environment.work.firstEvent(m_serviceName, newTokens(), m_environment.tasks.now() - m_sentAt);
+    if (!m_account)
         return;
     m_environment.runs.count(m_account->name, m_environment.wallMilliseconds());
 }
 
+std::uint64_t relayed_call::newTokens() const
+{
+    // The parts before the last are shared, and mostly cached where the call is sent.
+    return m_call.size->parts.empty() ? m_call.size->promptTokens : m_call.size->parts.back().tokens;
+}
+
 void relayed_call::onTimeOver()
 {
     const auto alive = shared_from_this();
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -53,6 +53,7 @@
     void onTimeOver();
     void onCallerGone();
     void countRun();
+    std::uint64_t newTokens() const;
     void passOn(std::string_view bytes);
     duration timeLeft() const;
 
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -13,47 +13,63 @@
 
 unit_quota::unit_quota(const clock &time)
     : m_time(time)
+    , m_nodes(assumed_node_count)
 {
 }
 
-double unit_quota::capacity(const bucket &of) const
+double unit_quota::ownPart() const
 {
-    return m_part * std::max(of.burst, 1.0);
+    return std::min(own_part_factor / static_cast<double>(m_nodes), 1.0);
+}
+
+void unit_quota::trim(bucket &which) const
+{
+    which.fleetUnits = std::clamp(which.fleetUnits, -which.burst, which.burst);
+    which.ownUnits = std::min(which.ownUnits, ownPart() * which.burst);
 }
 
 void unit_quota::fill(bucket &which) const
 {
     const time_point now = m_time.now();
-    const double gained = m_part * which.perSecond * seconds(now - which.filledAt);
-    which.units = std::min(which.units + gained, capacity(which));
+    const double gained = which.perSecond * seconds(now - which.filledAt);
+    which.fleetUnits += gained;
+    which.ownUnits += ownPart() * gained;
     which.filledAt = now;
+    trim(which);
 }
 
 void unit_quota::setAccounts(const std::vector<client_account> &accounts)
 {
     std::map<std::string, bucket> next;
     for (const client_account &each : accounts) {
-        bucket fresh{each.unitsPerSecond, each.burst, 0.0, m_time.now()};
+        bucket fresh{each.unitsPerSecond, std::max(each.burst, 1.0), 0.0, 0.0, 0.0, m_time.now()};
         const auto known = m_buckets.find(each.name);
         if (known != m_buckets.end() && known->second.perSecond > 0.0) {
-            fill(known->second);
             // A higher limit adds nothing at once, a lower one takes away what was saved above it.
-            fresh.units = std::min(known->second.units, capacity(fresh));
+            fill(known->second);
+            fresh.fleetUnits = known->second.fleetUnits;
+            fresh.ownUnits = known->second.ownUnits;
+            fresh.taken = known->second.taken;
         } else {
-            fresh.units = capacity(fresh);
+            // Other nodes may have taken the burst before this one started.
+            fresh.fleetUnits = fresh.burst / static_cast<double>(m_nodes);
+            fresh.ownUnits = fresh.burst / static_cast<double>(m_nodes);
         }
+        trim(fresh);
         next.emplace(each.name, fresh);
     }
     m_buckets = std::move(next);
 }
 
-void unit_quota::setPart(double part)
+void unit_quota::setNodes(std::size_t count)
 {
+    if (count == m_nodes)
+        return;
     for (auto &[account, each] : m_buckets)
         fill(each);
-    m_part = part;
+    m_nodes = std::max<std::size_t>(count, 1);
     for (auto &[account, each] : m_buckets)
-        each.units = std::min(each.units, capacity(each));
+        trim(each);
 }
 
 duration unit_quota::take(const std::string &account, double units)
@@ -63,13 +79,17 @@
         return duration::zero();
     bucket &which = found->second;
     fill(which);
-    // A call larger than the bucket is let through when the bucket is full, and leaves a debt.
-    const double needed = std::min(units, capacity(which));
-    if (which.units >= needed) {
-        which.units -= units;
+    // A call larger than a bucket is let through when the bucket is full, and leaves a debt.
+    const double fleetNeed = std::min(units, which.burst) - which.fleetUnits;
+    const double ownNeed = std::min(units, ownPart() * which.burst) - which.ownUnits;
+    if (fleetNeed <= 0.0 && ownNeed <= 0.0) {
+        which.fleetUnits -= units;
+        which.ownUnits -= units;
+        which.taken += units;
         return duration::zero();
     }
-    return std::max(fromSeconds((needed - which.units) / (m_part * which.perSecond)), least_wait);
+    const double wait = std::max(fleetNeed, ownNeed / ownPart()) / which.perSecond;
+    return std::max(fromSeconds(wait), least_wait);
 }
 
 void unit_quota::giveBack(const std::string &account, double units)
@@ -77,7 +97,31 @@
     const auto found = m_buckets.find(account);
     if (found == m_buckets.end())
         return;
-    found->second.units = std::min(found->second.units + units, capacity(found->second));
+    bucket &which = found->second;
+    which.fleetUnits += units;
+    which.ownUnits += units;
+    which.taken = std::max(which.taken - units, 0.0);
+    trim(which);
+}
+
+void unit_quota::takenElsewhere(const std::string &account, double units)
+{
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end())
+        return;
+    fill(found->second);
+    found->second.fleetUnits -= units;
+    trim(found->second);
+}
+
+std::map<std::string, std::uint64_t> unit_quota::takenHere() const
+{
+    std::map<std::string, std::uint64_t> result;
+    for (const auto &[account, each] : m_buckets) {
+        if (each.perSecond > 0.0)
+            result[account] = static_cast<std::uint64_t>(each.taken);
+    }
+    return result;
 }
 
 } // namespace ivypier::relay
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -3,14 +3,19 @@
 #include "base/clock.h"
 #include "relay/service_map.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace ivypier::relay {
 
-/// This node's part of each account's limit: a bucket of units (calls or tokens) that fills with its part of
-/// the rate and holds its part of the burst.
+/// Each account's limit, in units (calls or tokens), as this node sees it.
+///
+/// A bucket for the whole fleet fills with the account's rate up to its burst. This node's own calls are
+/// taken from it at once, those of the other nodes when they tell. What others took late leaves a debt, so
+/// that the rate holds in the long run. A second bucket bounds what this node alone may take in the meantime
+/// to a few times its equal part.
 class unit_quota
 {
 public:
@@ -19,8 +24,8 @@
     /// Takes in the limits of a configuration. A lower limit takes away what was saved above it.
     void setAccounts(const std::vector<client_account> &accounts);
 
-    /// The part of every limit that this node may use, above 0 and at most 1.
-    void setPart(double part);
+    /// The number of nodes that share the limits, at least 1.
+    void setNodes(std::size_t count);
 
     /// Takes units. Zero when they were there; otherwise nothing is taken, and the time until they may be
     /// there is given.
@@ -29,21 +34,36 @@
     /// Gives units back, of a call that did not run.
     void giveBack(const std::string &account, double units);
 
+    /// Other nodes took units.
+    void takenElsewhere(const std::string &account, double units);
+
+    /// All that this node ever took, by account; only accounts with a limit.
+    std::map<std::string, std::uint64_t> takenHere() const;
+
 private:
     struct bucket
     {
         double perSecond = 0.0; ///< of the whole fleet; zero: no limit
         double burst = 0.0;
-        double units = 0.0;
+        double fleetUnits = 0.0;
+        double ownUnits = 0.0;
+        double taken = 0.0;
         time_point filledAt{};
     };
 
-    double capacity(const bucket &of) const;
+    double ownPart() const;
     void fill(bucket &which) const;
+    void trim(bucket &which) const;
 
     const clock &m_time;
-    double m_part = 1.0;
+    std::size_t m_nodes;
     std::map<std::string, bucket> m_buckets;
 };
 
+/// What one node may take of a limit, as a multiple of its equal part.
+inline constexpr double own_part_factor = 3.0;
+
+/// Nodes that a node counts on before it has found the others.
+inline constexpr std::size_t assumed_node_count = 8;
+
 } // namespace ivypier::relay
--- /dev/null
+++ b/libraries/relay/work_meter.cpp
@@ -0,0 +1,72 @@
+#include "relay/work_meter.h"
+
+#include <algorithm>
+
+namespace ivypier::relay {
+
+namespace {
+
+constexpr duration slot_width = std::chrono::milliseconds(500);
+/// Shorter prompts say little about the speed: other times weigh more.
+constexpr std::uint64_t least_sample_tokens = 1200;
+constexpr std::size_t least_samples = 8;
+
+} // namespace
+
+work_meter::work_meter(const clock &time)
+    : m_time(time)
+{
+}
+
+std::int64_t work_meter::slotNumber() const
+{
+    return m_time.now().time_since_epoch() / slot_width;
+}
+
+void work_meter::sent(const std::string &service, std::uint64_t newTokens)
+{
+    const std::int64_t number = slotNumber();
+    slot &current = m_services[service].slots[static_cast<std::size_t>(number) % slot_count];
+    if (current.number != number)
+        current = {number, 0.0};
+    current.tokens += static_cast<double>(newTokens);
+}
+
+void work_meter::firstEvent(const std::string &service, std::uint64_t newTokens, duration after)
+{
+    if (newTokens < least_sample_tokens || after <= duration::zero())
+        return;
+    measured &of = m_services[service];
+    const double speed = static_cast<double>(newTokens) / seconds(after);
+    if (of.speeds.size() < sample_count) {
+        of.speeds.push_back(speed);
+        return;
+    }
+    of.speeds[of.nextSample] = speed;
+    of.nextSample = (of.nextSample + 1) % sample_count;
+}
+
+std::map<std::string, service_work> work_meter::current() const
+{
+    const std::int64_t number = slotNumber();
+    std::map<std::string, service_work> result;
+    for (const auto &[service, of] : m_services) {
+        service_work work;
+        // The slot that is still filling is left out.
+        for (const slot &each : of.slots) {
+            if (each.number < number && each.number > number - static_cast<std::int64_t>(slot_count))
+                work.tokensPerSecond += each.tokens;
+        }
+        work.tokensPerSecond /= seconds(slot_width) * static_cast<double>(slot_count - 1);
+        if (of.speeds.size() >= least_samples) {
+            std::vector<double> sorted = of.speeds;
+            const auto fast = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() * 9 / 10);
+            std::nth_element(sorted.begin(), fast, sorted.end());
+            work.engineSpeed = *fast;
+        }
+        result.emplace(service, work);
+    }
+    return result;
+}
+
+} // namespace ivypier::relay
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -1,7 +1,6 @@
 #include "edge_node.h"
 
 #include "caller_lookup.h"
-#include "load_board.h"
 #include "peer_rows.h"
 
 #include "base/hash.h"
@@ -9,7 +8,12 @@
 #include "base/random_source.h"
 #include "base/steady_wall_clock.h"
 #include "cloud/table_follower.h"
+#include "duties/upstream_orders.h"
 #include "duties/usage_reporter.h"
+#include "fleet/load_board.h"
+#include "fleet/quota_board.h"
+#include "fleet/run_board.h"
+#include "fleet/work_board.h"
 #include "http/connection_pool.h"
 #include "http/fetcher.h"
 #include "http/listener.h"
@@ -45,14 +49,13 @@
 constexpr std::string_view leaving_prefix = "leaving/";
 
 /// How often limits, loads and duties are brought up to date.
-constexpr duration update_interval = std::chrono::milliseconds(500);
-/// Nodes that a node counts on until the membership had time to find them.
-constexpr std::size_t assumed_nodes = 8;
+constexpr duration update_interval = std::chrono::milliseconds(400);
+/// Until then the membership may not have found all nodes.
 constexpr duration joining_time = std::chrono::seconds(3);
 /// A newer configuration that another node has is asked for again after this time.
 constexpr duration newer_check_interval = std::chrono::milliseconds(300);
 /// Nodes that watch the lease of a duty.
-constexpr std::size_t duty_candidates = 3;
+constexpr std::size_t duty_candidates = 2;
 /// Callers keep an answer to a look-up for up to three times its lifetime.
 constexpr int lookup_lifetimes = 3;
 /// The process ends this long before the platform would kill it.
@@ -63,7 +66,8 @@
 constexpr std::size_t least_connections = 4;
 /// Descriptors for upstreams, the store and files; the rest is for callers.
 constexpr std::size_t reserved_descriptors = 900;
-constexpr const char *usage_duty = "usage";
+/// One lease for all duties: their calls are few, and so are the calls that renew it.
+constexpr const char *duties_lease = "duties";
 
 } // namespace
 
@@ -74,6 +78,7 @@
 
     outcome<void> listen();
     void start();
+    void reload(const edge_settings &changed);
     void stop();
     void finishStop();
 
@@ -92,15 +97,18 @@
     peer_rows peers{randomness, members, platformCalls, settings.control.port};
 
     relay::upstream_directory upstreams{tasks};
-    load_board loads{members, upstreams};
+    fleet::load_board loads{members, upstreams};
     adapter::runner_protocol protocol;
     relay::prefix_choice choice{tasks, randomness, upstreams, settings.failureDomain,
                                 [this](const std::string &id) { return loads.othersLoad(id); }};
     relay::repeat_budget repeats{tasks, {repeat_part * settings.repeatRatio, 0.0, settings.repeatWindow}};
     relay::unit_quota quota{tasks};
+    fleet::quota_board quotas{members, quota, tasks};
     relay::run_counter runs{milliseconds(settings.usageWindow)};
+    relay::work_meter work{tasks};
+    fleet::work_board works{members, work};
     relay::relay_service calls{{tasks, randomness, metrics, upstreamConnections, protocol, upstreams, choice,
-                                repeats, quota, runs, [this] { return wall.milliseconds(); },
+                                repeats, quota, runs, work, [this] { return wall.milliseconds(); },
                                 [this](const relay::service &of) { return connectionsFor(of); }}};
 
     relay::configuration_rows configurationRows{
@@ -112,12 +120,12 @@
     cloud::table_follower upstreamTable{tasks,       randomness, store, &peers, adapter::wire::upstream_table,
                                         upstreamRows};
 
-    placement::lease_keeper usageLease{tasks, store, usage_duty,
-                                       settings.name + '/' + toHex(members.self().id), settings.leaseTerm};
-    duties::run_board runBoard{members, runs};
-    duties::usage_reporter usage{tasks,    store,
-                                 cloud,    usageLease,
-                                 runBoard, {.windowMilliseconds = milliseconds(settings.usageWindow)}};
+    placement::lease_keeper lease{tasks, store, duties_lease, settings.name + '/' + toHex(members.self().id),
+                                  settings.leaseTerm};
+    fleet::run_board runBoard{members, runs};
+    duties::usage_reporter usage{tasks, store,    cloud,
+                                 lease, runBoard, {.windowMilliseconds = milliseconds(settings.usageWindow)}};
+    duties::upstream_orders orders{tasks, cloud, lease, upstreams, duties::capacity_policy({}), {}};
 
     std::unique_ptr<http::listener> callers;
     std::unique_ptr<http::listener> readiness;
@@ -224,8 +232,8 @@
     members.start();
     configurationTable.start();
     upstreamTable.start();
-    usageLease.setEligible(false);
-    usageLease.start();
+    lease.setEligible(false);
+    lease.start();
     update();
     log_event(log_level::info, "edge.started")
         .with("name", settings.name)
@@ -328,7 +336,7 @@
 std::size_t edge_node::parts::nodeCount() const
 {
     const std::size_t known = std::max<std::size_t>(members.memberCount(), 1);
-    return tasks.now() - startedAt < joining_time ? std::max(known, assumed_nodes) : known;
+    return tasks.now() - startedAt < joining_time ? std::max(known, relay::assumed_node_count) : known;
 }
 
 std::size_t edge_node::parts::connectionsFor(const relay::service &of) const
@@ -339,10 +347,11 @@
 void edge_node::parts::update()
 {
     tasks.after(update_interval, [this] { update(); });
-    const auto nodes = static_cast<double>(nodeCount());
-    quota.setPart(1.0 / nodes);
-    repeats.setSlack(repeat_part * settings.repeatSlack / nodes);
+    quota.setNodes(nodeCount());
+    quotas.update();
+    repeats.setSlack(repeat_part * settings.repeatSlack / static_cast<double>(nodeCount()));
     loads.update();
+    works.publish();
     const std::int64_t now = wall.milliseconds();
     const std::int64_t window = runs.windowAt(now);
     runBoard.publish(window);
@@ -352,9 +361,23 @@
         if (each.takesWork())
             names.push_back(each.name);
     }
-    usageLease.setEligible(!stopping
-                           && placement::isCandidate(usage_duty, settings.name, names, duty_candidates));
+    lease.setEligible(!stopping
+                      && placement::isCandidate(duties_lease, settings.name, names, duty_candidates));
     usage.turn(now);
+    if (const auto &table = calls.table())
+        orders.turn(table->content(), works.total());
+}
+
+void edge_node::parts::reload(const edge_settings &changed)
+{
+    settings.seeds = changed.seeds;
+    settings.stopWithin = changed.stopWithin;
+    settings.lookupLifetime = changed.lookupLifetime;
+    settings.repeatSlack = changed.repeatSlack;
+    members.setSeeds(gossipSeeds(settings));
+    log_event(log_level::info, "edge.reloaded")
+        .with("seeds", static_cast<std::int64_t>(settings.seeds.size()))
+        .write();
 }
 
 void edge_node::parts::stop()
@@ -367,7 +390,7 @@
         .write();
     stopAt = tasks.now() + settings.stopWithin - stop_margin;
     members.leave();
-    usageLease.release();
+    lease.release();
     callers->closeAfterAnswers();
     const duration accepting
         = std::min<duration>(lookup_lifetimes * settings.lookupLifetime, settings.stopWithin / 3);
@@ -414,6 +437,11 @@
 
 edge_node::~edge_node() = default;
 
+void edge_node::reload(const edge_settings &changed)
+{
+    m_parts->reload(changed);
+}
+
 void edge_node::stop()
 {
     m_parts->stop();
--- a/services/edge/main.cpp
+++ b/services/edge/main.cpp
@@ -2,6 +2,7 @@
 #include "base/log_event.h"
 #include "edge_node.h"
 #include "program/daemon.h"
+#include "settings_watch.h"
 
 #include <csignal>
 
@@ -17,7 +18,8 @@
         "  ivypier-edge --settings edge.toml\n"
         "  ivypier-edge --settings edge.toml --check\n\n"
         "Without --settings the file that IVYPIER_SETTINGS names is read. "
-        "SIGTERM stops it gracefully: no answer is cut."};
+        "SIGTERM stops it gracefully: no answer is cut. SIGHUP makes it read its "
+        "settings again; it also looks for changes by itself."};
     const auto prepared
         = program::prepareDaemon<edge::edge_settings>(about, argc, argv, edge::readEdgeSettings);
     if (const auto *code = std::get_if<program::exit_code>(&prepared))
@@ -30,6 +32,10 @@
         return program::exit_start;
     }
     loop.onTerminate([&] { started.value()->stop(); });
+    edge::settings_watch watch(loop,
+                               [&](const edge::edge_settings &changed) { started.value()->reload(changed); });
+    loop.onReload([&] { watch.look(); });
+    watch.start();
     loop.run();
     return program::exit_ok;
 }
--- /dev/null
+++ b/services/edge/settings_watch.cpp
@@ -0,0 +1,49 @@
+#include "settings_watch.h"
+
+#include "base/log_event.h"
+#include "program/daemon.h"
+
+namespace ivypier::edge {
+
+namespace {
+
+constexpr duration look_interval = std::chrono::seconds(5);
+
+} // namespace
+
+settings_watch::settings_watch(scheduler &tasks, std::function<void(const edge_settings &)> onChange)
+    : m_tasks(tasks)
+    , m_onChange(std::move(onChange))
+{
+    if (outcome<std::string> text = program::settingsTextAgain())
+        m_text = std::move(text.value());
+}
+
+void settings_watch::start()
+{
+    m_tasks.after(look_interval, [this] {
+        look();
+        start();
+    });
+}
+
+void settings_watch::look()
+{
+    const outcome<std::string> text = program::settingsTextAgain();
+    if (!text) {
+        log_event(log_level::warning, "settings.unreadable").with("reason", text.error().message).write();
+        return;
+    }
+    if (text.value() == m_text)
+        return;
+    m_text = text.value();
+    const auto read = readEdgeSettings(m_text);
+    if (const auto *faults = std::get_if<std::vector<settings_error>>(&read)) {
+        for (const settings_error &each : *faults)
+            log_event(log_level::error, "settings.fault").with("fault", describe(each, "settings")).write();
+        return;
+    }
+    m_onChange(std::get<edge_settings>(read));
+}
+
+} // namespace ivypier::edge
