Limits: hold back what other nodes are expected to have taken since they told

Change: the rate of the others' takings is followed, and 0.7 s of it held back; a node's own part is 2 instead of 3 equal parts.

--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -1,6 +1,7 @@
 #include "relay/unit_quota.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ivypier::relay {
 
@@ -9,6 +10,9 @@
 /// The shortest time that a refused caller is told to wait.
 constexpr duration least_wait = std::chrono::milliseconds(20);
 
+/// Time constant of the rate at which other nodes take units.
+constexpr double rate_seconds = 1.0;
+
 } // namespace
 
 unit_quota::unit_quota(const clock &time)
@@ -34,6 +38,7 @@
     const double gained = which.perSecond * seconds(now - which.filledAt);
     which.fleetUnits += gained;
     which.ownUnits += ownPart() * gained;
+    which.othersPerSecond *= std::exp(-seconds(now - which.filledAt) / rate_seconds);
     which.filledAt = now;
     trim(which);
 }
@@ -42,7 +47,10 @@
 {
     std::map<std::string, bucket> next;
     for (const client_account &each : accounts) {
-        bucket fresh{each.unitsPerSecond, std::max(each.burst, 1.0), 0.0, 0.0, 0.0, m_time.now()};
+        bucket fresh;
+        fresh.perSecond = each.unitsPerSecond;
+        fresh.burst = std::max(each.burst, 1.0);
+        fresh.filledAt = m_time.now();
         const auto known = m_buckets.find(each.name);
         if (known != m_buckets.end() && known->second.perSecond > 0.0) {
             // A higher limit adds nothing at once, a lower one takes away what was saved above it.
@@ -50,6 +58,7 @@
             fresh.fleetUnits = known->second.fleetUnits;
             fresh.ownUnits = known->second.ownUnits;
             fresh.taken = known->second.taken;
+            fresh.othersPerSecond = known->second.othersPerSecond;
         } else {
             // Other nodes may have taken the burst before this one started.
             fresh.fleetUnits = fresh.burst / static_cast<double>(m_nodes);
@@ -80,7 +89,8 @@
     bucket &which = found->second;
     fill(which);
     // A call larger than a bucket is let through when the bucket is full, and leaves a debt.
-    const double fleetNeed = std::min(units, which.burst) - which.fleetUnits;
+    const double notTold = which.othersPerSecond * seconds(telling_lag);
+    const double fleetNeed = std::min(units + notTold, which.burst) - which.fleetUnits;
     const double ownNeed = std::min(units, ownPart() * which.burst) - which.ownUnits;
     if (fleetNeed <= 0.0 && ownNeed <= 0.0) {
         which.fleetUnits -= units;
@@ -111,6 +121,7 @@
         return;
     fill(found->second);
     found->second.fleetUnits -= units;
+    found->second.othersPerSecond += units / rate_seconds;
     trim(found->second);
 }
 
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -48,6 +48,7 @@
         double fleetUnits = 0.0;
         double ownUnits = 0.0;
         double taken = 0.0;
+        double othersPerSecond = 0.0; ///< what other nodes take, over the last second or so
         time_point filledAt{};
     };
 
@@ -61,7 +62,10 @@
 };
 
 /// What one node may take of a limit, as a multiple of its equal part.
-inline constexpr double own_part_factor = 3.0;
+inline constexpr double own_part_factor = 2.0;
+
+/// Age of what other nodes told last, on average: the interval at which they tell and the way of the news.
+inline constexpr duration telling_lag = std::chrono::milliseconds(700);
 
 /// Nodes that a node counts on before it has found the others.
 inline constexpr std::size_t assumed_node_count = 8;
