--- a/libraries/base/json.cpp
+++ b/libraries/base/json.cpp
@@ -80,4 +80,16 @@
     return object.isObject() && object[name].isBool() && object[name].asBool();
 }
 
+const Json::Value &arrayMember(const Json::Value &object, const char *name)
+{
+    static const Json::Value none(Json::arrayValue);
+    return object.isObject() && object.isMember(name) && object[name].isArray() ? object[name] : none;
+}
+
+const Json::Value &objectMember(const Json::Value &object, const char *name)
+{
+    static const Json::Value none(Json::objectValue);
+    return object.isObject() && object.isMember(name) && object[name].isObject() ? object[name] : none;
+}
+
 } // namespace ivypier
--- a/libraries/base/json.h
+++ b/libraries/base/json.h
@@ -30,6 +30,12 @@
 /// A member of an object as a number, or `otherwise` when it is missing or of another type.
 double numberMember(const Json::Value &object, const char *name, double otherwise);
 
+/// A member of an object that is an array; an empty one when it is missing or of another type.
+const Json::Value &arrayMember(const Json::Value &object, const char *name);
+
+/// A member of an object that is an object; an empty one when it is missing or of another type.
+const Json::Value &objectMember(const Json::Value &object, const char *name);
+
 /// A member of an object as a boolean; false when it is missing or of another type.
 bool booleanMember(const Json::Value &object, const char *name);
 
--- /dev/null
+++ b/libraries/cloud/tests/table_follower_test.cpp
@@ -0,0 +1,172 @@
+#include "base/log_event.h"
+#include "base/virtual_scheduler.h"
+#include "cloud/table_follower.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace ivypier;
+using namespace ivypier::cloud;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A feed whose calls wait until the test answers them.
+class held_feed final : public change_feed
+{
+public:
+    struct question
+    {
+        bool isList = false;
+        std::uint64_t after = 0;
+        completion done;
+    };
+
+    void list(const std::string &, completion done) override
+    {
+        questions.push_back({true, 0, std::move(done)});
+    }
+    void changes(const std::string &, std::uint64_t after, duration, completion done) override
+    {
+        questions.push_back({false, after, std::move(done)});
+    }
+
+    question take()
+    {
+        REQUIRE_FALSE(questions.empty());
+        question first = std::move(questions.front());
+        questions.pop_front();
+        return first;
+    }
+    void answer(feed_rows rows)
+    {
+        take().done(std::move(rows));
+    }
+    void fail(error_code code)
+    {
+        take().done(error{code, "as the test says"});
+    }
+
+    std::deque<question> questions;
+};
+
+class recording_observer final : public table_observer
+{
+public:
+    void onRows(const std::vector<feed_row> &rows) override
+    {
+        for (const feed_row &each : rows)
+            seen.push_back(each.key + '=' + each.value);
+    }
+    void onChange(const feed_row &row, bool uncertain) override
+    {
+        seen.push_back((row.removed ? '-' + row.key : row.key + '=' + row.value) + (uncertain ? "?" : ""));
+    }
+
+    std::vector<std::string> seen;
+};
+
+struct fixture
+{
+    fixture()
+    {
+        configureLog("tests", log_level::error);
+        follower.start();
+    }
+
+    virtual_scheduler time;
+    seeded_random randomness{3};
+    held_feed source;
+    held_feed substitute;
+    recording_observer observer;
+    table_follower follower{time, randomness, source, &substitute, "t", observer};
+};
+
+using texts = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("a table is read once and then followed from its version on")
+{
+    fixture with;
+    with.source.answer({{{"a", 1, "x"}}, 5});
+    CHECK(with.source.questions.front().after == 5);
+    with.time.advance(10s);
+    with.source.answer({{{"b", 6, "y"}, {"a", 7, "", true}}, 7});
+    CHECK(with.observer.seen == texts{"a=x", "b=y", "-a"});
+    CHECK(with.source.questions.front().after == 7);
+    CHECK(with.follower.rows().rows.size() == 1);
+}
+
+TEST_CASE("when the history is lost the table is read again, and what is missing counts as removed")
+{
+    fixture with;
+    with.source.answer({{{"a", 1, "x"}, {"b", 2, "y"}}, 5});
+    with.time.advance(10s);
+    with.source.fail(error_code::not_found);
+    REQUIRE(with.source.questions.front().isList);
+    with.source.answer({{{"b", 2, "y"}, {"c", 8, "z"}}, 9});
+    CHECK(with.observer.seen == texts{"a=x", "b=y", "-a", "b=y", "c=z"});
+}
+
+TEST_CASE("a source that fails is asked again after pauses that grow, and another node meanwhile")
+{
+    fixture with;
+    with.source.answer({{{"a", 1, "x"}}, 5});
+    with.source.fail(error_code::unavailable);
+    CHECK(with.source.questions.empty());
+    CHECK_FALSE(with.follower.isConnected());
+    std::size_t asked = 0;
+    for (int round = 0; round < 100; ++round) {
+        with.time.advance(100ms);
+        if (with.source.questions.empty())
+            continue;
+        ++asked;
+        with.source.fail(error_code::timed_out);
+    }
+    CHECK(asked >= 6);
+    CHECK(asked <= 25);
+    REQUIRE_FALSE(with.substitute.questions.empty());
+    with.substitute.answer({{{"a", 1, "x"}, {"b", 6, "y"}}, 6});
+    CHECK(with.observer.seen.back() == "b=y");
+    CHECK(with.follower.version() == 6);
+}
+
+TEST_CASE("an older table of another node is not taken")
+{
+    fixture with;
+    with.source.answer({{{"a", 1, "new"}}, 9});
+    with.source.fail(error_code::unavailable);
+    with.follower.refresh();
+    with.substitute.answer({{{"a", 1, "old"}}, 8});
+    CHECK(with.observer.seen == texts{"a=new"});
+}
+
+TEST_CASE("a row that is gone just after the source came back is told as uncertain")
+{
+    fixture with;
+    with.source.answer({{{"a", 1, "x"}}, 5});
+    with.time.advance(10s);
+    with.source.fail(error_code::unavailable);
+    with.time.advance(1s);
+    with.source.answer({{{"a", 6, "", true}}, 6});
+    CHECK(with.observer.seen.back() == "-a?");
+    with.time.advance(5s);
+    with.source.answer({{{"b", 7, "", true}}, 7});
+    CHECK(with.observer.seen.back() == "-b");
+}
+
+TEST_CASE("news of something newer reads the table at once, and the answer to the earlier wait is dropped")
+{
+    fixture with;
+    with.source.answer({{{"a", 1, "x"}}, 5});
+    auto waiting = with.source.take();
+    with.follower.refresh();
+    REQUIRE(with.source.questions.front().isList);
+    with.source.answer({{{"a", 6, "y"}}, 6});
+    const texts before = with.observer.seen;
+    waiting.done(feed_rows{{{"a", 6, "y"}}, 6});
+    CHECK(with.observer.seen == before);
+    CHECK(with.source.questions.size() == 1);
+}
--- a/libraries/duties/usage_reporter.cpp
+++ b/libraries/duties/usage_reporter.cpp
@@ -43,11 +43,11 @@
 std::optional<cloud::usage_report> usage_reporter::decode(const std::string &text)
 {
     const outcome<Json::Value> json = parseJson(text);
-    if (!json || !json.value()["counts"].isObject())
+    if (!json || !json.value().isObject())
         return std::nullopt;
     cloud::usage_report result;
     result.window = integerMember(json.value(), "window", 0);
-    const Json::Value &counts = json.value()["counts"];
+    const Json::Value &counts = objectMember(json.value(), "counts");
     for (const std::string &account : counts.getMemberNames())
         result.counts[account] = unsignedMember(counts, account.c_str(), 0);
     return result;
@@ -69,7 +69,7 @@
         readRow();
         return;
     }
-    if (m_decided && m_decided->window > m_reported) {
+    if (m_decided && (!m_reported || m_decided->window > *m_reported)) {
         report();
         return;
     }
@@ -148,7 +148,7 @@
                 m_pausedUntil = m_tasks.now() + conflict_pause;
             return;
         }
-        m_reported = std::max(m_reported, report.window);
+        m_reported = std::max(m_reported.value_or(report.window), report.window);
         std::uint64_t total = 0;
         for (const auto &[account, count] : report.counts)
             total += count;
--- a/libraries/duties/usage_reporter.h
+++ b/libraries/duties/usage_reporter.h
@@ -35,8 +35,8 @@
     /// Goes on with the duty if there is something to do. To be called a few times a second.
     void turn(std::int64_t wallMilliseconds);
 
-    /// The newest window that the platform has taken from this node; 0: none.
-    std::int64_t reportedWindow() const
+    /// The newest window that the platform has taken from this node.
+    std::optional<std::int64_t> reportedWindow() const
     {
         return m_reported;
     }
@@ -61,7 +61,7 @@
     std::uint64_t m_rowVersion = 0;
     bool m_rowKnown = false;
     std::optional<cloud::usage_report> m_decided; ///< what the row holds
-    std::int64_t m_reported = 0;
+    std::optional<std::int64_t> m_reported;
     std::int64_t m_wall = 0;
     bool m_busy = false;
     time_point m_pausedUntil{};
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -1,170 +1,216 @@
 #include "http/client.h"
 
-#include <boost/asio/ssl/context.hpp>
-#include <cpprest/http_client.h>
+#include "http/background_loop.h"
+#include "http/connection_pool.h"
+#include "http/tls_stream.h"
 
 #include <map>
-#include <mutex>
-#include <system_error>
-#include <thread>
-#include <tuple>
-#include <vector>
+#include <optional>
 
 namespace ivypier::http {
 
 namespace {
 
-namespace web = ::web::http;
-using library_client = web::client::http_client;
+constexpr std::size_t connection_limit = 1024; ///< to one address
 
-/// Pools of idle connections that are kept, one for each address and timeout.
-constexpr std::size_t pool_limit = 1024;
-
-error describe(const std::exception_ptr &failure)
+std::string encode(const endpoint &to, const request &message)
 {
-    try {
-        std::rethrow_exception(failure);
-    } catch (const web::http_exception &problem) {
-        const auto condition = problem.error_code().default_error_condition();
-        if (problem.error_code() == std::errc::host_unreachable || condition == std::errc::host_unreachable
-            || condition == std::errc::connection_refused)
-            return {error_code::unavailable, problem.what()};
-        if (condition == std::errc::timed_out)
-            return {error_code::timed_out, problem.what()};
-        return {error_code::interrupted, problem.what()};
-    } catch (const std::exception &problem) {
-        return {error_code::interrupted, problem.what()};
+    std::string text = message.method + ' ' + message.path;
+    if (!message.query.empty())
+        text.append("?").append(message.query);
+    text.append(" HTTP/1.1\r\n");
+    appendField(text, "Host", to.text());
+    for (const auto &[name, value] : message.headers) {
+        const bool isOurs = equalNames(name, "Host") || equalNames(name, "Content-Length")
+            || equalNames(name, "Transfer-Encoding") || equalNames(name, "Connection");
+        if (!isOurs)
+            appendField(text, name, value);
     }
-}
-
-web::http_request convert(request message)
-{
-    web::http_request outgoing(message.method);
-    outgoing.set_request_uri(message.query.empty() ? message.path : message.path + '?' + message.query);
     if (!message.body.empty() || message.method == "POST" || message.method == "PUT") {
-        const std::string type = message.header("Content-Type");
-        outgoing.set_body(std::move(message.body), type.empty() ? "application/json" : type);
+        if (message.header("Content-Type").empty())
+            appendField(text, "Content-Type", "application/json");
+        appendField(text, "Content-Length", std::to_string(message.body.size()));
     }
-    message.headers.erase("Content-Type");
-    message.headers.erase("Content-Length");
-    message.headers.erase("Transfer-Encoding");
-    message.headers.erase("Host");
-    message.headers.erase("Connection");
-    for (const auto &[name, value] : message.headers)
-        outgoing.headers().add(name, value);
-    return outgoing;
+    return text.append("\r\n").append(message.body);
 }
 
-header_map headersOf(const web::http_response &incoming)
+error describe(const exchange_failure &failure)
 {
-    header_map result;
-    for (const auto &[name, value] : incoming.headers())
-        result.emplace(name, value);
-    return result;
+    const bool unsent = failure.stage == exchange_stage::not_sent;
+    return {unsent ? error_code::unavailable : error_code::interrupted, failure.reason};
 }
 
-/// Fails a call as a cut link does.
-void failLater(link_fault fault, const call_options &options, client::completion done)
+/// Streamed answers of send(): collects the whole one.
+class collector final : public stream_observer
 {
-    if (fault == link_fault::refused) {
-        pplx::create_task([done = std::move(done)] {
-            done(error{error_code::unavailable, "the link is cut"});
-        });
-        return;
+public:
+    explicit collector(client::completion done)
+        : m_done(std::move(done))
+    {
     }
-    std::thread([options, done = std::move(done)] {
-        std::this_thread::sleep_for(options.timeout);
-        done(error{error_code::timed_out, "the link is cut"});
-    }).detach();
-}
 
-/// One streamed response: reads what has come, hands it over, waits for more.
-class streamed_exchange final : public exchange, public std::enable_shared_from_this<streamed_exchange>
+    void onBegin(int status, const header_map &headers) override
+    {
+        m_answer.status = status;
+        m_answer.headers = headers;
+    }
+    void onData(std::string piece) override
+    {
+        m_answer.body.append(piece);
+    }
+    void onEnd() override
+    {
+        m_done(std::move(m_answer));
+    }
+    void onFailed(const error &failure) override
+    {
+        m_done(failure);
+    }
+
+private:
+    client::completion m_done;
+    response m_answer;
+};
+
+/// One call. All of it but cancel() runs on the loop.
+class running_call final : public exchange,
+                           private exchange_observer,
+                           public std::enable_shared_from_this<running_call>
 {
 public:
-    streamed_exchange(std::shared_ptr<library_client> connection, std::shared_ptr<stream_observer> observer)
-        : m_client(std::move(connection))
+    running_call(endpoint to, std::string bytes, call_options options, bool headOnly,
+                 std::shared_ptr<stream_observer> observer)
+        : m_to(std::move(to))
+        , m_bytes(std::move(bytes))
+        , m_options(std::move(options))
+        , m_headOnly(headOnly)
         , m_observer(std::move(observer))
     {
     }
 
-    void start(const web::http_request &outgoing)
+    void start(std::shared_ptr<connection_pool> pool)
     {
-        m_client->request(outgoing, m_cancellation.get_token())
-            .then([self = shared_from_this()](const pplx::task<web::http_response> &answered) {
-                try {
-                    self->m_response = answered.get();
-                } catch (...) { // the library reports every failure as an exception of the task
-                    self->m_observer->onFailed(describe(std::current_exception()));
-                    return;
-                }
-                self->m_observer->onBegin(self->m_response.status_code(), headersOf(self->m_response));
-                self->m_source = self->m_response.body().streambuf();
-                self->readMore();
-            });
+        m_pool = std::move(pool);
+        m_self = shared_from_this();
+        send(m_options.repeat == repeatability::not_repeatable);
     }
 
     void cancel() override
     {
-        m_cancellation.cancel();
+        backgroundLoop().post([self = shared_from_this()] {
+            self->fail({error_code::interrupted, "cancelled"});
+        });
     }
 
 private:
-    void readMore()
+    void send(bool fresh)
+    {
+        m_fresh = fresh;
+        exchange_options options;
+        options.connectTime = m_options.timeout;
+        options.connections = connection_limit;
+        options.headOnly = m_headOnly;
+        options.freshConnection = fresh;
+        watchSilence();
+        m_exchange = m_pool->start(m_to, m_bytes, std::move(options), *this);
+    }
+
+    /// Ends the call when nothing arrives for the call's timeout.
+    void watchSilence()
     {
-        m_source.getc().then([self = shared_from_this()](const pplx::task<int> &read) {
-            int first = 0;
-            try {
-                first = read.get();
-            } catch (...) { // the body was cut
-                self->m_observer->onFailed(describe(std::current_exception()));
-                return;
-            }
-            if (first == std::char_traits<char>::eof())
-                self->awaitEnd();
-            else
-                self->takeAvailable();
+        m_heardAt = backgroundLoop().now();
+        if (m_timer)
+            return;
+        m_timer = backgroundLoop().after(m_options.timeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->onTimer();
         });
     }
 
-    /// The body is whole only when the library says so. Waiting for that here would block one of the few
-    /// threads that have to bring the word.
-    void awaitEnd()
+    void onTimer()
     {
-        m_response.content_ready().then(
-            [self = shared_from_this()](const pplx::task<web::http_response> &completed) {
-                try {
-                    completed.get();
-                } catch (...) { // the body was cut
-                    self->m_observer->onFailed(describe(std::current_exception()));
-                    return;
-                }
-                self->m_observer->onEnd();
-            });
+        m_timer.reset();
+        const duration silent = backgroundLoop().now() - m_heardAt;
+        if (silent >= m_options.timeout) {
+            fail({error_code::timed_out, "no answer in time"});
+            return;
+        }
+        m_timer = backgroundLoop().after(m_options.timeout - silent, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->onTimer();
+        });
+    }
+
+    void onHead(response_head head) override
+    {
+        const auto alive = shared_from_this();
+        m_heardAt = backgroundLoop().now();
+        header_map headers;
+        for (const auto &[name, value] : head.fields)
+            headers.emplace(name, value);
+        m_observer->onBegin(head.status, headers);
+    }
+
+    void onBody(std::string_view piece) override
+    {
+        const auto alive = shared_from_this();
+        m_heardAt = backgroundLoop().now();
+        m_observer->onData(std::string(piece));
     }
 
-    void takeAvailable()
+    void onEnd() override
     {
-        const std::size_t count = m_source.in_avail();
-        auto piece = std::make_shared<std::string>(count, '\0');
-        m_source.getn(reinterpret_cast<std::uint8_t *>(piece->data()), count)
-            .then([self = shared_from_this(), piece](const pplx::task<std::size_t> &read) {
-                try {
-                    piece->resize(read.get());
-                } catch (...) { // the body was cut
-                    self->m_observer->onFailed(describe(std::current_exception()));
-                    return;
-                }
-                self->m_observer->onData(std::move(*piece));
-                self->readMore();
+        const auto alive = shared_from_this();
+        release();
+        m_observer->onEnd();
+    }
+
+    void onFailed(const exchange_failure &failure) override
+    {
+        const auto alive = shared_from_this();
+        // The kept connection had been closed by the other side: a repeatable call is sent on a new one,
+        // once.
+        if (failure.stage == exchange_stage::sent && !m_fresh
+            && m_options.repeat == repeatability::repeatable) {
+            backgroundLoop().post([self = shared_from_this()] {
+                if (self->m_self)
+                    self->send(true);
             });
+            return;
+        }
+        fail(describe(failure));
+    }
+
+    void fail(const error &why)
+    {
+        const auto alive = shared_from_this();
+        if (!m_self)
+            return;
+        release();
+        m_observer->onFailed(why);
     }
 
-    std::shared_ptr<library_client> m_client;
+    /// The call is over: nothing keeps it any more.
+    void release()
+    {
+        if (m_timer)
+            backgroundLoop().cancel(*m_timer);
+        m_timer.reset();
+        m_exchange.reset();
+        m_self.reset();
+    }
+
+    std::shared_ptr<connection_pool> m_pool;
+    endpoint m_to;
+    std::string m_bytes;
+    call_options m_options;
+    bool m_headOnly;
     std::shared_ptr<stream_observer> m_observer;
-    pplx::cancellation_token_source m_cancellation;
-    web::http_response m_response;
-    concurrency::streams::streambuf<std::uint8_t> m_source;
+    std::unique_ptr<outgoing_exchange> m_exchange;
+    std::optional<timer_id> m_timer;
+    time_point m_heardAt{};
+    bool m_fresh = false;
+    std::shared_ptr<running_call> m_self; ///< while it runs
 };
 
 /// An exchange over a cut link.
@@ -176,47 +222,65 @@
     }
 };
 
+/// Fails a call as a cut link does.
+void failLater(link_fault fault, const call_options &options,
+               const std::shared_ptr<stream_observer> &observer)
+{
+    backgroundLoop().post([fault, timeout = options.timeout, observer] {
+        if (fault == link_fault::refused) {
+            observer->onFailed({error_code::unavailable, "the link is cut"});
+            return;
+        }
+        backgroundLoop().after(timeout, [observer] {
+            observer->onFailed({error_code::timed_out, "the link is cut"});
+        });
+    });
+}
+
+/// Drops an answer and fails as if it had never come.
+class losing_observer final : public stream_observer
+{
+public:
+    losing_observer(call_options options, std::shared_ptr<stream_observer> observer)
+        : m_options(std::move(options))
+        , m_observer(std::move(observer))
+    {
+    }
+    void onBegin(int, const header_map &) override
+    {
+    }
+    void onData(std::string) override
+    {
+    }
+    void onEnd() override
+    {
+        failLater(link_fault::silent, m_options, m_observer);
+    }
+    void onFailed(const error &) override
+    {
+        failLater(link_fault::silent, m_options, m_observer);
+    }
+
+private:
+    call_options m_options;
+    std::shared_ptr<stream_observer> m_observer;
+};
+
 } // namespace
 
 struct client::state
 {
     std::shared_ptr<const fault_switch> faults;
     std::string certificateAuthority;
+    std::map<std::string, std::shared_ptr<connection_pool>> pools; ///< by authority; on the loop only
 
-    using pool_key = std::tuple<endpoint, duration, std::string>;
-
-    std::mutex mutex;
-    std::map<pool_key, std::shared_ptr<library_client>> pools;
-
-    std::shared_ptr<library_client> clientFor(const endpoint &to, call_options options)
-    {
-        if (options.certificateAuthority.empty())
-            options.certificateAuthority = certificateAuthority;
-        if (options.repeat == repeatability::not_repeatable)
-            return create(to, options);
-        const std::lock_guard lock(mutex);
-        const pool_key key{to, options.timeout, options.certificateAuthority};
-        const auto found = pools.find(key);
-        if (found != pools.end())
-            return found->second;
-        if (pools.size() >= pool_limit)
-            pools.clear();
-        return pools.emplace(key, create(to, options)).first->second;
-    }
-
-    static std::shared_ptr<library_client> create(const endpoint &to, const call_options &options)
+    std::shared_ptr<connection_pool> poolFor(const std::string &authority)
     {
-        web::client::http_client_config configuration;
-        configuration.set_timeout(options.timeout);
-        configuration.set_max_redirects(0); // a redirect is an answer; whoever asked decides on it
-        if (options.certificateAuthority.empty())
-            return std::make_shared<library_client>("http://" + to.text(), configuration);
-        configuration.set_ssl_context_callback(
-            [trusted = options.certificateAuthority](boost::asio::ssl::context &context) {
-                boost::system::error_code failure; // a file that can't be read: no certificate is trusted
-                context.load_verify_file(trusted, failure);
-            });
-        return std::make_shared<library_client>("https://" + to.text(), configuration);
+        std::shared_ptr<connection_pool> &pool = pools[authority];
+        if (!pool)
+            pool = std::make_shared<connection_pool>(
+                backgroundLoop(), authority.empty() ? makePlainStream : makeTlsClientStreams(authority));
+        return pool;
     }
 };
 
@@ -231,45 +295,29 @@
 }
 
 client::client(std::shared_ptr<const fault_switch> faults, std::string certificateAuthority)
-    : m_state(std::make_unique<state>())
+    : m_state(std::make_shared<state>())
 {
     m_state->faults = std::move(faults);
     m_state->certificateAuthority = std::move(certificateAuthority);
 }
 
-client::~client() = default;
+client::~client()
+{
+    // The pools belong to the loop; calls that run keep theirs.
+    backgroundLoop().post([state = std::move(m_state)] { state->pools.clear(); });
+}
 
 void client::send(const endpoint &to, request message, call_options options, completion done)
 {
+    std::shared_ptr<stream_observer> observer = std::make_shared<collector>(std::move(done));
     const link_fault fault = m_state->faults ? m_state->faults->at(to) : link_fault::none;
     if (fault == link_fault::refused || fault == link_fault::silent) {
-        failLater(fault, options, std::move(done));
+        failLater(fault, options, observer);
         return;
     }
-    if (fault == link_fault::answers_lost) {
-        done = [options, done = std::move(done)](const outcome<response> &) {
-            failLater(link_fault::silent, options, done);
-        };
-    }
-    const std::shared_ptr<library_client> connection = m_state->clientFor(to, options);
-    const auto headers = std::make_shared<web::http_response>();
-    connection->request(convert(std::move(message)))
-        .then([headers](const web::http_response &incoming) {
-            *headers = incoming;
-            return incoming.extract_vector();
-        })
-        .then([connection, headers,
-               done = std::move(done)](const pplx::task<std::vector<unsigned char>> &read) {
-            outcome<response> result = error{error_code::internal, ""};
-            try {
-                const std::vector<unsigned char> body = read.get();
-                result = response{headers->status_code(), headersOf(*headers),
-                                  std::string(body.begin(), body.end())};
-            } catch (...) { // the library reports every failure as an exception of the task
-                result = describe(std::current_exception());
-            }
-            done(std::move(result));
-        });
+    if (fault == link_fault::answers_lost)
+        observer = std::make_shared<losing_observer>(options, std::move(observer));
+    start(to, message, std::move(options), std::move(observer));
 }
 
 std::shared_ptr<exchange> client::stream(const endpoint &to, request message, call_options options,
@@ -277,13 +325,23 @@
 {
     const link_fault fault = m_state->faults ? m_state->faults->at(to) : link_fault::none;
     if (fault != link_fault::none) {
-        failLater(fault, options,
-                  [observer](const outcome<response> &failed) { observer->onFailed(failed.error()); });
+        failLater(fault, options, observer);
         return std::make_shared<cut_exchange>();
     }
-    auto running = std::make_shared<streamed_exchange>(m_state->clientFor(to, options), std::move(observer));
-    running->start(convert(std::move(message)));
-    return running;
+    return start(to, message, std::move(options), std::move(observer));
+}
+
+std::shared_ptr<exchange> client::start(const endpoint &to, const request &message, call_options options,
+                                        std::shared_ptr<stream_observer> observer)
+{
+    if (options.certificateAuthority.empty())
+        options.certificateAuthority = m_state->certificateAuthority;
+    const auto call = std::make_shared<running_call>(to, encode(to, message), options,
+                                                     message.method == "HEAD", std::move(observer));
+    backgroundLoop().post([state = m_state, call, authority = options.certificateAuthority] {
+        call->start(state->poolFor(authority));
+    });
+    return call;
 }
 
 } // namespace ivypier::http
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -12,8 +12,8 @@
 
 namespace ivypier::http {
 
-/// Whether a call may run again when it is not known whether it ran. The library re-sends a request by itself
-/// when a reused connection breaks, so a call that must not run twice gets a connection of its own.
+/// Whether a call may run again when it is not known whether it ran. A repeatable one is sent once more when
+/// the kept connection it was sent on breaks before its answer; one that is not gets a new connection.
 enum class repeatability { repeatable, not_repeatable };
 
 struct call_options
@@ -26,7 +26,7 @@
     auto operator<=>(const call_options &) const = default;
 };
 
-/// Receives a streamed response. Calls come one after another, on the library's threads.
+/// Receives a streamed response. Calls come one after another, on the thread of the HTTP loop.
 class stream_observer
 {
 public:
@@ -51,7 +51,7 @@
     virtual void cancel() = 0;
 };
 
-/// An HTTP/1.1 client (cpprestsdk) with pooled connections. Safe to use from any thread.
+/// An HTTP/1.1 client with pooled connections. Safe to use from any thread; it runs on a loop of its own.
 class client
 {
 public:
@@ -67,7 +67,7 @@
 
     ~client();
 
-    /// Sends a request and reads the whole response; `done` is called once, on a library thread.
+    /// Sends a request and reads the whole response; `done` is called once, on the loop's thread.
     void send(const endpoint &to, request message, call_options options, completion done);
 
     /// Sends a request and hands over the response piece by piece.
@@ -76,7 +76,11 @@
 
 private:
     struct state;
-    std::unique_ptr<state> m_state;
+
+    std::shared_ptr<exchange> start(const endpoint &to, const request &message, call_options options,
+                                    std::shared_ptr<stream_observer> observer);
+
+    std::shared_ptr<state> m_state;
 };
 
 } // namespace ivypier::http
--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -69,8 +69,9 @@
         std::size_t open = 0;
     };
 
-    explicit state(event_loop &loop)
+    state(event_loop &loop, stream_factory make)
         : tasks(loop)
+        , streams(std::move(make))
         , context(*static_cast<boost::asio::io_context *>(loop.nativeContext()))
     {
     }
@@ -81,6 +82,7 @@
     void sweep();
 
     event_loop &tasks;
+    stream_factory streams;
     boost::asio::io_context &context;
     std::map<endpoint, peer_connections> peers;
     pool_counts counts;
@@ -105,7 +107,8 @@
     ++counts.opened;
     ++counts.open;
     return std::make_shared<pooled_connection>(
-        context, to, [weak = weak_from_this()](const std::shared_ptr<pooled_connection> &connection) {
+        context, streams(context), to,
+        [weak = weak_from_this()](const std::shared_ptr<pooled_connection> &connection) {
             if (const auto self = weak.lock())
                 self->onReleased(connection);
         });
@@ -143,8 +146,8 @@
     });
 }
 
-connection_pool::connection_pool(event_loop &loop)
-    : m_state(std::make_shared<state>(loop))
+connection_pool::connection_pool(event_loop &loop, stream_factory streams)
+    : m_state(std::make_shared<state>(loop, std::move(streams)))
 {
     m_state->sweep();
 }
@@ -162,7 +165,9 @@
                                                           exchange_observer &observer)
 {
     state::peer_connections &peer = m_state->peers[to];
-    std::shared_ptr<pooled_connection> connection = m_state->takeIdle(peer);
+    std::shared_ptr<pooled_connection> connection;
+    if (!options.freshConnection)
+        connection = m_state->takeIdle(peer);
     m_state->counts.reused += connection ? 1 : 0;
     if (!connection && peer.open >= options.connections) {
         auto refused = std::make_unique<refused_exchange>();
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/event_loop.h"
+#include "http/byte_stream.h"
 #include "http/exchange_transport.h"
 
 namespace ivypier::http {
@@ -21,7 +22,7 @@
 class connection_pool final : public exchange_transport
 {
 public:
-    explicit connection_pool(event_loop &loop);
+    explicit connection_pool(event_loop &loop, stream_factory streams = makePlainStream);
     ~connection_pool() override;
 
     std::unique_ptr<outgoing_exchange> start(const endpoint &to, std::string bytes, exchange_options options,
--- a/libraries/http/exchange_transport.h
+++ b/libraries/http/exchange_transport.h
@@ -55,6 +55,7 @@
     duration connectTime = std::chrono::milliseconds(600); ///< longest wait for a connection
     std::size_t connections = 64; ///< most connections to this address, in use and idle together
     bool headOnly = false; ///< the request's method is HEAD
+    bool freshConnection = false; ///< never a kept connection, which the other side may just have closed
     /// False for an answer that belongs to another request, which is passed over.
     std::function<bool(const response_head &)> isOwnAnswer = {};
 };
--- a/libraries/http/listener.cpp
+++ b/libraries/http/listener.cpp
@@ -23,10 +23,11 @@
 
 struct listener::state : std::enable_shared_from_this<listener::state>
 {
-    state(event_loop &loop, connection_limits limits, handler requests)
+    state(event_loop &loop, connection_limits limits, handler requests, stream_factory make)
         : context(*static_cast<boost::asio::io_context *>(loop.nativeContext()))
         , acceptor(context)
         , timer(context)
+        , streams(std::move(make))
         , shared(std::make_shared<listener_environment>(listener_environment{limits, std::move(requests)}))
     {
     }
@@ -38,6 +39,7 @@
     boost::asio::io_context &context;
     tcp::acceptor acceptor;
     boost::asio::steady_timer timer;
+    stream_factory streams;
     std::shared_ptr<listener_environment> shared;
     std::list<std::shared_ptr<listener_connection>> connections;
 };
@@ -60,8 +62,8 @@
                 self->removeClosed();
             if (self->connections.size() < self->shared->limits.connections) {
                 self->connections.push_back(
-                    std::make_shared<listener_connection>(std::move(socket), self->shared));
-                self->connections.back()->start();
+                    std::make_shared<listener_connection>(self->streams(self->context), self->shared));
+                self->connections.back()->start(std::move(socket));
             }
             self->accept();
         });
@@ -86,9 +88,10 @@
 }
 
 outcome<std::unique_ptr<listener>> listener::open(event_loop &loop, const endpoint &address,
-                                                  connection_limits limits, handler requests)
+                                                  connection_limits limits, handler requests,
+                                                  stream_factory streams)
 {
-    auto opened = std::make_shared<state>(loop, limits, std::move(requests));
+    auto opened = std::make_shared<state>(loop, limits, std::move(requests), std::move(streams));
     boost::system::error_code failure;
     const tcp::endpoint local(boost::asio::ip::make_address(address.host, failure), address.port);
     if (!failure)
--- a/libraries/http/listener.h
+++ b/libraries/http/listener.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "base/event_loop.h"
 #include "base/outcome.h"
+#include "http/byte_stream.h"
 #include "http/reply.h"
 
 #include <memory>
@@ -29,7 +30,8 @@
     using handler = std::function<void(incoming_request, std::shared_ptr<reply>)>;
 
     static outcome<std::unique_ptr<listener>> open(event_loop &loop, const endpoint &address,
-                                                   connection_limits limits, handler requests);
+                                                   connection_limits limits, handler requests,
+                                                   stream_factory streams = makePlainStream);
 
     ~listener();
 
--- a/libraries/http/listener_connection.cpp
+++ b/libraries/http/listener_connection.cpp
@@ -1,10 +1,9 @@
 #include "http/listener_connection.h"
 
 #include "base/boot_clock.h"
-#include "http/socket_options.h"
 #include "http/status_text.h"
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 
 #include <array>
 
@@ -116,9 +115,9 @@
     bool m_ended = false;
 };
 
-listener_connection::listener_connection(boost::asio::ip::tcp::socket socket,
+listener_connection::listener_connection(std::unique_ptr<byte_stream> stream,
                                          std::shared_ptr<listener_environment> shared)
-    : m_socket(std::move(socket))
+    : m_stream(std::move(stream))
     , m_shared(std::move(shared))
     , m_phaseSince(bootClockNow())
 {
@@ -126,12 +125,16 @@
 
 listener_connection::~listener_connection() = default;
 
-void listener_connection::start()
+void listener_connection::start(boost::asio::ip::tcp::socket accepted)
 {
-    prepareSocket(m_socket);
-    boost::system::error_code ignored;
-    m_socket.non_blocking(true, ignored);
-    waitForInput();
+    m_executor = accepted.get_executor();
+    m_stream->accept(std::move(accepted),
+                     [self = shared_from_this()](const boost::system::error_code &failure) {
+                         if (failure)
+                             self->close();
+                         else
+                             self->waitForInput();
+                     });
 }
 
 void listener_connection::waitForInput()
@@ -139,11 +142,10 @@
     if (m_waiting || !m_open)
         return;
     m_waiting = true;
-    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
-                        [self = shared_from_this()](const boost::system::error_code &failure) {
-                            self->m_waiting = false;
-                            self->onReadable(failure);
-                        });
+    m_stream->waitReadable([self = shared_from_this()](const boost::system::error_code &failure) {
+        self->m_waiting = false;
+        self->onReadable(failure);
+    });
 }
 
 void listener_connection::onReadable(const boost::system::error_code &failure)
@@ -153,7 +155,7 @@
     boost::system::error_code problem = failure;
     std::size_t size = 0;
     if (!problem)
-        size = m_socket.read_some(boost::asio::buffer(readBuffer()), problem);
+        size = m_stream->readSome(readBuffer().data(), readBuffer().size(), problem);
     if (problem == boost::asio::error::would_block) {
         waitForInput();
         return;
@@ -209,7 +211,7 @@
 
 void listener_connection::refuse(const error &failure)
 {
-    const int status = failure.code != error_code::too_large ? 400 : m_parser->hasHead() ? 413 : 431;
+    const int status = failure.code != error_code::too_large ? 400 : m_parser->isBodyTooLarge() ? 413 : 431;
     write("HTTP/1.1 " + std::to_string(status) + ' ' + std::string(statusText(status))
           + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     m_phase = phase::answering;
@@ -226,7 +228,7 @@
         return;
     m_sending = true;
     // Pieces that are written in one turn of the loop leave together.
-    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+    boost::asio::post(m_executor, [self = shared_from_this()] {
         self->m_sending = false;
         self->flush();
     });
@@ -243,9 +245,10 @@
     }
     m_sending = true;
     m_writing.swap(m_output);
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
-                             [self = shared_from_this()](const boost::system::error_code &failure,
-                                                         std::size_t) { self->onWritten(failure); });
+    m_stream->write(m_writing,
+                    [self = shared_from_this()](const boost::system::error_code &failure, std::size_t) {
+                        self->onWritten(failure);
+                    });
 }
 
 void listener_connection::onWritten(const boost::system::error_code &failure)
@@ -265,19 +268,18 @@
 {
     if (!m_open)
         return;
-    if (!complete) {
-        close();
-        return;
-    }
-    m_phase = phase::idle;
-    m_phaseSince = bootClockNow();
-    if (!keep) {
-        m_phase = phase::answering; // nothing more is read as a request
+    if (!complete || !keep) {
+        // What was written still goes out; nothing more is read as a request. An answer that was dropped lacks
+        // its last chunk, so that it does not look complete.
+        m_phase = phase::answering;
+        m_phaseSince = bootClockNow();
         m_closeWhenSent = true;
         flush();
         return;
     }
-    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+    m_phase = phase::idle;
+    m_phaseSince = bootClockNow();
+    boost::asio::post(m_executor, [self = shared_from_this()] {
         self->takeInput();
         self->waitForInput();
     });
@@ -298,9 +300,7 @@
 {
     if (!std::exchange(m_open, false))
         return;
-    boost::system::error_code ignored;
-    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
-    m_socket.close(ignored);
+    m_stream->close();
     m_onSent = nullptr;
     if (const auto observer = std::exchange(m_onClosed, nullptr))
         observer();
--- a/libraries/http/listener_connection.h
+++ b/libraries/http/listener_connection.h
@@ -3,6 +3,7 @@
 #include "http/listener.h"
 #include "http/message_parser.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <optional>
@@ -22,10 +23,10 @@
 class listener_connection final : public std::enable_shared_from_this<listener_connection>
 {
 public:
-    listener_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<listener_environment> shared);
+    listener_connection(std::unique_ptr<byte_stream> stream, std::shared_ptr<listener_environment> shared);
     ~listener_connection();
 
-    void start();
+    void start(boost::asio::ip::tcp::socket accepted);
 
     /// Ends the connection when a time limit of the caller's side is over.
     void checkTime(time_point now);
@@ -54,7 +55,8 @@
     void onWritten(const boost::system::error_code &failure);
     void answerEnded(bool complete, bool keep);
 
-    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::any_io_executor m_executor;
+    std::unique_ptr<byte_stream> m_stream;
     std::shared_ptr<listener_environment> m_shared;
     std::optional<request_parser> m_parser;
     std::string m_input; ///< read and not parsed yet
--- a/libraries/http/message_parser.cpp
+++ b/libraries/http/message_parser.cpp
@@ -22,7 +22,8 @@
     const std::size_t taken = base::put(boost::asio::const_buffer(bytes.data(), bytes.size()), failure);
     if (!failure || failure == beast::error::need_more)
         return taken;
-    const bool tooLarge = failure == beast::error::header_limit || failure == beast::error::body_limit;
+    m_bodyTooLarge = failure == beast::error::body_limit;
+    const bool tooLarge = failure == beast::error::header_limit || m_bodyTooLarge;
     return error{tooLarge ? error_code::too_large : error_code::invalid_argument, failure.message()};
 }
 
--- a/libraries/http/message_parser.h
+++ b/libraries/http/message_parser.h
@@ -48,6 +48,12 @@
         return m_started;
     }
 
+    /// True when feed() failed because the body is over its bound, rather than the header.
+    bool isBodyTooLarge() const
+    {
+        return m_bodyTooLarge;
+    }
+
     /// True when the body has no length and ends with the connection.
     bool endsWithConnection() const
     {
@@ -105,6 +111,7 @@
     head_type m_head;
     std::string m_body;
     bool m_started = false;
+    bool m_bodyTooLarge = false;
 };
 
 extern template class message_parser<true>;
--- /dev/null
+++ b/libraries/http/plain_stream.cpp
@@ -0,0 +1,78 @@
+#include "http/byte_stream.h"
+#include "http/socket_options.h"
+
+#include <boost/asio/write.hpp>
+
+namespace ivypier::http {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+class plain_stream final : public byte_stream
+{
+public:
+    explicit plain_stream(boost::asio::io_context &context)
+        : m_socket(context)
+    {
+    }
+
+    void connect(const endpoint &to, waited done) override
+    {
+        failure_code failure;
+        const tcp::endpoint peer(boost::asio::ip::make_address(to.host, failure), to.port);
+        m_socket.async_connect(peer, [this, done = std::move(done)](const failure_code &refused) {
+            if (!refused)
+                prepare();
+            done(refused);
+        });
+    }
+
+    void accept(tcp::socket socket, waited done) override
+    {
+        m_socket = std::move(socket);
+        prepare();
+        boost::asio::post(m_socket.get_executor(), [done = std::move(done)] { done({}); });
+    }
+
+    void waitReadable(waited done) override
+    {
+        m_socket.async_wait(tcp::socket::wait_read, std::move(done));
+    }
+
+    std::size_t readSome(char *to, std::size_t most, failure_code &failure) override
+    {
+        return m_socket.read_some(boost::asio::buffer(to, most), failure);
+    }
+
+    void write(std::string_view bytes, written done) override
+    {
+        boost::asio::async_write(m_socket, boost::asio::buffer(bytes), std::move(done));
+    }
+
+    void close() override
+    {
+        failure_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+        m_socket.close(ignored);
+    }
+
+private:
+    void prepare()
+    {
+        prepareSocket(m_socket);
+        failure_code ignored;
+        m_socket.non_blocking(true, ignored);
+    }
+
+    tcp::socket m_socket;
+};
+
+} // namespace
+
+std::unique_ptr<byte_stream> makePlainStream(boost::asio::io_context &context)
+{
+    return std::make_unique<plain_stream>(context);
+}
+
+} // namespace ivypier::http
--- a/libraries/http/pooled_connection.cpp
+++ b/libraries/http/pooled_connection.cpp
@@ -1,10 +1,6 @@
 #include "http/pooled_connection.h"
 
 #include "base/boot_clock.h"
-#include "http/socket_options.h"
-
-#include <boost/asio/write.hpp>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -13,8 +9,6 @@
 
 namespace {
 
-using tcp = boost::asio::ip::tcp;
-
 constexpr std::size_t read_size = 16 * 1024;
 constexpr std::uint32_t header_limit = 32 * 1024;
 constexpr std::uint64_t body_limit = std::uint64_t{1} << 30;
@@ -47,9 +41,10 @@
 
 } // namespace
 
-pooled_connection::pooled_connection(boost::asio::io_context &context, endpoint peer, released onReleased)
+pooled_connection::pooled_connection(boost::asio::io_context &context, std::unique_ptr<byte_stream> stream,
+                                     endpoint peer, released onReleased)
     : m_context(context)
-    , m_socket(context)
+    , m_stream(std::move(stream))
     , m_peer(std::move(peer))
     , m_released(std::move(onReleased))
 {
@@ -83,9 +78,7 @@
         if (!cancelled && self->m_open && !self->m_connected)
             self->fail("no connection in time");
     });
-    boost::system::error_code failure;
-    const tcp::endpoint to(boost::asio::ip::make_address(m_peer.host, failure), m_peer.port);
-    m_socket.async_connect(to, [self = shared_from_this()](const boost::system::error_code &refused) {
+    m_stream->connect(m_peer, [self = shared_from_this()](const boost::system::error_code &refused) {
         if (!self->m_open)
             return;
         self->m_connectTimer.reset();
@@ -94,9 +87,6 @@
             return;
         }
         self->m_connected = true;
-        prepareSocket(self->m_socket);
-        boost::system::error_code ignored;
-        self->m_socket.non_blocking(true, ignored);
         self->write();
     });
 }
@@ -106,8 +96,8 @@
     m_writing = true;
     // Until the write tells otherwise, some bytes may have left.
     m_stage = exchange_stage::sent;
-    boost::asio::async_write(
-        m_socket, boost::asio::buffer(m_outgoing),
+    m_stream->write(
+        m_outgoing,
         [self = shared_from_this()](const boost::system::error_code &failure, std::size_t written) {
             self->m_writing = false;
             self->m_outgoing.clear();
@@ -127,11 +117,10 @@
     if (m_waiting || !m_open || m_paused)
         return;
     m_waiting = true;
-    m_socket.async_wait(tcp::socket::wait_read,
-                        [self = shared_from_this()](const boost::system::error_code &failure) {
-                            self->m_waiting = false;
-                            self->onReadable(failure);
-                        });
+    m_stream->waitReadable([self = shared_from_this()](const boost::system::error_code &failure) {
+        self->m_waiting = false;
+        self->onReadable(failure);
+    });
 }
 
 void pooled_connection::onReadable(const boost::system::error_code &failure)
@@ -141,7 +130,7 @@
     boost::system::error_code problem = failure;
     std::size_t size = 0;
     if (!problem)
-        size = m_socket.read_some(boost::asio::buffer(readBuffer()), problem);
+        size = m_stream->readSome(readBuffer().data(), readBuffer().size(), problem);
     if (problem == boost::asio::error::would_block) {
         waitForInput();
         return;
@@ -281,8 +270,7 @@
     if (!std::exchange(m_open, false))
         return;
     m_connectTimer.reset();
-    boost::system::error_code ignored;
-    m_socket.close(ignored);
+    m_stream->close();
     m_released(shared_from_this());
 }
 
--- a/libraries/http/pooled_connection.h
+++ b/libraries/http/pooled_connection.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "http/byte_stream.h"
 #include "http/exchange_transport.h"
 #include "http/message_parser.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <optional>
@@ -17,7 +17,8 @@
     /// Called when the connection has become idle or closed.
     using released = std::function<void(const std::shared_ptr<pooled_connection> &)>;
 
-    pooled_connection(boost::asio::io_context &context, endpoint peer, released onReleased);
+    pooled_connection(boost::asio::io_context &context, std::unique_ptr<byte_stream> stream, endpoint peer,
+                      released onReleased);
 
     /// Starts an exchange; gives its number on this connection.
     std::uint64_t start(std::string bytes, exchange_options options, exchange_observer &observer);
@@ -56,7 +57,7 @@
     void fail(const std::string &reason);
 
     boost::asio::io_context &m_context;
-    boost::asio::ip::tcp::socket m_socket;
+    std::unique_ptr<byte_stream> m_stream;
     endpoint m_peer;
     released m_released;
     std::string m_outgoing;
--- a/libraries/http/server.h
+++ b/libraries/http/server.h
@@ -58,16 +58,16 @@
     bool operator==(const server_options &) const = default;
 };
 
-/// An HTTP/1.1 server (cpprestsdk).
+/// An HTTP/1.1 server that may be used from any thread; it runs on a loop of its own.
 class server
 {
 public:
-    /// Listens; `requests` is called on the library's threads and must not block.
+    /// Listens; `requests` is called on the loop's thread and must not block.
     static outcome<std::unique_ptr<server>> listen(server_options options, handler requests);
 
     ~server();
 
-    /// Stops listening. Requests that run keep their responders.
+    /// Stops listening. Requests that run keep their responders. Not to be called from the loop's thread.
     void close();
 
 private:
--- /dev/null
+++ b/libraries/http/tests/connection_pool_test.cpp
@@ -0,0 +1,268 @@
+#include "http/connection_pool.h"
+#include "http/fetcher.h"
+#include "loopback.h"
+#include "looped_thread.h"
+#include "raw_peer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view request_bytes = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr std::string_view head_end = "\r\n\r\n";
+
+std::string answerWith(const std::string &body, const std::string &fields = "")
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + fields + "\r\n"
+        + body;
+}
+
+/// Collects one answer.
+class collecting_observer final : public http::exchange_observer
+{
+public:
+    void onHead(http::response_head head) override
+    {
+        status = head.status;
+    }
+    void onBody(std::string_view piece) override
+    {
+        body.append(piece);
+    }
+    void onEnd() override
+    {
+        ended.set_value(std::nullopt);
+    }
+    void onFailed(const http::exchange_failure &failure) override
+    {
+        ended.set_value(failure);
+    }
+
+    /// Nothing when the answer ended as framed.
+    std::optional<http::exchange_failure> result()
+    {
+        return ended.get_future().get();
+    }
+
+    int status = 0;
+    std::string body;
+    std::promise<std::optional<http::exchange_failure>> ended;
+};
+
+/// A pool on its own thread, and an upstream that the test plays on a plain socket.
+struct pooled
+{
+    explicit pooled(std::uint16_t port)
+        : address(loopbackAddress(132, port))
+        , upstream(raw_peer::listenOn(address))
+        , pool(thread.run([this] { return std::make_unique<http::connection_pool>(thread.loop); }))
+    {
+    }
+    ~pooled()
+    {
+        thread.run([this] { pool.reset(); });
+    }
+
+    std::unique_ptr<http::outgoing_exchange> start(collecting_observer &observer,
+                                                   http::exchange_options options = {})
+    {
+        return thread.run(
+            [&] { return pool->start(address, std::string(request_bytes), options, observer); });
+    }
+    void end(std::unique_ptr<http::outgoing_exchange> &exchange)
+    {
+        thread.run([&] { exchange.reset(); });
+    }
+
+    endpoint address;
+    raw_peer upstream;
+    looped_thread thread;
+    std::unique_ptr<http::connection_pool> pool;
+};
+
+} // namespace
+
+TEST_CASE("a connection is used again after an answer that ended as framed")
+{
+    pooled with(9001);
+    raw_peer connection = [&] {
+        collecting_observer first;
+        auto exchange = with.start(first);
+        raw_peer accepted = with.upstream.accept();
+        accepted.readUntil(head_end);
+        accepted.send(answerWith("one"));
+        CHECK_FALSE(first.result());
+        CHECK(first.body == "one");
+        with.end(exchange);
+        return accepted;
+    }();
+    collecting_observer second;
+    auto exchange = with.start(second);
+    connection.readUntil(head_end);
+    connection.send(answerWith("two"));
+    CHECK_FALSE(second.result());
+    CHECK(second.body == "two");
+    with.end(exchange);
+    CHECK(with.thread.run([&] { return with.pool->counts(); }) == http::pool_counts{1, 1, 1});
+}
+
+TEST_CASE("an exchange that has ended does not touch the next one on its connection")
+{
+    pooled with(9002);
+    collecting_observer first;
+    collecting_observer second;
+    auto ended = with.start(first);
+    raw_peer connection = with.upstream.accept();
+    connection.readUntil(head_end);
+    connection.send(answerWith("one"));
+    CHECK_FALSE(first.result());
+    auto running = with.start(second);
+    connection.readUntil(head_end);
+    with.end(ended); // only now: the connection carries another exchange
+    connection.send(answerWith("two"));
+    CHECK_FALSE(second.result());
+    CHECK(second.body == "two");
+    with.end(running);
+}
+
+TEST_CASE("a connection with bytes behind the answer is not used again")
+{
+    pooled with(9003);
+    collecting_observer first;
+    auto exchange = with.start(first);
+    raw_peer connection = with.upstream.accept();
+    connection.readUntil(head_end);
+    connection.send(answerWith("one") + answerWith("extra"));
+    CHECK_FALSE(first.result());
+    CHECK(first.body == "one");
+    with.end(exchange);
+    CHECK(connection.readAll().empty());
+    CHECK(with.thread.run([&] { return with.pool->counts().open; }) == 0);
+}
+
+TEST_CASE("bytes that arrive on an idle connection end it")
+{
+    pooled with(9004);
+    collecting_observer first;
+    auto exchange = with.start(first);
+    raw_peer connection = with.upstream.accept();
+    connection.readUntil(head_end);
+    connection.send(answerWith("one"));
+    CHECK_FALSE(first.result());
+    with.end(exchange);
+    connection.send(answerWith("late"));
+    CHECK(connection.readAll().empty());
+}
+
+TEST_CASE("an answer to another request is passed over")
+{
+    pooled with(9005);
+    collecting_observer first;
+    http::exchange_options options;
+    options.isOwnAnswer = [](const http::response_head &head) { return head.fields.find("Id") == "mine"; };
+    auto exchange = with.start(first, options);
+    raw_peer connection = with.upstream.accept();
+    connection.readUntil(head_end);
+    connection.send(answerWith("theirs", "Id: theirs\r\n") + answerWith("ours", "Id: mine\r\n"));
+    CHECK_FALSE(first.result());
+    CHECK(first.body == "ours");
+    with.end(exchange);
+}
+
+TEST_CASE("how far a failed exchange had come is told")
+{
+    pooled with(9006);
+    collecting_observer refused;
+    auto none = with.thread.run(
+        [&] { return with.pool->start(loopbackAddress(132, 9), std::string(request_bytes), {}, refused); });
+    CHECK(refused.result()->stage == http::exchange_stage::not_sent);
+    collecting_observer unanswered;
+    auto exchange = with.start(unanswered);
+    {
+        raw_peer connection = with.upstream.accept();
+        connection.readUntil(head_end);
+    }
+    CHECK(unanswered.result()->stage == http::exchange_stage::sent);
+    collecting_observer cut;
+    auto other = with.start(cut);
+    {
+        raw_peer connection = with.upstream.accept();
+        connection.readUntil(head_end);
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    }
+    CHECK(cut.result()->stage == http::exchange_stage::answering);
+    with.thread.run([&] {
+        none.reset();
+        exchange.reset();
+        other.reset();
+    });
+}
+
+TEST_CASE("an answer without a length is whole at the connection's end")
+{
+    pooled with(9007);
+    collecting_observer first;
+    auto exchange = with.start(first);
+    {
+        raw_peer connection = with.upstream.accept();
+        connection.readUntil(head_end);
+        connection.send("HTTP/1.1 200 OK\r\n\r\nall of it");
+    }
+    CHECK_FALSE(first.result());
+    CHECK(first.body == "all of it");
+    with.end(exchange);
+}
+
+TEST_CASE("dropping an exchange closes its connection")
+{
+    pooled with(9008);
+    collecting_observer first;
+    auto exchange = with.start(first);
+    raw_peer connection = with.upstream.accept();
+    connection.readUntil(head_end);
+    with.end(exchange);
+    CHECK(connection.readAll().empty());
+}
+
+TEST_CASE("a fetch that starts another from its answer gets that answer too")
+{
+    pooled with(9009);
+    std::promise<std::string> second;
+    auto calls
+        = with.thread.run([&] { return std::make_unique<http::fetcher>(with.thread.loop, *with.pool); });
+    with.thread.run([&] {
+        calls->send(with.address, {.path = "/1"}, 20s, [&](const outcome<http::response> &) {
+            calls->send(with.address, {.path = "/2"}, 20s, [&](const outcome<http::response> &answer) {
+                second.set_value(answer ? answer.value().body : answer.error().message);
+            });
+        });
+    });
+    raw_peer connection = with.upstream.accept();
+    connection.readUntil(head_end);
+    connection.send(answerWith("one"));
+    connection.readUntil(head_end);
+    // The first fetch is dropped by a later task; the second one must outlive that.
+    with.thread.run([] {});
+    connection.send(answerWith("two"));
+    CHECK(second.get_future().get() == "two");
+    with.thread.run([&] { calls.reset(); });
+}
+
+TEST_CASE("a fetch without an answer ends at its time")
+{
+    pooled with(9010);
+    std::promise<error_code> ended;
+    auto calls
+        = with.thread.run([&] { return std::make_unique<http::fetcher>(with.thread.loop, *with.pool); });
+    with.thread.run([&] {
+        calls->send(with.address, {}, 200ms, [&](const outcome<http::response> &answer) {
+            ended.set_value(answer ? error_code::internal : answer.error().code);
+        });
+    });
+    raw_peer connection = with.upstream.accept();
+    CHECK(ended.get_future().get() == error_code::timed_out);
+    with.thread.run([&] { calls.reset(); });
+}
--- /dev/null
+++ b/libraries/http/tests/listener_test.cpp
@@ -0,0 +1,150 @@
+#include "http/listener.h"
+#include "loopback.h"
+#include "looped_thread.h"
+#include "raw_peer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view get_request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// A listener on its own thread whose answers the test decides.
+struct served
+{
+    explicit served(http::listener::handler requests, http::connection_limits limits = {},
+                    std::uint16_t port = 9000)
+        : address(loopbackAddress(131, port))
+    {
+        thread.run([&] {
+            listener
+                = std::move(http::listener::open(thread.loop, address, limits, std::move(requests)).value());
+        });
+    }
+    ~served()
+    {
+        thread.run([&] { listener.reset(); });
+    }
+
+    endpoint address;
+    std::unique_ptr<http::listener> listener;
+    looped_thread thread;
+};
+
+void answerPath(const http::incoming_request &incoming, const std::shared_ptr<http::reply> &to)
+{
+    to->send(200, {{"Path", incoming.head.target}}, incoming.body);
+}
+
+} // namespace
+
+TEST_CASE("requests of one connection are answered in order, also when they come together")
+{
+    served server(answerPath);
+    raw_peer caller = raw_peer::connectTo(server.address);
+    caller.send(
+        "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    const std::string first = caller.readUntil("abc");
+    CHECK(first.find("Path: /1\r\n") != std::string::npos);
+    CHECK(first.find("Content-Length: 3\r\n") != std::string::npos);
+    CHECK(caller.readUntil("\r\n\r\n").find("Path: /2\r\n") != std::string::npos);
+}
+
+TEST_CASE("an answer that is dropped unfinished does not look complete")
+{
+    served server([](const auto &, const auto &to) {
+        to->begin(200, {});
+        to->write("part");
+    });
+    raw_peer caller = raw_peer::connectTo(server.address);
+    caller.send(get_request);
+    const std::string text = caller.readAll();
+    CHECK(text.find("4\r\npart\r\n") != std::string::npos);
+    CHECK(text.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a streamed answer ends with its last chunk and keeps the connection")
+{
+    served server([](const auto &, const auto &to) {
+        to->begin(200, {});
+        to->write("one");
+        to->write("two");
+        to->finish();
+    });
+    raw_peer caller = raw_peer::connectTo(server.address);
+    for (int round = 0; round < 2; ++round) {
+        caller.send(get_request);
+        CHECK(caller.readUntil("0\r\n\r\n").find("3\r\none\r\n3\r\ntwo\r\n") != std::string::npos);
+    }
+}
+
+TEST_CASE("malformed and oversized requests are refused and their connections closed")
+{
+    served server(answerPath, {.headerBytes = 512, .bodyBytes = 8});
+    const auto answerTo = [&](const std::string &text) {
+        raw_peer caller = raw_peer::connectTo(server.address);
+        caller.send(text);
+        return caller.readAll().substr(0, 12);
+    };
+    CHECK(answerTo("nonsense\r\n\r\n") == "HTTP/1.1 400");
+    CHECK(answerTo("GET / HTTP/1.1\r\nX: " + std::string(600, 'x') + "\r\n\r\n") == "HTTP/1.1 431");
+    CHECK(answerTo("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabcdefghi") == "HTTP/1.1 413");
+    CHECK(
+        answerTo(
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+        == "HTTP/1.1 400");
+}
+
+TEST_CASE("a caller that never ends its header is let go, and so is an idle one")
+{
+    served server(answerPath, {.headerTime = 300ms, .idleTime = 300ms});
+    raw_peer slow = raw_peer::connectTo(server.address);
+    slow.send("GET / HTTP/1.1\r\nHos");
+    CHECK(slow.readAll().empty());
+    raw_peer idle = raw_peer::connectTo(server.address);
+    CHECK(idle.readAll().empty());
+}
+
+TEST_CASE("a caller that leaves before its answer is noticed")
+{
+    std::promise<void> gone;
+    std::shared_ptr<http::reply> held;
+    served server([&](const auto &, const auto &to) {
+        held = to;
+        to->onClosed([&] { gone.set_value(); });
+    });
+    {
+        raw_peer caller = raw_peer::connectTo(server.address);
+        caller.send(get_request);
+    }
+    CHECK(gone.get_future().wait_for(20s) == std::future_status::ready);
+    server.thread.run([&] { held.reset(); });
+}
+
+TEST_CASE("a stop answers what is there, says that the connection ends, and closes idle ones")
+{
+    std::promise<std::shared_ptr<http::reply>> asked;
+    served server([&](const auto &, const auto &to) { asked.set_value(to); });
+    raw_peer busy = raw_peer::connectTo(server.address);
+    raw_peer idle = raw_peer::connectTo(server.address);
+    busy.send(get_request);
+    auto to = asked.get_future().get();
+    server.thread.run([&] {
+        server.listener->closeAfterAnswers();
+        server.listener->stopAccepting();
+        server.listener->closeIdle();
+        CHECK(server.listener->unanswered() == 1);
+    });
+    CHECK(idle.readAll().empty());
+    server.thread.run([&] {
+        to->send(200, {}, "whole");
+        to.reset();
+    });
+    const std::string answer = busy.readAll();
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(answer.ends_with("whole"));
+    CHECK(server.thread.run([&] { return server.listener->unanswered(); }) == 0);
+}
--- /dev/null
+++ b/libraries/relay/tests/relay_fixture.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "base/log_event.h"
+#include "base/virtual_scheduler.h"
+#include "fake_transport.h"
+#include "relay/prefix_choice.h"
+#include "relay/relay_service.h"
+
+namespace ivypier::relay::tests {
+
+/// A plain protocol: the answer's head says what it means in the field `Meaning`.
+class plain_protocol final : public upstream_protocol
+{
+public:
+    std::string encode(const call &message, const attempt &how) const override
+    {
+        std::string text = message.id + " to " + how.instance + " for " + how.account;
+        if (how.lastEvent)
+            text += " after " + std::to_string(*how.lastEvent);
+        return text;
+    }
+    bool isAnswerTo(const call &, const http::response_head &) const override
+    {
+        return true;
+    }
+    answer_meaning meaning(const http::response_head &head) const override
+    {
+        const std::string_view meaning = head.fields.find("Meaning");
+        if (meaning == "not_run")
+            return answer_meaning::not_run;
+        if (meaning == "moved")
+            return answer_meaning::other_instance;
+        if (meaning == "unsigned")
+            return answer_meaning::unsigned_success;
+        return head.status == 200 ? answer_meaning::served : answer_meaning::failed;
+    }
+    http::field_list answerFields(const http::response_head &head) const override
+    {
+        return head.fields;
+    }
+};
+
+/// A relay with two upstreams `a` and `b` of the service `s`, in virtual time.
+struct relay_fixture
+{
+    explicit relay_fixture(call_kind kind = call_kind::idempotent, std::uint32_t attempts = 2)
+    {
+        configureLog("tests", log_level::error);
+        way.name = "r";
+        way.host = "h";
+        way.prefix = "/p/";
+        way.kind = kind;
+        way.timeout = std::chrono::seconds(3);
+        way.targets = {{"s", 1}};
+        way.attempts = attempts;
+        account = {"one", {"key"}, std::nullopt, 0.0, 0.0, false, 1.0};
+        install(1);
+        for (const char *id : {"a", "b"})
+            upstreams.put({id, "s", {"10.0.0.1", static_cast<std::uint16_t>(*id)}, "hall", 4});
+    }
+
+    void install(std::uint64_t version)
+    {
+        relay.setTable(std::make_shared<const route_table>(
+            service_map{version, {way}, {{"s", 64, std::nullopt, std::nullopt}}, {account}, {}}));
+    }
+
+    std::shared_ptr<received_answer> ask(std::string target = "/p/x", std::string key = "key")
+    {
+        call message;
+        message.id = "id" + std::to_string(++asked);
+        message.method = "POST";
+        message.target = std::move(target);
+        message.host = "h";
+        message.key = std::move(key);
+        message.patience = std::chrono::seconds(2);
+        message.receivedAt = time.now();
+        auto answer = std::make_shared<received_answer>();
+        relay.handle(std::move(message), std::make_shared<fake_reply>(answer));
+        return answer;
+    }
+
+    /// The sending that was started last.
+    fake_transport::sending &last()
+    {
+        return *transport.sendings.back();
+    }
+    std::size_t sendings() const
+    {
+        return transport.sendings.size();
+    }
+
+    virtual_scheduler time;
+    seeded_random randomness{7};
+    metrics_registry metrics;
+    fake_transport transport;
+    plain_protocol protocol;
+    upstream_directory upstreams{time};
+    prefix_choice choice{time, randomness, upstreams, "hall", {}};
+    repeat_budget repeats{time, {0.2, 10.0, std::chrono::seconds(10)}};
+    unit_quota quota{time};
+    run_counter runs{5000};
+    work_meter work{time};
+    route way;
+    client_account account;
+    relay_service relay{{time, randomness, metrics, transport, protocol, upstreams, choice, repeats, quota,
+                         runs, work, [this] { return time.wallMilliseconds(); },
+                         [](const service &) { return std::size_t{8}; }}};
+    int asked = 0;
+};
+
+inline std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: x\n\n";
+}
+
+} // namespace ivypier::relay::tests
--- /dev/null
+++ b/libraries/relay/tests/relay_parts_test.cpp
@@ -0,0 +1,213 @@
+#include "base/virtual_scheduler.h"
+#include "relay/configuration_rows.h"
+#include "relay/event_scanner.h"
+#include "relay/repeat_budget.h"
+#include "relay/route_table.h"
+#include "relay/run_counter.h"
+#include "relay/unit_quota.h"
+#include "relay/upstream_rows.h"
+#include "relay/work_meter.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace ivypier;
+using namespace ivypier::relay;
+using namespace std::chrono_literals;
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    service_map content;
+    content.version = 1;
+    for (const char *prefix : {"/a/", "/a/b/", "/"}) {
+        route each;
+        each.name = prefix;
+        each.host = "h";
+        each.prefix = prefix;
+        content.routes.push_back(each);
+    }
+    const route_table table(content);
+    CHECK(table.findRoute("h", "/a/b/c")->name == "/a/b/");
+    CHECK(table.findRoute("h", "/a/bc")->name == "/a/");
+    CHECK(table.findRoute("h", "/x")->name == "/");
+    CHECK(table.findRoute("other", "/x") == nullptr);
+}
+
+TEST_CASE("events come out whole whatever the pieces they came in")
+{
+    const std::string text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nid: 3\ndata: c\ndata: d\n\n";
+    rc::check([&](const std::vector<std::uint8_t> &cuts) {
+        event_scanner scanner;
+        std::string given;
+        std::size_t at = 0;
+        for (const std::uint8_t cut : cuts) {
+            given += scanner.feed(std::string_view(text).substr(std::min(at, text.size()), cut % 7));
+            at += cut % 7;
+        }
+        given += scanner.feed(std::string_view(text).substr(std::min(at, text.size())));
+        RC_ASSERT(given == text);
+        RC_ASSERT(scanner.lastEvent() == 3U);
+        RC_ASSERT(!scanner.hasGap());
+    });
+}
+
+TEST_CASE("events that were given before are dropped, and a missing one is noticed")
+{
+    event_scanner scanner(2);
+    CHECK(scanner.feed("id: 2\n\nid: 3\n\n") == "id: 3\n\n");
+    CHECK_FALSE(scanner.hasGap());
+    scanner.feed("id: 5\n\n");
+    CHECK(scanner.hasGap());
+}
+
+TEST_CASE("repeats are bounded by the calls of the window")
+{
+    virtual_scheduler time;
+    repeat_budget budget(time, {0.5, 1.0, 10s});
+    for (int round = 0; round < 4; ++round)
+        budget.noteFirst("s");
+    int taken = 0;
+    while (budget.take("s"))
+        ++taken;
+    CHECK(taken == 3);
+    time.advance(11s);
+    CHECK(budget.take("s")); // the slack of a new window
+    CHECK_FALSE(budget.take("s"));
+}
+
+TEST_CASE("runs are counted in the window in which they began")
+{
+    run_counter runs(5000);
+    runs.count("a", 4999);
+    runs.count("a", 5000);
+    runs.count("", 5000);
+    CHECK(runs.countsOf(0) == run_counts{{"a", 1}});
+    CHECK(runs.countsOf(1) == run_counts{{"a", 1}});
+    runs.forgetBefore(1);
+    CHECK(runs.countsOf(0).empty());
+}
+
+TEST_CASE("a limit lets its rate through, and a call larger than the burst when the bucket is full")
+{
+    virtual_scheduler time;
+    unit_quota quota(time);
+    quota.setNodes(1);
+    client_account account{"a", {}, std::nullopt, 100.0, 50.0, true, 1.0};
+    quota.setAccounts({account});
+    time.advance(10s);
+    CHECK(quota.take("a", 80.0) == duration::zero());
+    CHECK(quota.take("a", 1.0) > duration::zero()); // the debt first
+    double taken = 0.0;
+    for (int round = 0; round < 1000; ++round) {
+        time.advance(10ms);
+        if (quota.take("a", 5.0) == duration::zero())
+            taken += 5.0;
+    }
+    CHECK(taken > 900.0);
+    CHECK(taken <= 1050.0);
+}
+
+TEST_CASE("a large call is let through in time also while other nodes take units")
+{
+    virtual_scheduler time;
+    unit_quota quota(time);
+    quota.setNodes(8);
+    quota.setAccounts({{"a", {}, std::nullopt, 100.0, 50.0, true, 1.0}});
+    bool passed = false;
+    for (int round = 0; round < 300 && !passed; ++round) {
+        time.advance(100ms);
+        quota.takenElsewhere("a", 4.0);
+        passed = quota.take("a", 200.0) == duration::zero();
+    }
+    CHECK(passed);
+}
+
+TEST_CASE("an account with no limit takes what it wants")
+{
+    virtual_scheduler time;
+    unit_quota quota(time);
+    quota.setAccounts({{"a", {}, std::nullopt, 0.0, 0.0, true, 1.0}});
+    CHECK(quota.take("a", 1e9) == duration::zero());
+}
+
+TEST_CASE("the speed of engines is that of calls which did not wait")
+{
+    virtual_scheduler time;
+    work_meter meter(time);
+    time.advance(1s);
+    for (int call = 0; call < 64; ++call) {
+        meter.sent("s", 4000);
+        meter.firstEvent("s", 4000, call % 4 == 0 ? 100ms : 700ms);
+    }
+    time.advance(600ms);
+    const service_work work = meter.current().at("s");
+    CHECK(work.engineSpeed == Approx(40000.0));
+    CHECK(work.tokensPerSecond > 0.0);
+    time.advance(10s);
+    CHECK(meter.current().at("s").tokensPerSecond == 0.0);
+}
+
+namespace {
+
+cloud::feed_row rowOf(const std::string &key, const std::string &value, bool removed = false)
+{
+    return {key, 1, value, removed};
+}
+
+} // namespace
+
+TEST_CASE("a row that cannot be read names no upstream, the others hold")
+{
+    virtual_scheduler time;
+    upstream_directory upstreams(time);
+    upstream_rows rows(time, upstreams,
+                       [](const std::string &id, std::string_view text) -> outcome<upstream_record> {
+                           if (text == "bad")
+                               return error{error_code::invalid_argument, "bad"};
+                           return upstream_record{id, "s", {}, "hall"};
+                       });
+    rows.onRows({rowOf("a", "good"), rowOf("b", "bad"), rowOf("c", "good")});
+    CHECK(upstreams.ready("s").size() == 2);
+}
+
+TEST_CASE(
+    "an upstream that is missing just after an outage is kept for a while, and for good when it returns")
+{
+    virtual_scheduler time;
+    upstream_directory upstreams(time);
+    upstream_rows rows(time, upstreams,
+                       [](const std::string &id, std::string_view) -> outcome<upstream_record> {
+                           return upstream_record{id, "s", {}, "hall"};
+                       });
+    rows.onRows({rowOf("a", ""), rowOf("b", ""), rowOf("c", "")});
+    rows.onChange(rowOf("a", "", true), true);
+    rows.onChange(rowOf("b", "", true), true);
+    rows.onChange(rowOf("c", "", true), false);
+    CHECK(upstreams.ready("s").size() == 2);
+    time.advance(1s);
+    rows.onChange(rowOf("a", ""), false);
+    time.advance(2s);
+    REQUIRE(upstreams.ready("s").size() == 1);
+    CHECK(upstreams.ready("s").front()->record.id == "a");
+}
+
+TEST_CASE("the configuration goes forward only, and an unreadable one changes nothing")
+{
+    std::vector<std::uint64_t> taken;
+    configuration_rows rows(
+        "config",
+        [](std::string_view text) -> outcome<service_map> {
+            if (text.empty())
+                return error{error_code::invalid_argument, "empty"};
+            service_map map;
+            map.version = static_cast<std::uint64_t>(text.front() - '0');
+            return map;
+        },
+        [&](const std::shared_ptr<const route_table> &table) { taken.push_back(table->version()); });
+    for (const char *text : {"3", "", "2", "3", "5"})
+        rows.onChange(rowOf("config", text), false);
+    rows.onChange(rowOf("other", "9"), false);
+    rows.onChange(rowOf("config", "", true), false);
+    CHECK(taken == std::vector<std::uint64_t>{3, 5});
+    CHECK(rows.version() == 5);
+}
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -10,6 +10,9 @@
 /// The shortest time that a refused caller is told to wait.
 constexpr duration least_wait = std::chrono::milliseconds(20);
 
+/// The part of a bucket that a call needs at most.
+constexpr double full_part = 0.6;
+
 /// Time constant of the rate at which other nodes take units.
 constexpr double rate_seconds = 1.0;
 
@@ -88,10 +91,11 @@
         return duration::zero();
     bucket &which = found->second;
     fill(which);
-    // A call larger than a bucket is let through when the bucket is full, and leaves a debt.
+    // A large call is let through when a bucket is mostly full, and leaves a debt: others keep it from being
+    // quite full.
     const double notTold = which.othersPerSecond * seconds(telling_lag);
-    const double fleetNeed = std::min(units + notTold, which.burst) - which.fleetUnits;
-    const double ownNeed = std::min(units, ownPart() * which.burst) - which.ownUnits;
+    const double fleetNeed = std::min(units + notTold, full_part * which.burst) - which.fleetUnits;
+    const double ownNeed = std::min(units, full_part * ownPart() * which.burst) - which.ownUnits;
     if (fleetNeed <= 0.0 && ownNeed <= 0.0) {
         which.fleetUnits -= units;
         which.ownUnits -= units;
--- a/meta/cmake/ivypierConfig.cmake
+++ b/meta/cmake/ivypierConfig.cmake
@@ -1,7 +1,6 @@
 # Package file of the installed libraries: find_package(ivypier) gives the targets ivypier::<slice>.
 include(CMakeFindDependencyMacro)
 find_dependency(absl)
-find_dependency(cpprestsdk)
 find_dependency(jsoncpp)
 find_dependency(tomlplusplus)
 find_dependency(Boost)
--- a/services/edge/peer_rows.cpp
+++ b/services/edge/peer_rows.cpp
@@ -48,7 +48,7 @@
         return json.error();
     cloud::feed_rows result;
     result.version = unsignedMember(json.value(), "version", 0);
-    for (const Json::Value &each : json.value()["rows"])
+    for (const Json::Value &each : arrayMember(json.value(), "rows"))
         result.rows.push_back({stringMember(each, "key"), unsignedMember(each, "version", 0),
                                stringMember(each, "value"), false});
     return result;
--- /dev/null
+++ b/services/edge/tests/edge_parts_test.cpp
@@ -0,0 +1,87 @@
+#include "../caller_lookup.h"
+#include "../edge_settings.h"
+#include "../peer_rows.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+using namespace ivypier::edge;
+
+namespace {
+
+const std::string good = R"(name = "edge-1"
+failure_domain = "hall-a"
+region = "almaty"
+callers = "10.1.0.1:8221"
+readiness = "10.1.0.1:8224"
+lookups = "10.1.0.1:8220"
+control = "10.1.0.1:8229"
+gossip_port = 7600
+seeds = ["10.1.0.1:8229", "10.2.0.1:8229"]
+fleet_key = "a passphrase of a fleet"
+store = "10.200.1.7:8225"
+cloud = "10.200.0.35:8225"
+descriptors = 4100
+stop_within_ms = 8000
+lookup_lifetime_ms = 1000
+lease_term_ms = 4000
+usage_window_ms = 5000
+repeat_ratio = 0.2
+repeat_slack = 56
+repeat_window_ms = 10000
+)";
+
+std::vector<std::string> faultsOf(const std::string &text)
+{
+    std::vector<std::string> paths;
+    const auto read = readEdgeSettings(text);
+    if (const auto *faults = std::get_if<std::vector<settings_error>>(&read)) {
+        for (const settings_error &each : *faults)
+            paths.push_back(each.path);
+    }
+    return paths;
+}
+
+membership::member nodeIn(const std::string &domain, std::uint16_t port,
+                          membership::member_state state = membership::member_state::alive)
+{
+    membership::member result;
+    result.id = port;
+    result.address = {"10.0.0.1", port};
+    result.failureDomain = domain;
+    result.state = state;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("settings are read whole, and every fault is told")
+{
+    const auto read = readEdgeSettings(good);
+    REQUIRE(std::holds_alternative<edge_settings>(read));
+    CHECK(std::get<edge_settings>(read).seeds.size() == 2);
+    CHECK(std::get<edge_settings>(read).repeatSlack == 56.0);
+    CHECK(faultsOf("name = 1\n" + good.substr(good.find('\n') + 1)) == std::vector<std::string>{"name"});
+    CHECK(faultsOf(good + "unheard_of = 1\n") == std::vector<std::string>{"unheard_of"});
+    CHECK(faultsOf("").size() >= 10);
+}
+
+TEST_CASE("callers are told the nodes of their own failure domain while there are enough, else all")
+{
+    const std::vector<membership::member> members{nodeIn("a", 1), nodeIn("a", 2), nodeIn("b", 3),
+                                                  nodeIn("b", 4, membership::member_state::leaving),
+                                                  nodeIn("c", 5, membership::member_state::suspect)};
+    CHECK(addressesFor(members, "a").size() == 2);
+    CHECK(addressesFor(members, "b").size() == 3);
+    CHECK(addressesFor(members, "elsewhere").size() == 3);
+    CHECK(addressesFor({}, "a").empty());
+}
+
+TEST_CASE("tables pass between nodes unchanged")
+{
+    const cloud::feed_rows rows{{{"a", 3, "{\"x\":1}", false}, {"b", 9, "", false}}, 12};
+    const auto read = peer_rows::decode(peer_rows::encode(rows));
+    REQUIRE(read);
+    CHECK(read.value() == rows);
+    CHECK_FALSE(peer_rows::decode("nonsense"));
+}
--- /dev/null
+++ b/tests/support/raw_peer.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+#include <utility>
+
+namespace ivypier {
+
+/// A plain blocking connection of a test, for bytes that no HTTP library would send. Reads wait 20 s at most.
+class raw_peer
+{
+public:
+    static raw_peer connectTo(const endpoint &to)
+    {
+        raw_peer peer(socket(AF_INET, SOCK_STREAM, 0));
+        const sockaddr_in address = resolve(to);
+        if (connect(peer.m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0)
+            peer.close();
+        return peer;
+    }
+
+    static raw_peer listenOn(const endpoint &at)
+    {
+        raw_peer peer(socket(AF_INET, SOCK_STREAM, 0));
+        const int yes = 1;
+        setsockopt(peer.m_socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+        const sockaddr_in address = resolve(at);
+        if (bind(peer.m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
+            || listen(peer.m_socket, 64) != 0)
+            peer.close();
+        return peer;
+    }
+
+    raw_peer(raw_peer &&other) noexcept
+        : m_socket(std::exchange(other.m_socket, -1))
+    {
+    }
+    raw_peer &operator=(raw_peer &&other) noexcept
+    {
+        std::swap(m_socket, other.m_socket);
+        return *this;
+    }
+    ~raw_peer()
+    {
+        close();
+    }
+
+    raw_peer accept()
+    {
+        return raw_peer(::accept(m_socket, nullptr, nullptr));
+    }
+
+    bool isOpen() const
+    {
+        return m_socket >= 0;
+    }
+
+    void send(std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const ssize_t sent = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0)
+                return;
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+    }
+
+    /// What arrives until the text ends with `last`, or until the other side closes.
+    std::string readUntil(std::string_view last)
+    {
+        std::string text;
+        char byte = 0;
+        while (!text.ends_with(last) && recv(m_socket, &byte, 1, 0) == 1)
+            text += byte;
+        return text;
+    }
+
+    std::string readAll()
+    {
+        std::string text;
+        char byte = 0;
+        while (recv(m_socket, &byte, 1, 0) == 1)
+            text += byte;
+        return text;
+    }
+
+    void close()
+    {
+        if (m_socket >= 0)
+            ::close(std::exchange(m_socket, -1));
+    }
+
+private:
+    explicit raw_peer(int socket)
+        : m_socket(socket)
+    {
+        const timeval limit{20, 0};
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    }
+
+    static sockaddr_in resolve(const endpoint &address)
+    {
+        sockaddr_in result{};
+        result.sin_family = AF_INET;
+        result.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.host.c_str(), &result.sin_addr);
+        return result;
+    }
+
+    int m_socket = -1;
+};
+
+} // namespace ivypier
--- a/utilities/measure-placement/cost_run.cpp
+++ b/utilities/measure-placement/cost_run.cpp
@@ -3,7 +3,7 @@
 #include "placement/capacity_keeper.h"
 #include "placement/lease.h"
 #include "tests/fake_cloud.h"
-#include "tests/fake_table.h"
+#include "tests/support/fake_table.h"
 
 #include "base/virtual_scheduler.h"
 
