--- a/libraries/base/log_event.cpp
+++ b/libraries/base/log_event.cpp
@@ -1,9 +1,13 @@
 #include "base/log_event.h"
 
+#include "base/boot_clock.h"
+#include "base/log_writer.h"
+
 #include <easylogging++.h>
 
 #include <array>
 #include <cstdio>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -43,10 +47,49 @@
     return result + '"';
 }
 
+/// Below it lines are not made.
+log_level leastLevel = log_level::debug;
+
+log_writer &writer()
+{
+    static auto *const shared = new log_writer(STDOUT_FILENO); // lines are written until the process ends
+    return *shared;
+}
+
+/// Hands the library's finished lines to the writer.
+class writing_callback final : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const el::LogMessage *message = data->logMessage();
+        writer().write(message->logger()->logBuilder()->build(message, false));
+    }
+};
+
+void log(log_level level, const std::string &text)
+{
+    switch (level) {
+    case log_level::debug:
+        LOG(DEBUG) << text;
+        return;
+    case log_level::info:
+        LOG(INFO) << text;
+        return;
+    case log_level::warning:
+        LOG(WARNING) << text;
+        return;
+    case log_level::error:
+        LOG(ERROR) << text;
+        return;
+    }
+}
+
 } // namespace
 
 log_event::log_event(log_level level, std::string_view event)
     : m_level(level)
+    , m_event(event)
 {
     with("event", event);
 }
@@ -75,20 +118,14 @@
 
 void log_event::write() const
 {
-    switch (m_level) {
-    case log_level::debug:
-        LOG(DEBUG) << m_text;
+    const time_point now = bootClockNow();
+    for (const auto &[event, count] : writer().takeLeftOut(now))
+        log(log_level::warning, "event=log.left_out of=" + event + " count=" + std::to_string(count));
+    if (const std::uint64_t dropped = writer().takeDropped(); dropped > 0)
+        log(log_level::warning, "event=log.dropped count=" + std::to_string(dropped));
+    if (m_level < leastLevel || !writer().admits(m_event, now))
         return;
-    case log_level::info:
-        LOG(INFO) << m_text;
-        return;
-    case log_level::warning:
-        LOG(WARNING) << m_text;
-        return;
-    case log_level::error:
-        LOG(ERROR) << m_text;
-        return;
-    }
+    log(m_level, m_text);
 }
 
 const std::string &log_event::text() const
@@ -98,13 +135,16 @@
 
 void configureLog(std::string_view program, log_level least)
 {
+    leastLevel = least;
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(
         el::ConfigurationType::Format,
         "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level program=" + std::string(program) + " %msg");
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<writing_callback>("writing_callback");
     const auto switchOff = [&](el::Level level, log_level own) {
         configuration.set(level, el::ConfigurationType::Enabled, own < least ? "false" : "true");
     };
--- a/libraries/base/log_event.h
+++ b/libraries/base/log_event.h
@@ -8,7 +8,8 @@
 
 enum class log_level { debug, info, warning, error };
 
-/// Builds one line of key=value pairs and writes it to standard error. Values with spaces, quotes or control
+/// Builds one line of key=value pairs and writes it to standard output, without waiting for it and within
+/// bounds (log_writer.h). Values with spaces, quotes or control
 /// characters are quoted and escaped, so that one event is always one line.
 class log_event
 {
@@ -27,6 +28,7 @@
 
 private:
     log_level m_level;
+    std::string m_event;
     std::string m_text;
 };
 
--- a/libraries/duties/capacity_policy.cpp
+++ b/libraries/duties/capacity_policy.cpp
@@ -37,10 +37,10 @@
     return static_cast<std::uint32_t>(std::max(std::ceil(engines - tolerance), 0.0));
 }
 
-domain_capacity presentIn(const capacity_question &question, const std::string &domain)
+domain_capacity in(const capacity_plan &plan, const std::string &domain)
 {
-    const auto found = question.present.find(domain);
-    return found == question.present.end() ? domain_capacity() : found->second;
+    const auto found = plan.find(domain);
+    return found == plan.end() ? domain_capacity() : found->second;
 }
 
 } // namespace
@@ -84,17 +84,17 @@
     return best;
 }
 
-std::uint32_t capacity_policy::onDemandNeeded(const capacity_question &question) const
+std::uint32_t capacity_policy::onDemandNeeded(double load, const std::vector<std::uint32_t> &reclaimable) const
 {
-    std::uint32_t reclaimable = 0;
+    std::uint32_t sum = 0;
     std::uint32_t largest = 0;
-    for (const auto &[domain, counts] : question.present) {
-        reclaimable += counts.reclaimable;
-        largest = std::max(largest, counts.reclaimable);
+    for (const std::uint32_t each : reclaimable) {
+        sum += each;
+        largest = std::max(largest, each);
     }
-    const std::uint32_t now = rounded(question.load / m_options.reducedBusy);
-    const std::uint32_t afterLoss = rounded(question.load / m_options.busyAfterLoss);
-    return std::max(now - std::min(now, reclaimable), afterLoss - std::min(afterLoss, reclaimable - largest));
+    const std::uint32_t now = rounded(load / m_options.reducedBusy);
+    const std::uint32_t afterLoss = rounded(load / m_options.busyAfterLoss);
+    return std::max(now - std::min(now, sum), afterLoss - std::min(afterLoss, sum - largest));
 }
 
 capacity_plan capacity_policy::choose(const capacity_question &question) const
@@ -104,12 +104,24 @@
     if (domains.empty())
         return plan;
     const mix chosen = cheapestMix(question, domains);
-    std::uint32_t unplaced = std::max(chosen.onDemand, onDemandNeeded(question));
+    std::vector<std::uint32_t> there;
+    std::vector<std::uint32_t> soonThere;
+    std::uint32_t onDemand = 0;
+    for (const std::string &domain : domains) {
+        const domain_capacity now = in(question.present, domain);
+        there.push_back(now.reclaimable);
+        soonThere.push_back(now.reclaimable + in(question.booting, domain).reclaimable);
+        onDemand += now.onDemand;
+    }
+    // Until reclaimable ones have booted, those on demand are kept; new ones would boot no sooner.
+    const std::uint32_t kept = std::min(onDemand, onDemandNeeded(question.load, there));
+    std::uint32_t unplaced
+        = std::max({chosen.onDemand, kept, onDemandNeeded(question.load, soonThere)});
     for (const std::string &domain : domains)
         plan[domain].reclaimable = chosen.reclaimableEach;
     const auto place = [&](const std::string &domain, std::uint32_t limit) {
         domain_capacity &counts = plan[domain];
-        const std::uint32_t taken = counts.onDemand + presentIn(question, domain).reclaimable;
+        const std::uint32_t taken = counts.onDemand + in(question.present, domain).reclaimable;
         const std::uint32_t room = question.rule.most - std::min(question.rule.most, taken);
         const std::uint32_t placed = std::min({unplaced, room, limit});
         counts.onDemand += placed;
@@ -119,7 +131,7 @@
     };
     // Those that are there are kept before others are ordered.
     for (const std::string &domain : domains)
-        place(domain, presentIn(question, domain).onDemand);
+        place(domain, in(question.present, domain).onDemand);
     for (const std::string &domain : domains)
         place(domain, question.rule.most);
     for (const std::string &domain : domains) {
--- a/libraries/duties/capacity_policy.h
+++ b/libraries/duties/capacity_policy.h
@@ -33,6 +33,7 @@
     relay::scaling_rule rule;
     double load = 0.0; ///< work as a number of engines that are busy all the time
     capacity_plan present; ///< upstreams that take calls now
+    capacity_plan booting; ///< upstreams that were ordered and are about to be there
 
     bool operator==(const capacity_question &) const = default;
 };
@@ -41,7 +42,7 @@
 {
     /// Part of the time that engines may be busy: in ordinary times, so that a burst is carried until new
     /// engines have booted;
-    double ordinaryBusy = 0.3;
+    double ordinaryBusy = 0.33;
     /// while reclaimable upstreams are missing;
     double reducedBusy = 0.35;
     /// and right after a failure domain lost its reclaimable upstreams, until others have booted.
@@ -73,7 +74,8 @@
     };
 
     mix cheapestMix(const capacity_question &question, const std::vector<std::string> &domains) const;
-    std::uint32_t onDemandNeeded(const capacity_question &question) const;
+    /// Those on demand that carry the load together with the given reclaimable ones.
+    std::uint32_t onDemandNeeded(double load, const std::vector<std::uint32_t> &reclaimable) const;
 
     capacity_options m_options;
 };
--- a/libraries/duties/upstream_orders.cpp
+++ b/libraries/duties/upstream_orders.cpp
@@ -64,6 +64,23 @@
     return result;
 }
 
+capacity_plan upstream_orders::booting(const relay::service &of, const capacity_plan &there) const
+{
+    capacity_plan result;
+    for (const auto &[key, sent] : m_sent) {
+        const auto &[service, domain, reclaimable] = key;
+        const duration since = m_tasks.now() - sent.sentAt;
+        if (service != of.name || sent.refused || since > of.scaling->bootTime + m_options.bootSlack)
+            continue;
+        const auto found = there.find(domain);
+        const domain_capacity now = found == there.end() ? domain_capacity() : found->second;
+        const std::uint32_t listed = reclaimable ? now.reclaimable : now.onDemand;
+        if (sent.count > listed)
+            (reclaimable ? result[domain].reclaimable : result[domain].onDemand) = sent.count - listed;
+    }
+    return result;
+}
+
 void upstream_orders::turn(const relay::service_map &configuration,
                            const std::map<std::string, relay::service_work> &work)
 {
@@ -82,7 +99,7 @@
             each.name, follow(each.name, found == work.end() ? relay::service_work() : found->second, there));
         if (!held || there.empty() || m_tasks.now() - m_loads[each.name].firstSeen < m_options.listing)
             continue;
-        const capacity_plan plan = m_policy.choose({*each.scaling, load, there});
+        const capacity_plan plan = m_policy.choose({*each.scaling, load, there, booting(each, there)});
         logPlan(each.name, load, plan);
         for (const auto &[domain, counts] : plan) {
             const auto in = there.find(domain);
--- a/libraries/duties/upstream_orders.h
+++ b/libraries/duties/upstream_orders.h
@@ -18,8 +18,8 @@
     duration bootSlack
         = std::chrono::seconds(3); ///< on top of an upstream's boot time, until it must be listed
     duration retryPause = std::chrono::seconds(2); ///< after a refused order
-    duration rise = std::chrono::seconds(2); ///< time constant with which the load follows a rise
-    duration fall = std::chrono::seconds(25); ///< and a fall: a short lull releases nothing
+    duration rise = std::chrono::milliseconds(800); ///< time constant with which the load follows a rise
+    duration fall = std::chrono::seconds(12); ///< and a fall: a short lull releases nothing
     double hysteresis = 0.15; ///< part by which the load must fall before fewer are planned
     duration listing = std::chrono::seconds(3); ///< until upstreams that run have been listed
     duration learning = std::chrono::seconds(6); ///< calls must have come for so long before the load counts
@@ -67,6 +67,9 @@
     double follow(const std::string &service, const relay::service_work &work, const capacity_plan &found);
     double steady(const std::string &service, double load);
     capacity_plan present(const std::string &service) const;
+
+    /// What was ordered, taken by the platform, and can still be booting.
+    capacity_plan booting(const relay::service &of, const capacity_plan &there) const;
     void logPlan(const std::string &service, double load, const capacity_plan &plan);
     void order(const relay::service &of, const std::string &domain, bool reclaimable, std::uint32_t count,
                std::uint32_t there);
--- a/libraries/relay/work_meter.cpp
+++ b/libraries/relay/work_meter.cpp
@@ -10,6 +10,7 @@
 /// Shorter prompts say little about the speed: other times weigh more.
 constexpr std::uint64_t least_sample_tokens = 1200;
 constexpr std::size_t least_samples = 8;
+constexpr std::int64_t recent_slots = 4;
 
 } // namespace
 
@@ -52,12 +53,18 @@
     std::map<std::string, service_work> result;
     for (const auto &[service, of] : m_services) {
         service_work work;
-        // The slot that is still filling is left out.
+        // The slot that is still filling is left out. The larger of two means follows a rise soon and a lull late.
+        double recent = 0.0;
+        double all = 0.0;
         for (const slot &each : of.slots) {
-            if (each.number < number && each.number > number - static_cast<std::int64_t>(slot_count))
-                work.tokensPerSecond += each.tokens;
+            const std::int64_t age = number - each.number;
+            if (age < 1 || age >= static_cast<std::int64_t>(slot_count))
+                continue;
+            all += each.tokens;
+            recent += age <= recent_slots ? each.tokens : 0.0;
         }
-        work.tokensPerSecond /= seconds(slot_width) * static_cast<double>(slot_count - 1);
+        work.tokensPerSecond = std::max(recent / (seconds(slot_width) * recent_slots),
+                                        all / (seconds(slot_width) * static_cast<double>(slot_count - 1)));
         if (of.speeds.size() >= least_samples) {
             std::vector<double> sorted = of.speeds;
             const auto fast = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() * 9 / 10);
