A process that is started again takes its own lease over at once

Change: the holder is the VM's name; an own row is taken over with a new number. Test seen failing without the change.

--- a/libraries/placement/lease.cpp
+++ b/libraries/placement/lease.cpp
@@ -34,13 +34,14 @@
 } // namespace
 
 lease_keeper::lease_keeper(scheduler &tasks, cloud::table_service &table, std::string name,
-                           std::string holder, duration term)
+                           std::string holder, duration term, std::uint64_t firstWrite)
     : m_tasks(tasks)
     , m_table(table)
     , m_name(std::move(name))
     , m_key("lease/" + m_name)
     , m_holder(std::move(holder))
     , m_term(term)
+    , m_writes(firstWrite)
 {
 }
 
@@ -101,13 +102,12 @@
     const std::uint64_t operation = ++m_operation;
     m_busy = true;
     m_busySince = startedAt;
-    m_table.read(m_key,
-                 [this, startedAt, operation](const outcome<std::optional<cloud::table_row>> &read) {
-                     if (operation != m_operation)
-                         return;
-                     m_busy = false;
-                     onRead(read, startedAt);
-                 });
+    m_table.read(m_key, [this, startedAt, operation](const outcome<std::optional<cloud::table_row>> &read) {
+        if (operation != m_operation)
+            return;
+        m_busy = false;
+        onRead(read, startedAt);
+    });
 }
 
 void lease_keeper::onRead(const outcome<std::optional<cloud::table_row>> &read, time_point startedAt)
--- a/libraries/placement/lease.h
+++ b/libraries/placement/lease.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/scheduler.h"
-#include "placement/duty.h"
 #include "cloud/table_service.h"
+#include "placement/duty.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,9 +26,11 @@
 class lease_keeper final : public duty
 {
 public:
-    /// `holder` names this incarnation of this process and no other.
+    /// `holder` names this incarnation of this process and no other. Where a process can't run while an
+    /// earlier one of the same name does, it may be that name: a process that is started again then takes its
+    /// own lease over at once. `firstWrite` must differ between such runs: it makes their writes tell apart.
     lease_keeper(scheduler &tasks, cloud::table_service &table, std::string name, std::string holder,
-                 duration term);
+                 duration term, std::uint64_t firstWrite = 0);
 
     /// Starts to acquire the lease, and to renew it once it is held.
     void start();
@@ -75,7 +77,7 @@
     duration m_term;
     std::optional<lease> m_lease;
     std::optional<pending_write> m_pending;
-    std::uint64_t m_writes = 0; ///< makes the value of each write of this holder another one
+    std::uint64_t m_writes; ///< makes the value of each write of this holder another one
     std::uint64_t m_seenVersion = 0; ///< of another holder's row as last read
     time_point m_seenAt{}; ///< when the answer that first showed it was there
     std::uint64_t m_operation = 0; ///< answers to earlier operations are dropped
--- a/libraries/placement/tests/lease_test.cpp
+++ b/libraries/placement/tests/lease_test.cpp
@@ -258,6 +258,24 @@
     }
 }
 
+TEST_CASE(
+    "a process that is started again under its name takes its own lease over at once, with a new number",
+    "[lease]")
+{
+    race run(5);
+    run.world.advance(30s);
+    const std::size_t holder = run.sent.back().sender;
+    const std::uint64_t before = run.keepers[holder]->held()->tenure;
+    run.processes[holder]->freeze(); // it was killed
+    freezable_scheduler process(run.world);
+    fake_table_client client(process, run.table);
+    lease_keeper again(process, client, "orders/tariff", "planner-" + std::to_string(holder), term, 1000);
+    again.start();
+    run.world.advance(1s);
+    REQUIRE(again.held());
+    CHECK(again.held()->tenure > before);
+}
+
 TEST_CASE("one that is not eligible does not take a free lease and keeps a held one", "[lease]")
 {
     race run(5);
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -55,7 +55,7 @@
 /// A newer configuration that another node has is asked for again after this time.
 constexpr duration newer_check_interval = std::chrono::milliseconds(300);
 /// Nodes that watch the lease of a duty.
-constexpr std::size_t duty_candidates = 2;
+constexpr std::size_t duty_candidates = 3;
 /// Callers keep an answer to a look-up for up to three times its lifetime.
 constexpr int lookup_lifetimes = 3;
 /// The process ends this long before the platform would kill it.
@@ -120,8 +120,9 @@
     cloud::table_follower upstreamTable{tasks,       randomness, store, &peers, adapter::wire::upstream_table,
                                         upstreamRows};
 
-    placement::lease_keeper lease{tasks, store, duties_lease, settings.name + '/' + toHex(members.self().id),
-                                  settings.leaseTerm};
+    /// One process runs on a VM at a time: its name is enough of a holder.
+    placement::lease_keeper lease{
+        tasks, store, duties_lease, settings.name, settings.leaseTerm, randomness.next() >> 1};
     fleet::run_board runBoard{members, runs};
     duties::usage_reporter usage{tasks, store,    cloud,
                                  lease, runBoard, {.windowMilliseconds = milliseconds(settings.usageWindow)}};
