--- a/libraries/base/log_event.cpp
+++ b/libraries/base/log_event.cpp
@@ -143,7 +143,8 @@
         "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level program=" + std::string(program) + " %msg");
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
-    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
     el::Helpers::installLogDispatchCallback<writing_callback>("writing_callback");
     const auto switchOff = [&](el::Level level, log_level own) {
         configuration.set(level, el::ConfigurationType::Enabled, own < least ? "false" : "true");
--- a/libraries/configuration/document_store.h
+++ b/libraries/configuration/document_store.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/outcome.h"
-#include "configuration/object_source.h"
 #include "cloud/object_store.h"
 #include "cloud/table_service.h"
+#include "configuration/object_source.h"
 
 #include <compare>
 #include <cstdint>
--- a/libraries/http/listener_connection.cpp
+++ b/libraries/http/listener_connection.cpp
@@ -269,8 +269,8 @@
     if (!m_open)
         return;
     if (!complete || !keep) {
-        // What was written still goes out; nothing more is read as a request. An answer that was dropped lacks
-        // its last chunk, so that it does not look complete.
+        // What was written still goes out; nothing more is read as a request. An answer that was dropped
+        // lacks its last chunk, so that it does not look complete.
         m_phase = phase::answering;
         m_phaseSince = bootClockNow();
         m_closeWhenSent = true;
--- a/libraries/membership/tests/vm_watch_test.cpp
+++ b/libraries/membership/tests/vm_watch_test.cpp
@@ -53,8 +53,7 @@
 
 cloud::vm_record runner(const std::string &id, const endpoint &address)
 {
-    return {
-        id, "tariff", address, "hall-a", "small", cloud::vm_kind::reclaimable, cloud::vm_state::live};
+    return {id, "tariff", address, "hall-a", "small", cloud::vm_kind::reclaimable, cloud::vm_state::live};
 }
 
 struct watched_fleet
--- a/libraries/membership/vm_watch.h
+++ b/libraries/membership/vm_watch.h
@@ -2,8 +2,8 @@
 
 #include "base/random_source.h"
 #include "base/scheduler.h"
-#include "membership/membership_view.h"
 #include "cloud/cloud_service.h"
+#include "membership/membership_view.h"
 
 #include <functional>
 #include <map>
--- a/libraries/placement/capacity_keeper.cpp
+++ b/libraries/placement/capacity_keeper.cpp
@@ -80,8 +80,7 @@
 void capacity_keeper::readNotices(std::uint64_t turn, std::vector<cloud::vm_record> vms)
 {
     m_parts.cloud.listNotices(
-        "",
-        [this, turn, vms = std::move(vms)](const outcome<std::vector<cloud::reclaim_notice>> &notices) {
+        "", [this, turn, vms = std::move(vms)](const outcome<std::vector<cloud::reclaim_notice>> &notices) {
             if (!current(turn))
                 return;
             for (const cloud::reclaim_notice &each :
@@ -293,7 +292,7 @@
         if (m_started.contains(each.token) || !m_ordering.insert(each.token).second)
             continue;
         const cloud::vm_order order{each.token, m_service.name, each.type.failureDomain,
-                                       each.type.machineClass, each.type.kind};
+                                    each.type.machineClass, each.type.kind};
         m_parts.cloud.startVm(order, [this, each](const outcome<cloud::vm_record> &answer) {
             m_ordering.erase(each.token);
             onStarted(each, answer);
--- a/libraries/placement/capacity_keeper.h
+++ b/libraries/placement/capacity_keeper.h
@@ -3,14 +3,14 @@
 #include "base/metrics_registry.h"
 #include "base/random_source.h"
 #include "base/scheduler.h"
+#include "cloud/cloud_service.h"
+#include "cloud/table_service.h"
 #include "placement/demand_estimate.h"
 #include "placement/demand_source.h"
 #include "placement/duty.h"
 #include "placement/mix_policy.h"
 #include "placement/start_backoff.h"
 #include "placement/start_record.h"
-#include "cloud/cloud_service.h"
-#include "cloud/table_service.h"
 
 #include <compare>
 #include <map>
--- a/libraries/placement/order_keeper.h
+++ b/libraries/placement/order_keeper.h
@@ -3,9 +3,9 @@
 #include "base/metrics_registry.h"
 #include "base/random_source.h"
 #include "base/scheduler.h"
+#include "cloud/weight_store.h"
 #include "configuration/document.h"
 #include "placement/duty.h"
-#include "cloud/weight_store.h"
 #include "upstream/model_engine.h"
 
 #include <compare>
--- a/libraries/placement/start_record.cpp
+++ b/libraries/placement/start_record.cpp
@@ -31,10 +31,9 @@
     result.nextToken = unsignedMember(json.value(), "next_token", 1);
     for (const Json::Value &each : json.value()["pending"]) {
         const bool onDemand = stringMember(each, "kind") == cloud::name(cloud::vm_kind::on_demand);
-        result.pending.push_back(
-            {stringMember(each, "token"),
-             {stringMember(each, "failure_domain"), stringMember(each, "machine_class"),
-              onDemand ? cloud::vm_kind::on_demand : cloud::vm_kind::reclaimable}});
+        result.pending.push_back({stringMember(each, "token"),
+                                  {stringMember(each, "failure_domain"), stringMember(each, "machine_class"),
+                                   onDemand ? cloud::vm_kind::on_demand : cloud::vm_kind::reclaimable}});
     }
     return result;
 }
--- a/libraries/placement/tests/fake_cloud.h
+++ b/libraries/placement/tests/fake_cloud.h
@@ -2,9 +2,9 @@
 
 #include "base/random_source.h"
 #include "base/scheduler.h"
+#include "cloud/cloud_service.h"
 #include "placement/demand_source.h"
 #include "placement/vm_type.h"
-#include "cloud/cloud_service.h"
 
 #include <deque>
 #include <functional>
@@ -35,12 +35,12 @@
             return error{error_code::refused, "none to give"};
         }
         cloud::vm_record vm{"vm" + std::to_string(++started),
-                               order.role,
-                               {"127.0.0.1", 1},
-                               order.failureDomain,
-                               order.machineClass,
-                               order.kind,
-                               cloud::vm_state::live};
+                            order.role,
+                            {"127.0.0.1", 1},
+                            order.failureDomain,
+                            order.machineClass,
+                            order.kind,
+                            cloud::vm_state::live};
         byToken.emplace(order.token, vm);
         tasks.after(startTime, [this, vm] {
             vms[vm.id] = vm;
@@ -156,8 +156,7 @@
             done);
     }
 
-    void startVm(const cloud::vm_order &order,
-                 std::function<void(outcome<cloud::vm_record>)> done) override
+    void startVm(const cloud::vm_order &order, std::function<void(outcome<cloud::vm_record>)> done) override
     {
         call<cloud::vm_record>([this, order] { return m_cloud.start(order); }, done);
     }
--- a/libraries/relay/work_meter.cpp
+++ b/libraries/relay/work_meter.cpp
@@ -53,7 +53,8 @@
     std::map<std::string, service_work> result;
     for (const auto &[service, of] : m_services) {
         service_work work;
-        // The slot that is still filling is left out. The larger of two means follows a rise soon and a lull late.
+        // The slot that is still filling is left out. The larger of two means follows a rise soon and a lull
+        // late.
         double recent = 0.0;
         double all = 0.0;
         for (const slot &each : of.slots) {
--- a/services/console/main.cpp
+++ b/services/console/main.cpp
@@ -1,10 +1,10 @@
 #include "base/event_loop.h"
 #include "base/json.h"
 #include "base/log_event.h"
+#include "cloud/http_platform.h"
 #include "console/console.h"
 #include "console_settings.h"
 #include "http/client.h"
-#include "cloud/http_platform.h"
 #include "program/daemon.h"
 
 namespace {
--- a/services/ctl/platform_session.cpp
+++ b/services/ctl/platform_session.cpp
@@ -52,8 +52,8 @@
 
 outcome<std::vector<cloud::vm_record>> platform_session::listVms()
 {
-    return waitFor<std::vector<cloud::vm_record>>(
-        m_loop, [this](auto done) { m_services.listVms(std::move(done)); });
+    return waitFor<std::vector<cloud::vm_record>>(m_loop,
+                                                  [this](auto done) { m_services.listVms(std::move(done)); });
 }
 
 outcome<http::response> askNode(const endpoint &node, http::request message,
--- a/services/ctl/platform_session.h
+++ b/services/ctl/platform_session.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/event_loop.h"
+#include "cloud/http_platform.h"
 #include "configuration/in_force.h"
 #include "http/client.h"
-#include "cloud/http_platform.h"
 
 #include <memory>
 #include <string>
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -132,6 +132,7 @@
     std::unique_ptr<http::listener> readiness;
     std::unique_ptr<http::listener> lookups;
     std::unique_ptr<http::listener> control;
+    std::unique_ptr<http::listener> metricsListener;
     time_point startedAt{};
     time_point stopAt{}; ///< when the process ends at the latest
     bool stopping = false;
@@ -140,6 +141,7 @@
     void answerReadiness(const http::incoming_request &incoming, http::reply &to) const;
     void answerLookup(const http::incoming_request &incoming, http::reply &to) const;
     void answerControl(const http::incoming_request &incoming, http::reply &to) const;
+    void answerMetrics(const http::incoming_request &incoming, http::reply &to);
     void takeConfiguration(std::shared_ptr<const relay::route_table> table);
     void takeFact(const membership::fact &news);
     void readNewer(std::uint64_t version, int attempts);
@@ -213,7 +215,9 @@
           open(lookups, settings.lookups,
                [this](const auto &incoming, auto &to) { answerLookup(incoming, to); }),
           open(control, settings.control,
-               [this](const auto &incoming, auto &to) { answerControl(incoming, to); })}) {
+               [this](const auto &incoming, auto &to) { answerControl(incoming, to); }),
+          open(metricsListener, settings.metrics,
+               [this](const auto &incoming, auto &to) { answerMetrics(incoming, to); })}) {
         if (!each)
             return each.error();
     }
@@ -286,12 +290,30 @@
 {
     if (incoming.head.path() == peer_rows::path)
         peers.answer(incoming, to);
-    else if (incoming.head.path() == "/metrics")
-        to.send(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition());
     else
         to.send(status_not_found, {}, {});
 }
 
+void edge_node::parts::answerMetrics(const http::incoming_request &incoming, http::reply &to)
+{
+    if (incoming.head.path() != "/metrics") {
+        to.send(status_not_found, {}, {});
+        return;
+    }
+    const http::pool_counts connections = upstreamConnections.counts();
+    metrics.set("ivypier_upstream_connections", {}, static_cast<double>(connections.open));
+    metrics.set("ivypier_upstream_connections_opened", {}, static_cast<double>(connections.opened));
+    metrics.set("ivypier_upstream_connections_reused", {}, static_cast<double>(connections.reused));
+    metrics.set("ivypier_caller_connections", {}, static_cast<double>(callers->connectionCount()));
+    metrics.set("ivypier_calls_running", {}, static_cast<double>(calls.running()));
+    metrics.set("ivypier_nodes", {}, static_cast<double>(members.memberCount()));
+    metrics.set("ivypier_configuration_version", {}, static_cast<double>(configurationRows.version()));
+    metrics.set("ivypier_duty_held", {}, lease.held() ? 1.0 : 0.0);
+    for (const relay::upstream *each : upstreams.all())
+        metrics.set("ivypier_upstream_calls_running", {{"upstream", each->record.id}}, each->running);
+    to.send(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition());
+}
+
 void edge_node::parts::takeConfiguration(std::shared_ptr<const relay::route_table> table)
 {
     const relay::caller_limits &limits = table->content().limits;
--- a/services/edge/edge_settings.cpp
+++ b/services/edge/edge_settings.cpp
@@ -26,6 +26,7 @@
     result.readiness = requiredEndpoint(root, "readiness");
     result.lookups = requiredEndpoint(root, "lookups");
     result.control = requiredEndpoint(root, "control");
+    result.metrics = requiredEndpoint(root, "metrics");
     result.gossipPort = static_cast<std::uint16_t>(root.requiredInteger("gossip_port", 1, 65535));
     result.seeds = optionalEndpoints(root, "seeds");
     result.fleetKey = root.requiredString("fleet_key");
--- a/services/edge/edge_settings.h
+++ b/services/edge/edge_settings.h
@@ -20,7 +20,8 @@
     endpoint callers; ///< takes calls
     endpoint readiness; ///< tells whether calls are taken
     endpoint lookups; ///< tells callers where to connect
-    endpoint control; ///< answers other nodes; metrics
+    endpoint control; ///< answers other nodes
+    endpoint metrics; ///< counters and histograms
     std::uint16_t gossipPort = 0; ///< the same on every node
     std::vector<endpoint> seeds; ///< control addresses of other nodes; only their hosts count
     std::string fleetKey; ///< secret
--- a/services/edge/tests/edge_parts_test.cpp
+++ b/services/edge/tests/edge_parts_test.cpp
@@ -16,6 +16,7 @@
 readiness = "10.1.0.1:8224"
 lookups = "10.1.0.1:8220"
 control = "10.1.0.1:8229"
+metrics = "10.1.0.1:9464"
 gossip_port = 7600
 seeds = ["10.1.0.1:8229", "10.2.0.1:8229"]
 fleet_key = "a passphrase of a fleet"
--- a/services/node/price_list.cpp
+++ b/services/node/price_list.cpp
@@ -11,8 +11,7 @@
 
 } // namespace
 
-price_list::price_list(scheduler &tasks, cloud::cloud_service &cloud,
-                       std::function<std::size_t()> fleetSize)
+price_list::price_list(scheduler &tasks, cloud::cloud_service &cloud, std::function<std::size_t()> fleetSize)
     : m_tasks(tasks)
     , m_cloud(cloud)
     , m_fleetSize(std::move(fleetSize))
--- a/services/planner/planner.cpp
+++ b/services/planner/planner.cpp
@@ -4,12 +4,12 @@
 #include "base/json.h"
 #include "base/log_event.h"
 #include "base/random_source.h"
+#include "cloud/http_platform.h"
 #include "configuration/configuration_follower.h"
 #include "configuration/document_store.h"
 #include "demand_poller.h"
 #include "http/server.h"
 #include "placement/cheapest_mix.h"
-#include "cloud/http_platform.h"
 #include "service_duties.h"
 #include "upstream/http_model_engine.h"
 
--- a/standins/platform/cloud_state.cpp
+++ b/standins/platform/cloud_state.cpp
@@ -39,9 +39,8 @@
 
 cloud::vm_kind kindIn(const Json::Value &json)
 {
-    return stringMember(json, "kind") == cloud::name(cloud::vm_kind::on_demand)
-        ? cloud::vm_kind::on_demand
-        : cloud::vm_kind::reclaimable;
+    return stringMember(json, "kind") == cloud::name(cloud::vm_kind::on_demand) ? cloud::vm_kind::on_demand
+                                                                                : cloud::vm_kind::reclaimable;
 }
 
 /// The VM that an order or a control call describes.
--- a/standins/platform/cloud_state.h
+++ b/standins/platform/cloud_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/clock.h"
-#include "http/message.h"
 #include "cloud/cloud_service.h"
+#include "http/message.h"
 
 #include <json/value.h>
 
--- a/standins/platform/platform_state.h
+++ b/standins/platform/platform_state.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/clock.h"
+#include "cloud/table_service.h"
 #include "cloud_state.h"
 #include "http/message.h"
-#include "cloud/table_service.h"
 #include "rate_limit.h"
 
 #include <json/value.h>
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -43,8 +43,7 @@
         return found == rows.end() ? std::nullopt : std::optional(found->second);
     }
 
-    outcome<cloud::table_row> change(const std::string &key, std::uint64_t expected,
-                                        const std::string &value)
+    outcome<cloud::table_row> change(const std::string &key, std::uint64_t expected, const std::string &value)
     {
         const auto found = rows.find(key);
         const std::uint64_t version = found == rows.end() ? 0 : found->second.version;
@@ -86,8 +85,8 @@
     void write(const std::string &key, std::uint64_t expected, const std::string &value,
                write_completion done) override
     {
-        call<cloud::table_row>(
-            [this, key, expected, value] { return m_table.change(key, expected, value); }, done);
+        call<cloud::table_row>([this, key, expected, value] { return m_table.change(key, expected, value); },
+                               done);
     }
 
 private:
--- a/tests/support/looped_thread.h
+++ b/tests/support/looped_thread.h
@@ -16,9 +16,16 @@
     {
     }
     ~looped_thread()
+    {
+        finish();
+    }
+
+    /// Ends the thread; the loop runs nothing from then on.
+    void finish()
     {
         loop.stop();
-        m_thread.join();
+        if (m_thread.joinable())
+            m_thread.join();
     }
 
     /// Runs `work` on the loop and waits for its end.
