Capacity: before the first call nothing has to be covered while engines boot

Cause: nine engines on demand are billed from the start; eight of them were kept until the reclaimable ones had booted, though no call can come before.

--- a/libraries/duties/capacity_policy.cpp
+++ b/libraries/duties/capacity_policy.cpp
@@ -115,7 +115,7 @@
         onDemand += now.onDemand;
     }
     // Until reclaimable ones have booted, those on demand are kept; new ones would boot no sooner.
-    const std::uint32_t kept = std::min(onDemand, onDemandNeeded(question.load, there));
+    const std::uint32_t kept = question.idle ? 0 : std::min(onDemand, onDemandNeeded(question.load, there));
     std::uint32_t unplaced = std::max({chosen.onDemand, kept, onDemandNeeded(question.load, soonThere)});
     for (const std::string &domain : domains)
         plan[domain].reclaimable = chosen.reclaimableEach;
--- a/libraries/duties/capacity_policy.h
+++ b/libraries/duties/capacity_policy.h
@@ -34,6 +34,7 @@
     double load = 0.0; ///< work as a number of engines that are busy all the time
     capacity_plan present; ///< upstreams that take calls now
     capacity_plan booting; ///< upstreams that were ordered and are about to be there
+    bool idle = false; ///< no call has come yet: nothing has to be carried until others have booted
 
     bool operator==(const capacity_question &) const = default;
 };
--- a/libraries/duties/tests/capacity_test.cpp
+++ b/libraries/duties/tests/capacity_test.cpp
@@ -252,6 +252,18 @@
     CHECK(with.cloud.ready() * capacity_options().reducedBusy >= 2.0 - 0.01);
 }
 
+TEST_CASE("before the first call upstreams on demand are given back as soon as reclaimable ones boot")
+{
+    fixture with;
+    with.runFor(4s, 0.0);
+    std::uint32_t onDemand = 0;
+    for (const relay::upstream *each : with.upstreams.ready("s"))
+        onDemand += each->record.reclaimable ? 0 : 1;
+    CHECK(onDemand == 1);
+    with.runFor(6s, 0.0);
+    CHECK(with.cloud.ready() >= 9);
+}
+
 TEST_CASE("an order that is carried out late is put right")
 {
     fixture with;
--- a/libraries/duties/upstream_orders.cpp
+++ b/libraries/duties/upstream_orders.cpp
@@ -113,7 +113,8 @@
             each.name, follow(each.name, found == work.end() ? relay::service_work() : found->second));
         if (!listed || !held || there.empty())
             continue;
-        const capacity_plan plan = m_policy.choose({*each.scaling, load, there, booting(each, there)});
+        const capacity_plan plan = m_policy.choose(
+            {*each.scaling, load, there, booting(each, there), m_loads[each.name].since == time_point()});
         logPlan(each.name, load, plan);
         for (const auto &[domain, counts] : plan) {
             const auto in = there.find(domain);
