--- a/libraries/program/file_reader.cpp
+++ b/libraries/program/file_reader.cpp
@@ -1,5 +1,6 @@
 #include "program/file_reader.h"
 
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -8,13 +9,19 @@
 
 namespace {
 
+constexpr std::size_t read_size = 4096;
+
 outcome<std::string> readStream(std::istream &stream, const std::string &path)
 {
-    std::string text(file_limit + 1, '\0');
-    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+    // In pieces: a daemon keeps what it has read once.
+    std::string text;
+    std::array<char, read_size> piece{};
+    while (stream && text.size() <= file_limit) {
+        stream.read(piece.data(), static_cast<std::streamsize>(piece.size()));
+        text.append(piece.data(), static_cast<std::size_t>(stream.gcount()));
+    }
     if (stream.bad())
         return error{error_code::unavailable, "can't read \"" + path + '"'};
-    text.resize(static_cast<std::size_t>(stream.gcount()));
     if (text.size() > file_limit)
         return error{error_code::too_large, '"' + path + "\" has more than 2097152 bytes"};
     return text;
