Nodes tell each other less, and small fleets may tell more

With 16 accounts the usage fact was over a fact's 512 bytes and not told at all.

Change: limits at once only while one is short, else every 1.6 s; loads, work and runs every 1.2 s; the newest windows first, within a fact; up to 10 KB/s in fleets of up to 16, falling to 2 KB/s in large ones.

--- a/libraries/fleet/quota_board.cpp
+++ b/libraries/fleet/quota_board.cpp
@@ -15,7 +15,11 @@
 
 void quota_board::update()
 {
-    m_own.tell(encodeNumbers(m_quota.takenHere()));
+    const time_point now = m_time.now();
+    if (m_quota.isShort() || now - m_toldAt >= relaxed_telling) {
+        m_toldAt = now;
+        m_own.tell(encodeNumbers(m_quota.takenHere()));
+    }
     const membership::incarnation self = m_members.self().id;
     for (const membership::member &each : m_members.members()) {
         if (each.id == self)
--- a/libraries/fleet/run_board.cpp
+++ b/libraries/fleet/run_board.cpp
@@ -1,5 +1,7 @@
 #include "fleet/run_board.h"
 
+#include "fleet/told_numbers.h"
+
 #include <charconv>
 
 namespace ivypier::fleet {
@@ -32,15 +34,17 @@
 
 std::string run_board::encode(const std::map<std::int64_t, relay::run_counts> &windows)
 {
+    // The newest windows first: where a fact does not hold all, the oldest is left out.
     std::string text;
-    for (const auto &[window, counts] : windows) {
-        if (counts.empty())
+    for (auto each = windows.rbegin(); each != windows.rend(); ++each) {
+        if (each->second.empty())
             continue;
-        if (!text.empty())
-            text += ';';
-        text += std::to_string(window);
-        for (const auto &[account, count] : counts)
-            text.append(" ").append(account).append("=").append(std::to_string(count));
+        std::string entry = (text.empty() ? "" : ";") + std::to_string(each->first);
+        for (const auto &[account, count] : each->second)
+            entry.append(" ").append(account).append("=").append(std::to_string(count));
+        if (text.size() + entry.size() > told_text_limit)
+            return text;
+        text += entry;
     }
     return text;
 }
--- a/libraries/fleet/tests/fleet_boards_test.cpp
+++ b/libraries/fleet/tests/fleet_boards_test.cpp
@@ -149,3 +149,17 @@
     CHECK(total.at("s").engineSpeed == Approx(20000.0));
     CHECK(total.at("s").tokensPerSecond > 1000.0);
 }
+
+TEST_CASE("with many accounts the newest windows are told and the fact keeps its bound")
+{
+    std::map<std::int64_t, relay::run_counts> windows;
+    for (std::int64_t window = 7; window <= 9; ++window) {
+        for (int account = 0; account < 16; ++account)
+            windows[window]["account" + std::to_string(account)] = 123;
+    }
+    const std::string text = run_board::encode(windows);
+    CHECK(text.size() <= told_text_limit);
+    const auto told = run_board::decode(text);
+    REQUIRE(told.contains(9));
+    CHECK(told.at(9) == windows.at(9));
+}
--- a/libraries/membership/gossip_sender.cpp
+++ b/libraries/membership/gossip_sender.cpp
@@ -7,7 +7,11 @@
 
 namespace {
 
+/// What each member may send in a large fleet: two thirds of the 3 KB/s that a node may spend for control.
 constexpr double budget_bytes_per_second = 2000.0;
+/// What it may send on top of that in a fleet of up to `small_fleet` members; less in larger ones.
+constexpr double small_fleet_bytes_per_second = 8000.0;
+constexpr double small_fleet = 16.0;
 constexpr double budget_burst_bytes = 256.0 * 1024.0;
 constexpr std::size_t hash_bytes = 4;
 
@@ -58,7 +62,10 @@
 bool gossip_sender::withinBudget()
 {
     const time_point now = m_time.now();
-    m_credit = std::min(budget_burst_bytes, m_credit + seconds(now - m_creditAt) * budget_bytes_per_second);
+    const double members = static_cast<double>(std::max<std::size_t>(m_members.liveCount(), 1));
+    const double rate
+        = budget_bytes_per_second + small_fleet_bytes_per_second * std::min(1.0, small_fleet / members);
+    m_credit = std::min(budget_burst_bytes, m_credit + seconds(now - m_creditAt) * rate);
     m_creditAt = now;
     return m_credit > 0.0;
 }
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -139,4 +139,16 @@
     return result;
 }
 
+bool unit_quota::isShort() const
+{
+    constexpr double short_part = 0.5;
+    for (const auto &[account, each] : m_buckets) {
+        bucket now = each;
+        fill(now);
+        if (now.perSecond > 0.0 && now.fleetUnits < short_part * now.burst)
+            return true;
+    }
+    return false;
+}
+
 } // namespace ivypier::relay
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -50,6 +50,8 @@
 
 /// How often limits, loads and duties are brought up to date.
 constexpr duration update_interval = std::chrono::milliseconds(400);
+/// Loads, work and runs are told with every third update: they change slowly, and each is news for all nodes.
+constexpr std::uint64_t updates_per_telling = 3;
 /// Until then the membership may not have found all nodes.
 constexpr duration joining_time = std::chrono::seconds(3);
 /// A newer configuration that another node has is asked for again after this time.
@@ -135,6 +137,7 @@
     std::unique_ptr<http::listener> metricsListener;
     time_point startedAt{};
     time_point stopAt{}; ///< when the process ends at the latest
+    std::uint64_t updates = 0;
     bool stopping = false;
 
     void takeCall(http::incoming_request incoming, const std::shared_ptr<http::reply> &to);
@@ -308,6 +311,7 @@
     metrics.set("ivypier_calls_running", {}, static_cast<double>(calls.running()));
     metrics.set("ivypier_nodes", {}, static_cast<double>(members.memberCount()));
     metrics.set("ivypier_configuration_version", {}, static_cast<double>(configurationRows.version()));
+    metrics.set("ivypier_gossip_bytes", {}, static_cast<double>(members.traffic().bytes));
     metrics.set("ivypier_duty_held", {}, lease.held() ? 1.0 : 0.0);
     for (const relay::upstream *each : upstreams.all())
         metrics.set("ivypier_upstream_calls_running", {{"upstream", each->record.id}}, each->running);
@@ -373,11 +377,13 @@
     quota.setNodes(nodeCount());
     quotas.update();
     repeats.setSlack(repeat_part * settings.repeatSlack / static_cast<double>(nodeCount()));
-    loads.update();
-    works.publish();
     const std::int64_t now = wall.milliseconds();
     const std::int64_t window = runs.windowAt(now);
-    runBoard.publish(window);
+    if (++updates % updates_per_telling == 0) {
+        loads.update();
+        works.publish();
+        runBoard.publish(window);
+    }
     runs.forgetBefore(window - 60);
     std::vector<std::string> names;
     for (const membership::member &each : members.members()) {
@@ -433,6 +439,8 @@
     members.depart();
     log_event(log_level::info, "edge.stopped")
         .with("unanswered", static_cast<std::int64_t>(callers->unanswered()))
+        .with("ran_s", seconds(tasks.now() - startedAt))
+        .with("gossip_bytes", static_cast<std::int64_t>(members.traffic().bytes))
         .write();
     tasks.stop();
 }
