--- a/libraries/base/log_writer.h
+++ b/libraries/base/log_writer.h
@@ -52,7 +52,7 @@
 };
 
 /// Most bytes of lines that wait for the descriptor.
-inline constexpr std::size_t held_log_bytes = 256 * 1024;
+inline constexpr std::size_t held_log_bytes = std::size_t{256} * 1024;
 
 /// Most lines of one event in a second.
 inline constexpr std::uint64_t event_lines_per_second = 40;
--- a/libraries/base/steady_wall_clock.cpp
+++ b/libraries/base/steady_wall_clock.cpp
@@ -21,16 +21,14 @@
 {
     const std::int64_t current = offset();
     const time_point now = m_source.now();
-    if (std::abs(current - m_offset) <= drift_milliseconds) {
+    const bool drifted = std::abs(current - m_offset) <= drift_milliseconds;
+    if (drifted || (m_differs && now - m_differsSince > trust_after)) {
         m_offset = current;
         m_differs = false;
     } else if (!m_differs) {
         m_differs = true;
         m_differsSince = now;
         log_event(log_level::warning, "clock.stepped").with("by_ms", current - m_offset).write();
-    } else if (now - m_differsSince > trust_after) {
-        m_offset = current;
-        m_differs = false;
     }
     return ivypier::milliseconds(now.time_since_epoch()) + m_offset;
 }
--- a/libraries/cloud/table_follower.h
+++ b/libraries/cloud/table_follower.h
@@ -26,8 +26,8 @@
 
 struct follower_options
 {
-    /// Longest wait for a change. A call that gets lost leaves the follower blind for this long and the time that
-    /// the source may take to answer: together less than what a listed upstream is promised to serve on.
+    /// Longest wait for a change. A call that gets lost leaves the follower blind for this long and the time
+    /// that the source may take to answer: together less than what a listed upstream is promised to serve on.
     duration wait = std::chrono::seconds(3);
     duration waitWhileLost = std::chrono::milliseconds(300); ///< until the source answers again
     duration listTime = std::chrono::seconds(2); ///< longest wait for the whole table
--- a/libraries/cloud/tests/table_follower_test.cpp
+++ b/libraries/cloud/tests/table_follower_test.cpp
@@ -172,7 +172,8 @@
     CHECK(with.source.questions.size() == 1);
 }
 
-TEST_CASE("a source that was away is asked with short waits until it answers, so that its return is seen soon")
+TEST_CASE(
+    "a source that was away is asked with short waits until it answers, so that its return is seen soon")
 {
     fixture with;
     with.source.answer({{{"a", 1, "x"}}, 5});
--- a/libraries/fleet/quota_board.h
+++ b/libraries/fleet/quota_board.h
@@ -15,7 +15,8 @@
 public:
     quota_board(membership::membership_view &members, relay::unit_quota &quota, const clock &time);
 
-    /// Takes in what the others told; tells at once while a limit is short, and every `relaxed_telling` otherwise.
+    /// Takes in what the others told; tells at once while a limit is short, and every `relaxed_telling`
+    /// otherwise.
     void update();
 
 private:
--- a/libraries/http/byte_stream.h
+++ b/libraries/http/byte_stream.h
@@ -39,6 +39,10 @@
     virtual void close() = 0;
 };
 
+/// Reads what is there, up to 16 KiB, into a buffer that all streams share: the bytes stay until the next
+/// call.
+std::string_view readAvailable(byte_stream &from, byte_stream::failure_code &failure);
+
 /// Makes the streams of one listener or pool.
 using stream_factory = std::function<std::unique_ptr<byte_stream>(boost::asio::io_context &)>;
 
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/background_loop.h"
 #include "http/connection_pool.h"
+#include "http/request_encoding.h"
 #include "http/tls_stream.h"
 
 #include <map>
@@ -13,27 +14,6 @@
 
 constexpr std::size_t connection_limit = 1024; ///< to one address
 
-std::string encode(const endpoint &to, const request &message)
-{
-    std::string text = message.method + ' ' + message.path;
-    if (!message.query.empty())
-        text.append("?").append(message.query);
-    text.append(" HTTP/1.1\r\n");
-    appendField(text, "Host", to.text());
-    for (const auto &[name, value] : message.headers) {
-        const bool isOurs = equalNames(name, "Host") || equalNames(name, "Content-Length")
-            || equalNames(name, "Transfer-Encoding") || equalNames(name, "Connection");
-        if (!isOurs)
-            appendField(text, name, value);
-    }
-    if (!message.body.empty() || message.method == "POST" || message.method == "PUT") {
-        if (message.header("Content-Type").empty())
-            appendField(text, "Content-Type", "application/json");
-        appendField(text, "Content-Length", std::to_string(message.body.size()));
-    }
-    return text.append("\r\n").append(message.body);
-}
-
 error describe(const exchange_failure &failure)
 {
     const bool unsent = failure.stage == exchange_stage::not_sent;
@@ -336,7 +316,7 @@
 {
     if (options.certificateAuthority.empty())
         options.certificateAuthority = m_state->certificateAuthority;
-    const auto call = std::make_shared<running_call>(to, encode(to, message), options,
+    const auto call = std::make_shared<running_call>(to, encodeRequest(to, message), options,
                                                      message.method == "HEAD", std::move(observer));
     backgroundLoop().post([state = m_state, call, authority = options.certificateAuthority] {
         call->start(state->poolFor(authority));
--- a/libraries/http/fetcher.cpp
+++ b/libraries/http/fetcher.cpp
@@ -1,5 +1,7 @@
 #include "http/fetcher.h"
 
+#include "http/request_encoding.h"
+
 #include <algorithm>
 #include <map>
 #include <optional>
@@ -13,20 +15,6 @@
 constexpr std::size_t connection_limit = 16;
 constexpr std::size_t body_limit = std::size_t{16} * 1024 * 1024;
 
-std::string encode(const endpoint &to, const request &message)
-{
-    std::string text = message.method + ' ' + message.path;
-    if (!message.query.empty())
-        text.append("?").append(message.query);
-    text.append(" HTTP/1.1\r\n");
-    appendField(text, "Host", to.text());
-    for (const auto &[name, value] : message.headers)
-        appendField(text, name, value);
-    if (!message.body.empty() || message.method == "POST" || message.method == "PUT")
-        appendField(text, "Content-Length", std::to_string(message.body.size()));
-    return text.append("\r\n").append(message.body);
-}
-
 /// One request and the answer as far as it has come.
 class fetch final : public exchange_observer
 {
@@ -131,7 +119,7 @@
     options.connectTime = std::min<duration>(timeout, connect_time);
     options.connections = connection_limit;
     options.headOnly = message.method == "HEAD";
-    started->running = m_state->transport.start(to, encode(to, message), options, *started);
+    started->running = m_state->transport.start(to, encodeRequest(to, message), options, *started);
 }
 
 } // namespace ivypier::http
--- a/libraries/http/listener_connection.cpp
+++ b/libraries/http/listener_connection.cpp
@@ -12,15 +12,7 @@
 namespace {
 
 /// Bytes of pipelined requests that are read while one is answered.
-constexpr std::size_t read_ahead_limit = 64 * 1024;
-constexpr std::size_t read_size = 16 * 1024;
-
-/// One read at a time on one thread: the bytes are taken before the next read.
-std::array<char, read_size> &readBuffer()
-{
-    static std::array<char, read_size> buffer;
-    return buffer;
-}
+constexpr std::size_t read_ahead_limit = std::size_t{64} * 1024;
 
 } // namespace
 
@@ -153,9 +145,9 @@
     if (!m_open)
         return;
     boost::system::error_code problem = failure;
-    std::size_t size = 0;
+    std::string_view bytes;
     if (!problem)
-        size = m_stream->readSome(readBuffer().data(), readBuffer().size(), problem);
+        bytes = readAvailable(*m_stream, problem);
     if (problem == boost::asio::error::would_block) {
         waitForInput();
         return;
@@ -164,7 +156,7 @@
         close();
         return;
     }
-    m_input.append(readBuffer().data(), size);
+    m_input.append(bytes);
     if (m_phase != phase::answering)
         takeInput();
     if (m_phase != phase::answering || m_input.size() < read_ahead_limit)
--- a/libraries/http/pooled_connection.cpp
+++ b/libraries/http/pooled_connection.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t read_size = 16 * 1024;
 constexpr std::uint32_t header_limit = 32 * 1024;
 constexpr std::uint64_t body_limit = std::uint64_t{1} << 30;
 /// Answers to other requests that are passed over before the connection counts as broken.
@@ -19,12 +18,6 @@
 /// Part of the time its peer names for which a connection is used.
 constexpr double keep_part = 0.6;
 
-std::array<char, read_size> &readBuffer()
-{
-    static std::array<char, read_size> buffer;
-    return buffer;
-}
-
 /// The time for which the peer keeps an idle connection (`Keep-Alive: timeout=<seconds>`).
 duration keepTime(const field_list &fields)
 {
@@ -128,9 +121,9 @@
     if (!m_open || m_paused)
         return;
     boost::system::error_code problem = failure;
-    std::size_t size = 0;
+    std::string_view bytes;
     if (!problem)
-        size = m_stream->readSome(readBuffer().data(), readBuffer().size(), problem);
+        bytes = readAvailable(*m_stream, problem);
     if (problem == boost::asio::error::would_block) {
         waitForInput();
         return;
@@ -148,7 +141,7 @@
         fail(problem.message());
         return;
     }
-    takeInput({readBuffer().data(), size});
+    takeInput(bytes);
     waitForInput();
 }
 
@@ -197,9 +190,9 @@
 
 bool pooled_connection::takeHead()
 {
-    constexpr int first_final_status = 200;
+    constexpr int firstFinalStatus = 200;
     const response_head &head = m_parser->head();
-    if (head.status < first_final_status) { // interim responses carry nothing for the caller
+    if (head.status < firstFinalStatus) { // interim responses carry nothing for the caller
         m_skipping = true;
         return true;
     }
--- a/libraries/http/tls_stream.cpp
+++ b/libraries/http/tls_stream.cpp
@@ -15,7 +15,7 @@
 using tcp = boost::asio::ip::tcp;
 using tls_context = boost::asio::ssl::context;
 
-constexpr std::size_t read_size = 16 * 1024;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 
 class tls_stream final : public byte_stream
 {
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -26,7 +26,7 @@
 /// much at most, so that callers don't return together.
 constexpr duration retry_pause = std::chrono::milliseconds(250);
 /// Bytes that wait for a slow caller before the upstream is read no further.
-constexpr std::size_t unsent_limit = 256 * 1024;
+constexpr std::size_t unsent_limit = std::size_t{256} * 1024;
 /// Longest answer that is collected before it is passed on.
 constexpr std::size_t collected_limit = std::size_t{4} * 1024 * 1024;
 
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -141,11 +141,11 @@
 
 bool unit_quota::isShort() const
 {
-    constexpr double short_part = 0.5;
+    constexpr double shortPart = 0.5;
     for (const auto &[account, each] : m_buckets) {
         bucket now = each;
         fill(now);
-        if (now.perSecond > 0.0 && now.fleetUnits < short_part * now.burst)
+        if (now.perSecond > 0.0 && now.fleetUnits < shortPart * now.burst)
             return true;
     }
     return false;
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -40,8 +40,8 @@
     /// All that this node ever took, by account; only accounts with a limit.
     std::map<std::string, std::uint64_t> takenHere() const;
 
-    /// True while the fleet's bucket of an account is less than half full: other nodes need to know soon what is
-    /// taken here.
+    /// True while the fleet's bucket of an account is less than half full: other nodes need to know soon what
+    /// is taken here.
     bool isShort() const;
 
 private:
