--- a/libraries/duties/upstream_orders.h
+++ b/libraries/duties/upstream_orders.h
@@ -65,9 +65,13 @@
         bool started = false;
     };
 
-    /// The load to plan for; before calls have come for a while, that of the upstreams which were found.
+    /// True once no further upstream has been found for a while.
     bool isListed(const std::string &service, const capacity_plan &there);
+
+    /// The load to plan for; before calls have come for a while, that of the upstreams which were found.
     double follow(const std::string &service, const relay::service_work &work);
+
+    /// The load with hysteresis.
     double steady(const std::string &service, double load);
     capacity_plan present(const std::string &service) const;
 
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -63,8 +63,9 @@
 /// The process ends this long before the platform would kill it.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
-/// Part of the repeats that the pages allow which the nodes use: their counts are not shared.
+/// Part of the allowed repeats that the nodes use: they do not share their counts.
 constexpr double repeat_part = 0.7;
+/// Connections to one upstream that a node may have however many nodes share it.
 constexpr std::size_t least_connections = 4;
 /// Descriptors for upstreams, the store and files; the rest is for callers.
 constexpr std::size_t reserved_descriptors = 900;
