--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -183,16 +183,6 @@
     return std::make_unique<pooled_exchange>(connection, number);
 }
 
-void connection_pool::forget(const endpoint &to)
-{
-    const auto found = m_state->peers.find(to);
-    if (found == m_state->peers.end())
-        return;
-    const auto idle = found->second.idle;
-    for (const auto &each : idle)
-        each->close();
-}
-
 pool_counts connection_pool::counts() const
 {
     return m_state->counts;
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -28,9 +28,6 @@
     std::unique_ptr<outgoing_exchange> start(const endpoint &to, std::string bytes, exchange_options options,
                                              exchange_observer &observer) override;
 
-    /// Closes the idle connections to an address, e.g. when another upstream has it now.
-    void forget(const endpoint &to);
-
     pool_counts counts() const;
 
 private:
--- a/libraries/http/message_parser.cpp
+++ b/libraries/http/message_parser.cpp
@@ -17,7 +17,6 @@
 template <bool IsRequest>
 outcome<std::size_t> message_parser<IsRequest>::feed(std::string_view bytes)
 {
-    m_started = m_started || !bytes.empty();
     failure_code failure;
     const std::size_t taken = base::put(boost::asio::const_buffer(bytes.data(), bytes.size()), failure);
     if (!failure || failure == beast::error::need_more)
--- a/libraries/http/message_parser.h
+++ b/libraries/http/message_parser.h
@@ -43,10 +43,6 @@
     {
         return base::is_done();
     }
-    bool hasStarted() const
-    {
-        return m_started;
-    }
 
     /// True when feed() failed because the body is over its bound, rather than the header.
     bool isBodyTooLarge() const
@@ -110,7 +106,6 @@
 
     head_type m_head;
     std::string m_body;
-    bool m_started = false;
     bool m_bodyTooLarge = false;
 };
 
--- a/libraries/relay/event_scanner.cpp
+++ b/libraries/relay/event_scanner.cpp
@@ -64,7 +64,6 @@
             m_gap = true;
         if (number)
             m_last = number;
-        ++m_count;
         whole.append(event);
     }
     m_partial.erase(0, m_partial.size() - rest.size());
--- a/libraries/relay/event_scanner.h
+++ b/libraries/relay/event_scanner.h
@@ -29,10 +29,6 @@
     {
         return m_last;
     }
-    std::uint64_t eventCount() const
-    {
-        return m_count;
-    }
 
     /// True while bytes of an unfinished event are held.
     bool hasPartialEvent() const
@@ -53,7 +49,6 @@
 private:
     std::string m_partial;
     std::optional<std::uint64_t> m_last;
-    std::uint64_t m_count = 0;
     bool m_gap = false;
 };
 
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -30,12 +30,6 @@
     /// Checks route, key, limit and time, then sends.
     void start();
 
-    /// The upstream leaves; a call that runs there goes on.
-    const std::string &upstreamId() const
-    {
-        return m_upstream;
-    }
-
 private:
     /// What is known of the sending that is under way.
     enum class sending { none, sent, answering };
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -17,8 +17,6 @@
     auto [found, isNew] = m_upstreams.try_emplace(record.id);
     upstream &each = found->second;
     const bool leaves = record.draining && (isNew || !each.record.draining);
-    if (isNew)
-        each.knownSince = m_time.now();
     each.record = record;
     if (!isNew && !leaves)
         return;
@@ -102,7 +100,6 @@
         return;
     --found->second.running;
     found->second.runningTokens -= std::min(found->second.runningTokens, tokens);
-    ++found->second.callsEnded;
 }
 
 void upstream_directory::succeeded(const std::string &id)
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -32,12 +32,10 @@
 struct upstream
 {
     upstream_record record;
-    time_point knownSince{};
     std::uint32_t running = 0; ///< calls of this node that are under way
     std::uint64_t runningTokens = 0; ///< tokens of these calls that are still to be read or made
     std::uint32_t failuresInRow = 0;
     time_point setAsideUntil{};
-    std::uint64_t callsEnded = 0;
 
     bool isSetAside(time_point now) const
     {
