A few nodes of each domain read the platform's tables, the others read from them

Cause: each of 68 nodes followed both tables itself, 290 calls a second, of which most were answered by one changed upstream. Ruled out: heartbeats (a row changes only when more than its sequence does) and retries (no call failed).

Change: table_readers chooses two nodes of a domain of more than four and one more for each 20; shared_feed asks them and falls back to the store; peer_rows_server answers from the follower's log of changes. A follower pauses 200 ms after changes. table_observer tells whether a row was news.

--- a/libraries/cloud/table_follower.cpp
+++ b/libraries/cloud/table_follower.cpp
@@ -37,6 +37,25 @@
     m_onAnswered = std::move(observer);
 }
 
+void table_follower::onNews(std::function<void()> observer)
+{
+    m_onNews = std::move(observer);
+}
+
+std::optional<feed_rows> table_follower::changesSince(std::uint64_t after) const
+{
+    if (!m_hasRows || after < m_logStart)
+        return std::nullopt;
+    std::map<std::string, feed_row> newest;
+    for (auto each = m_log.rbegin(); each != m_log.rend() && each->version > after; ++each)
+        newest.emplace(each->key, *each);
+    feed_rows result;
+    result.version = m_version;
+    for (auto &[key, row] : newest)
+        result.rows.push_back(std::move(row));
+    return result;
+}
+
 feed_rows table_follower::rows() const
 {
     feed_rows result;
@@ -89,25 +108,62 @@
         }
         answered();
         takeChanges(read.value());
-        wait();
+        if (read.value().rows.empty())
+            wait();
+        else
+            waitSoon();
+    });
+}
+
+void table_follower::waitSoon()
+{
+    const std::uint64_t turn = ++m_turn;
+    m_tasks.after(m_options.pace, [this, turn] {
+        if (turn == m_turn)
+            wait();
     });
 }
 
+void table_follower::tellObserver(const feed_row &row, bool uncertain)
+{
+    if (!m_observer.onChange(row, uncertain))
+        return;
+    m_hasNews = true;
+    m_log.push_back(row);
+    if (m_log.size() > m_options.loggedChanges) {
+        m_logStart = m_log.front().version;
+        m_log.pop_front();
+    }
+}
+
+void table_follower::newsTaken()
+{
+    if (std::exchange(m_hasNews, false) && m_onNews)
+        m_onNews();
+}
+
 void table_follower::takeRows(const feed_rows &read)
 {
     if (m_hasRows && read.version < m_version)
         return;
+    const bool uncertain = m_tasks.now() - m_connectedSince < m_options.uncertainTime;
+    if (!std::exchange(m_hasRows, true))
+        m_logStart = read.version;
     m_version = read.version;
-    m_hasRows = true;
     std::map<std::string, feed_row> before = std::exchange(m_rows, {});
     for (const feed_row &each : read.rows)
         m_rows.emplace(each.key, each);
-    const bool uncertain = m_tasks.now() - m_connectedSince < m_options.uncertainTime;
     for (const auto &[key, row] : before) {
         if (!m_rows.contains(key))
-            m_observer.onChange({key, read.version, {}, true}, uncertain);
+            tellObserver({key, read.version, {}, true}, uncertain);
+    }
+    // In the log their versions must grow: a row that is read late counts as changed by now.
+    for (const feed_row &each : read.rows) {
+        const auto known = before.find(each.key);
+        if (known == before.end() || known->second.value != each.value)
+            tellObserver({each.key, read.version, each.value, false}, false);
     }
-    m_observer.onRows(read.rows);
+    newsTaken();
 }
 
 void table_follower::takeChanges(const feed_rows &read)
@@ -118,9 +174,10 @@
             m_rows.erase(each.key);
         else
             m_rows[each.key] = each;
-        m_observer.onChange(each, uncertain);
+        tellObserver(each, uncertain);
     }
     m_version = std::max(m_version, read.version);
+    newsTaken();
 }
 
 void table_follower::answered()
@@ -144,6 +201,8 @@
             .with("table", m_table)
             .with("reason", why.message)
             .write();
+    if (m_onNews)
+        m_onNews();
     ++m_failures;
     if (m_failures >= failures_until_substitute)
         listFromSubstitute();
--- a/libraries/cloud/table_follower.h
+++ b/libraries/cloud/table_follower.h
@@ -4,8 +4,10 @@
 #include "base/scheduler.h"
 #include "cloud/change_feed.h"
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace ivypier::cloud {
@@ -16,12 +18,9 @@
 public:
     virtual ~table_observer() = default;
 
-    /// The whole table, read anew.
-    virtual void onRows(const std::vector<feed_row> &rows) = 0;
-
-    /// One row changed or was removed. `uncertain`: the source was away until just now, so that a removed row
-    /// may come back.
-    virtual void onChange(const feed_row &row, bool uncertain) = 0;
+    /// One row was read for the first time, changed or was removed. `uncertain`: the source was away until
+    /// just now, so that a removed row may come back. Returns whether it told something new.
+    virtual bool onChange(const feed_row &row, bool uncertain) = 0;
 };
 
 struct follower_options
@@ -30,10 +29,12 @@
     /// that the source may take to answer: together less than what a listed upstream is promised to serve on.
     duration wait = std::chrono::seconds(3);
     duration waitWhileLost = std::chrono::milliseconds(300); ///< until the source answers again
-    duration listTime = std::chrono::seconds(2); ///< longest wait for the whole table
+    /// Pause after an answer that brought rows, so that changes that come together are read together.
+    duration pace = std::chrono::milliseconds(200);
     duration firstPause = std::chrono::milliseconds(150); ///< after a failure; doubled each time
     duration longestPause = std::chrono::milliseconds(1200);
     duration uncertainTime = std::chrono::seconds(3); ///< after the source came back
+    std::size_t loggedChanges = 1000; ///< kept for those who follow this follower
 
     auto operator<=>(const follower_options &) const = default;
 };
@@ -55,6 +56,10 @@
     /// Every row as last seen.
     feed_rows rows() const;
 
+    /// The rows that told something new after a version, each as last seen; nothing when that is not known
+    /// any longer.
+    std::optional<feed_rows> changesSince(std::uint64_t after) const;
+
     /// The version up to which changes are known.
     std::uint64_t version() const
     {
@@ -70,12 +75,18 @@
     /// Calls `observer` each time the source answered.
     void onAnswered(std::function<void()> observer);
 
+    /// Calls `observer` after rows told something new, and when the source stops to answer.
+    void onNews(std::function<void()> observer);
+
 private:
     void list();
     void wait();
     void listFromSubstitute();
     void takeRows(const feed_rows &read);
     void takeChanges(const feed_rows &read);
+    void tellObserver(const feed_row &row, bool uncertain);
+    void newsTaken();
+    void waitSoon();
     void answered();
     void failed(const error &why);
 
@@ -88,12 +99,16 @@
     follower_options m_options;
     std::map<std::string, feed_row> m_rows;
     std::uint64_t m_version = 0;
+    std::deque<feed_row> m_log; ///< what told something new, in order of versions
+    std::uint64_t m_logStart = 0; ///< changes up to this version are not in the log
+    bool m_hasNews = false;
     std::uint64_t m_turn = 0; ///< answers to earlier turns are dropped
     std::uint32_t m_failures = 0;
     time_point m_connectedSince{};
     bool m_connected = false;
     bool m_hasRows = false;
     std::function<void()> m_onAnswered;
+    std::function<void()> m_onNews;
 };
 
 } // namespace ivypier::cloud
--- a/libraries/relay/configuration_rows.cpp
+++ b/libraries/relay/configuration_rows.cpp
@@ -11,16 +11,10 @@
 {
 }
 
-void configuration_rows::onRows(const std::vector<cloud::feed_row> &rows)
-{
-    for (const cloud::feed_row &each : rows)
-        onChange(each, false);
-}
-
-void configuration_rows::onChange(const cloud::feed_row &row, bool)
+bool configuration_rows::onChange(const cloud::feed_row &row, bool)
 {
     if (row.key != m_key || row.removed)
-        return;
+        return false;
     outcome<service_map> decoded = m_decode(row.value);
     if (!decoded) {
         log_event(log_level::error, "configuration.rejected")
@@ -28,12 +22,13 @@
             .with("in_force", static_cast<std::int64_t>(m_version))
             .with("reason", decoded.error().message)
             .write();
-        return;
+        return false;
     }
     if (decoded.value().version <= m_version)
-        return;
+        return false;
     m_version = decoded.value().version;
     m_onNewer(std::make_shared<const route_table>(std::move(decoded.value())));
+    return true;
 }
 
 } // namespace ivypier::relay
--- a/libraries/relay/configuration_rows.h
+++ b/libraries/relay/configuration_rows.h
@@ -19,8 +19,7 @@
 
     configuration_rows(std::string key, decoder decode, receiver onNewer);
 
-    void onRows(const std::vector<cloud::feed_row> &rows) override;
-    void onChange(const cloud::feed_row &row, bool uncertain) override;
+    bool onChange(const cloud::feed_row &row, bool uncertain) override;
 
     /// The version in force; 0 before the first.
     std::uint64_t version() const
--- a/libraries/relay/upstream_rows.cpp
+++ b/libraries/relay/upstream_rows.cpp
@@ -32,25 +32,26 @@
     m_leaving.erase(found);
 }
 
-void upstream_rows::onRows(const std::vector<cloud::feed_row> &rows)
-{
-    // Rows that are missing in the new list were told one by one before.
-    for (const cloud::feed_row &each : rows)
-        onChange(each, false);
-}
-
-void upstream_rows::onChange(const cloud::feed_row &row, bool uncertain)
+bool upstream_rows::onChange(const cloud::feed_row &row, bool uncertain)
 {
     if (row.removed) {
         if (uncertain && m_upstreams.find(row.key))
             removeLater(row.key);
         else
             m_upstreams.remove(row.key);
-        return;
+        return m_told.erase(row.key) > 0;
     }
     keep(row.key);
-    if (const auto record = read(row))
-        m_upstreams.put(*record);
+    const auto record = read(row);
+    if (!record)
+        return false;
+    const auto [told, isNew] = m_told.try_emplace(row.key, *record);
+    // A heartbeat alone changes nothing.
+    if (!isNew && told->second == *record && m_upstreams.find(row.key))
+        return false;
+    told->second = *record;
+    m_upstreams.put(*record);
+    return true;
 }
 
 void upstream_rows::removeLater(const std::string &id)
--- a/libraries/relay/upstream_rows.h
+++ b/libraries/relay/upstream_rows.h
@@ -21,8 +21,7 @@
 
     upstream_rows(scheduler &tasks, upstream_directory &upstreams, decoder decode);
 
-    void onRows(const std::vector<cloud::feed_row> &rows) override;
-    void onChange(const cloud::feed_row &row, bool uncertain) override;
+    bool onChange(const cloud::feed_row &row, bool uncertain) override;
 
 private:
     std::optional<upstream_record> read(const cloud::feed_row &row) const;
@@ -32,6 +31,7 @@
     scheduler &m_tasks;
     upstream_directory &m_upstreams;
     decoder m_decode;
+    std::map<std::string, upstream_record> m_told; ///< what the rows said last
     std::map<std::string, timer_id> m_leaving; ///< upstreams whose grace time runs
 };
 
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -2,6 +2,10 @@
 
 #include "caller_lookup.h"
 #include "peer_rows.h"
+#include "peer_rows_codec.h"
+#include "peer_rows_server.h"
+#include "shared_feed.h"
+#include "table_readers.h"
 
 #include "base/hash.h"
 #include "base/log_event.h"
@@ -97,7 +101,10 @@
     http::fetcher platformCalls{tasks, platformConnections};
     adapter::store_client store{platformCalls, settings.store};
     adapter::cloud_client cloud{platformCalls, settings.cloud, settings.name};
-    peer_rows peers{randomness, members, platformCalls, settings.control.port};
+    table_readers readers{tasks, randomness, members};
+    peer_rows peers{readers, platformCalls, settings.control.port};
+    shared_feed tables{readers, store, peers};
+    peer_rows_server peerQuestions{tasks};
 
     relay::upstream_directory upstreams{tasks};
     adapter::runner_protocol protocol;
@@ -118,9 +125,9 @@
         [this](std::shared_ptr<const relay::route_table> table) { takeConfiguration(std::move(table)); }};
     relay::upstream_rows upstreamRows{tasks, upstreams, adapter::decodeUpstream};
     cloud::table_follower configurationTable{
-        tasks, randomness, store, &peers, adapter::wire::operator_table, configurationRows};
-    cloud::table_follower upstreamTable{tasks,       randomness, store, &peers, adapter::wire::upstream_table,
-                                        upstreamRows};
+        tasks, randomness, tables, &peers, adapter::wire::operator_table, configurationRows};
+    cloud::table_follower upstreamTable{
+        tasks, randomness, tables, &peers, adapter::wire::upstream_table, upstreamRows};
 
     /// One process runs on a VM at a time: its name is enough of a holder.
     placement::lease_keeper lease{
@@ -145,7 +152,7 @@
     void takeCall(http::incoming_request incoming, const std::shared_ptr<http::reply> &to);
     void answerReadiness(const http::incoming_request &incoming, http::reply &to) const;
     void answerLookup(const http::incoming_request &incoming, http::reply &to) const;
-    void answerControl(const http::incoming_request &incoming, http::reply &to) const;
+    void answerControl(const http::incoming_request &incoming, const std::shared_ptr<http::reply> &to);
     void answerMetrics(const http::incoming_request &incoming, http::reply &to);
     void takeConfiguration(std::shared_ptr<const relay::route_table> table);
     void takeFact(const membership::fact &news);
@@ -195,13 +202,13 @@
 
 outcome<void> edge_node::parts::listen()
 {
-    using answering = std::function<void(const http::incoming_request &, http::reply &)>;
+    using answering
+        = std::function<void(const http::incoming_request &, const std::shared_ptr<http::reply> &)>;
     const auto open = [this](std::unique_ptr<http::listener> &to, const endpoint &at, answering answer) {
-        auto opened = http::listener::open(
-            tasks, at, {},
-            [answer](const http::incoming_request &incoming, std::shared_ptr<http::reply> reply) {
-                answer(incoming, *reply);
-            });
+        auto opened
+            = http::listener::open(tasks, at, {},
+                                   [answer](const http::incoming_request &incoming,
+                                            std::shared_ptr<http::reply> reply) { answer(incoming, reply); });
         if (!opened)
             return outcome<void>(opened.error());
         to = std::move(opened.value());
@@ -220,13 +227,13 @@
     callers = std::move(opened.value());
     for (const outcome<void> &each :
          {open(readiness, settings.readiness,
-               [this](const auto &incoming, auto &to) { answerReadiness(incoming, to); }),
+               [this](const auto &incoming, auto &to) { answerReadiness(incoming, *to); }),
           open(lookups, settings.lookups,
-               [this](const auto &incoming, auto &to) { answerLookup(incoming, to); }),
+               [this](const auto &incoming, auto &to) { answerLookup(incoming, *to); }),
           open(control, settings.control,
                [this](const auto &incoming, auto &to) { answerControl(incoming, to); }),
           open(metricsListener, settings.metrics,
-               [this](const auto &incoming, auto &to) { answerMetrics(incoming, to); })}) {
+               [this](const auto &incoming, auto &to) { answerMetrics(incoming, *to); })}) {
         if (!each)
             return each.error();
     }
@@ -236,8 +243,8 @@
 void edge_node::parts::start()
 {
     startedAt = tasks.now();
-    peers.serve(adapter::wire::operator_table, configurationTable);
-    peers.serve(adapter::wire::upstream_table, upstreamTable);
+    peerQuestions.serve(adapter::wire::operator_table, configurationTable);
+    peerQuestions.serve(adapter::wire::upstream_table, upstreamTable);
     configurationTable.onAnswered([this] { members.platformAnswered(); });
     members.onFact([this](const membership::fact &news) { takeFact(news); });
     upstreams.onLeaving([this](const relay::upstream_record &each) {
@@ -296,12 +303,13 @@
             adapter::encodeLookupAnswer(addresses, settings.lookupLifetime));
 }
 
-void edge_node::parts::answerControl(const http::incoming_request &incoming, http::reply &to) const
+void edge_node::parts::answerControl(const http::incoming_request &incoming,
+                                     const std::shared_ptr<http::reply> &to)
 {
-    if (incoming.head.path() == peer_rows::path)
-        peers.answer(incoming, to);
+    if (incoming.head.path() == peer_rows_path)
+        peerQuestions.answer(incoming, to);
     else
-        to.send(status_not_found, {}, {});
+        to->send(status_not_found, {}, {});
 }
 
 void edge_node::parts::answerMetrics(const http::incoming_request &incoming, http::reply &to)
--- /dev/null
+++ b/services/edge/table_readers.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/random_source.h"
+#include "membership/membership_view.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace ivypier::edge {
+
+/// Which nodes read the platform's tables themselves, and from which of them the others read.
+///
+/// A failure domain with few nodes has each of them read; in a larger one a few do, by rendezvous hash, so
+/// that calls to the platform do not grow with the fleet.
+class table_readers
+{
+public:
+    /// Domains of up to so many nodes have all of them read.
+    static constexpr std::size_t most_direct_nodes = 4;
+    /// Readers of a larger domain, and the nodes that one more of them serves.
+    static constexpr std::size_t least_readers = 2;
+    static constexpr std::size_t nodes_per_reader = 20;
+    /// A reader that failed is not asked for this long.
+    static constexpr duration avoided_time = std::chrono::seconds(3);
+
+    table_readers(const clock &time, random_source &randomness, const membership::membership_view &members);
+
+    /// True when this node has to read for itself.
+    bool readsDirectly() const;
+
+    /// A reader of this node's domain that did not fail lately; nothing when there is none.
+    std::optional<membership::member> pick() const;
+
+    /// Any reader of any domain: for a second opinion.
+    std::optional<membership::member> pickAnywhere() const;
+
+    /// A reader did not answer as it should.
+    void failed(membership::incarnation reader);
+
+private:
+    std::vector<membership::member> readersOf(const std::string &failureDomain) const;
+    std::optional<membership::member> oneOf(const std::vector<membership::member> &readers) const;
+
+    const clock &m_time;
+    random_source &m_random;
+    const membership::membership_view &m_members;
+    std::map<membership::incarnation, time_point> m_failedAt;
+};
+
+} // namespace ivypier::edge
--- /dev/null
+++ b/services/edge/tests/shared_tables_test.cpp
@@ -0,0 +1,225 @@
+#include "../peer_rows_codec.h"
+#include "../peer_rows_server.h"
+#include "../shared_feed.h"
+#include "base/log_event.h"
+#include "base/virtual_scheduler.h"
+#include "fake_membership.h"
+#include "fake_transport.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ivypier;
+using namespace ivypier::edge;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A feed that answers at once, with what the test says.
+class prompt_feed final : public cloud::change_feed
+{
+public:
+    void list(const std::string &, completion done) override
+    {
+        ++lists;
+        done(next);
+    }
+    void changes(const std::string &, std::uint64_t, duration, completion done) override
+    {
+        ++waits;
+        done(next);
+    }
+
+    outcome<cloud::feed_rows> next = cloud::feed_rows{};
+    int lists = 0;
+    int waits = 0;
+};
+
+/// A feed whose waits never end.
+class silent_feed final : public cloud::change_feed
+{
+public:
+    void list(const std::string &, completion done) override
+    {
+        done(rows);
+    }
+    void changes(const std::string &, std::uint64_t, duration, completion done) override
+    {
+        waiting = std::move(done);
+    }
+
+    cloud::feed_rows rows{{{"a", 3, "x", false}}, 5};
+    completion waiting;
+};
+
+class taking_observer final : public cloud::table_observer
+{
+public:
+    bool onChange(const cloud::feed_row &, bool) override
+    {
+        return true;
+    }
+};
+
+membership::member nodeOf(membership::incarnation id, const std::string &domain)
+{
+    membership::member result;
+    result.id = id;
+    result.name = "node-" + std::to_string(id);
+    result.address = {"10.0.0." + std::to_string(id), 8221};
+    result.failureDomain = domain;
+    return result;
+}
+
+struct fleet
+{
+    explicit fleet(membership::incarnation nodes)
+    {
+        for (membership::incarnation id = 1; id <= nodes; ++id) {
+            views.push_back(std::make_unique<admission::fake_network::view>(network, id));
+            views.back()->see(nodeOf(id, "hall"));
+        }
+        for (const auto &each : views) {
+            for (membership::incarnation id = 1; id <= nodes; ++id)
+                each->see(nodeOf(id, "hall"));
+            readers.push_back(std::make_unique<table_readers>(time, randomness, *each));
+        }
+    }
+
+    std::vector<std::size_t> direct() const
+    {
+        std::vector<std::size_t> result;
+        for (std::size_t index = 0; index < readers.size(); ++index) {
+            if (readers[index]->readsDirectly())
+                result.push_back(index);
+        }
+        return result;
+    }
+
+    virtual_scheduler time;
+    seeded_random randomness{4};
+    admission::fake_network network{time, randomness, 100ms};
+    std::vector<std::unique_ptr<admission::fake_network::view>> views;
+    std::vector<std::unique_ptr<table_readers>> readers;
+};
+
+http::incoming_request question(const std::string &query)
+{
+    http::incoming_request result;
+    result.head.method = "GET";
+    result.head.target = std::string(peer_rows_path) + '?' + query;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("in a small domain every node reads for itself, in a large one a few do")
+{
+    CHECK(fleet(table_readers::most_direct_nodes).direct().size() == table_readers::most_direct_nodes);
+    CHECK(fleet(20).direct().size() == 2);
+    CHECK(fleet(50).direct().size() == 3);
+}
+
+TEST_CASE("a reader that failed is not asked for a while, and a reader that is dead is replaced")
+{
+    fleet with(10);
+    const std::vector<std::size_t> direct = with.direct();
+    std::size_t asker = 0;
+    while (std::count(direct.begin(), direct.end(), asker) > 0)
+        ++asker;
+    const auto first = with.readers[asker]->pick();
+    REQUIRE(first);
+    with.readers[asker]->failed(first->id);
+    for (int round = 0; round < 20; ++round)
+        CHECK(with.readers[asker]->pick()->id != first->id);
+    with.readers[asker]->failed(with.readers[asker]->pick()->id);
+    CHECK_FALSE(with.readers[asker]->pick());
+    with.time.advance(table_readers::avoided_time);
+    CHECK(with.readers[asker]->pick());
+    for (const auto &each : with.views)
+        each->see(first->id, membership::member_state::dead);
+    CHECK(with.direct().size() == 2);
+}
+
+TEST_CASE("a node that does not read asks the others, and the platform when they fail")
+{
+    fleet with(10);
+    prompt_feed platform;
+    prompt_feed peers;
+    std::size_t asker = 0;
+    while (with.readers[asker]->readsDirectly())
+        ++asker;
+    shared_feed feed(*with.readers[asker], platform, peers);
+    peers.next = cloud::feed_rows{{}, 7};
+    std::uint64_t version = 0;
+    const auto note
+        = [&](const outcome<cloud::feed_rows> &read) { version = read ? read.value().version : 0; };
+    feed.changes("t", 3, 1s, note);
+    feed.list("t", note);
+    CHECK(version == 7);
+    CHECK(platform.lists + platform.waits == 0);
+
+    peers.next = error{error_code::unavailable, "cut off"};
+    platform.next = cloud::feed_rows{{}, 8};
+    feed.changes("t", 3, 1s, note);
+    CHECK(version == 8);
+    feed.list("t", note);
+    CHECK(platform.waits == 1);
+    CHECK(platform.lists == 1);
+
+    // What the other node no longer knows is read anew, not waited for.
+    peers.next = error{error_code::not_found, "too old"};
+    error_code code{};
+    feed.changes("t", 3, 1s, [&](const outcome<cloud::feed_rows> &read) { code = read.error().code; });
+    CHECK(code == error_code::not_found);
+    CHECK(platform.waits == 1);
+}
+
+TEST_CASE("a node that reads never asks the others")
+{
+    fleet with(10);
+    prompt_feed platform;
+    prompt_feed peers;
+    shared_feed feed(*with.readers[with.direct().front()], platform, peers);
+    feed.changes("t", 3, 1s, [](const outcome<cloud::feed_rows> &) {});
+    feed.list("t", [](const outcome<cloud::feed_rows> &) {});
+    CHECK(platform.lists + platform.waits == 2);
+    CHECK(peers.lists + peers.waits == 0);
+}
+
+TEST_CASE("a question for changes waits for them, for as long as it asks, and ends when the platform is away")
+{
+    configureLog("tests", log_level::error);
+    virtual_scheduler time;
+    seeded_random randomness{4};
+    silent_feed source;
+    taking_observer observer;
+    cloud::table_follower follower(time, randomness, source, nullptr, "t", observer);
+    peer_rows_server server(time);
+    server.serve("t", follower);
+    const auto ask = [&](const std::string &query) {
+        auto received = std::make_shared<received_answer>();
+        server.answer(question(query), std::make_shared<fake_reply>(received));
+        return received;
+    };
+    CHECK(ask("table=t")->status == 404); // nothing was read yet
+    follower.start();
+    CHECK(ask("table=other")->status == 404);
+    const auto whole = ask("table=t");
+    CHECK(whole->status == 200);
+    CHECK(decodePeerRows(whole->body).value() == source.rows);
+    CHECK(ask("table=t&after=4&wait_ms=1000")->status == 410);
+
+    const auto waits = ask("table=t&after=5&wait_ms=1000");
+    CHECK_FALSE(waits->ended);
+    source.waiting(cloud::feed_rows{{{"b", 6, "y", false}}, 6});
+    CHECK(decodePeerRows(waits->body).value() == cloud::feed_rows{{{"b", 6, "y", false}}, 6});
+
+    const auto inVain = ask("table=t&after=6&wait_ms=1000");
+    time.advance(1500ms);
+    CHECK(decodePeerRows(inVain->body).value() == cloud::feed_rows{{}, 6});
+
+    const auto cutOff = ask("table=t&after=6&wait_ms=1000");
+    source.waiting(error{error_code::timed_out, "as the test says"});
+    CHECK(cutOff->status == 503);
+    CHECK(ask("table=t&after=6&wait_ms=1000")->status == 503);
+}
