Limits, engines and load in a large fleet: heard parts, a reserve by the root of the load, unread prompts

Changes: (1) a node that hears the others may take an eighth of a limit; (2) engines = a x load + b x root of load, the same as before at a load of 3; (3) load counts unread prompts by 2,000 tokens a call, told in tenths; (4) for 12 s after a domain was taken back no fewer reclaimable engines are ordered.

Ruled out: engines too slow (the load of 25 to 29 is what traffic asks for).

Tests: capacity_test, relay_parts_test, fleet_exchange_test; the one of reclaims in a group was seen failing with the hold at 0 s.

--- a/libraries/duties/capacity_policy.cpp
+++ b/libraries/duties/capacity_policy.cpp
@@ -50,9 +50,21 @@
 {
 }
 
+double staffing::engines(double load) const
+{
+    return perLoad * load + perRoot * std::sqrt(load);
+}
+
+double staffing::loadFor(double engines) const
+{
+    // The positive root of perLoad x^2 + perRoot x = engines, where x^2 is the load.
+    const double root = (std::sqrt(perRoot * perRoot + 4.0 * perLoad * engines) - perRoot) / (2.0 * perLoad);
+    return root * root;
+}
+
 double capacity_policy::loadFor(std::uint32_t upstreams) const
 {
-    return upstreams * m_options.ordinaryBusy;
+    return m_options.ordinary.loadFor(upstreams);
 }
 
 capacity_policy::mix capacity_policy::cheapestMix(const capacity_question &question,
@@ -60,8 +72,8 @@
 {
     const auto count = static_cast<std::uint32_t>(domains.size());
     const std::uint32_t most = question.rule.most;
-    const std::uint32_t needed = std::max(rounded(question.load / m_options.ordinaryBusy), 1U);
-    const std::uint32_t neededAfterLoss = rounded(question.load / m_options.busyAfterLoss);
+    const std::uint32_t needed = std::max(rounded(m_options.ordinary.engines(question.load)), 1U);
+    const std::uint32_t neededAfterLoss = rounded(m_options.afterLoss.engines(question.load));
     double meanPrice = 0.0;
     for (const std::string &each : domains)
         meanPrice += priceOf(question.rule, each) / count;
@@ -93,8 +105,8 @@
         sum += each;
         largest = std::max(largest, each);
     }
-    const std::uint32_t now = rounded(load / m_options.reducedBusy);
-    const std::uint32_t afterLoss = rounded(load / m_options.busyAfterLoss);
+    const std::uint32_t now = rounded(m_options.reduced.engines(load));
+    const std::uint32_t afterLoss = rounded(m_options.afterLoss.engines(load));
     return std::max(now - std::min(now, sum), afterLoss - std::min(afterLoss, sum - largest));
 }
 
--- a/libraries/duties/capacity_policy.h
+++ b/libraries/duties/capacity_policy.h
@@ -39,15 +39,31 @@
     bool operator==(const capacity_question &) const = default;
 };
 
+/// How many engines a load needs: a part that grows with it, and a reserve for its variation that grows with
+/// its square root, so that a large fleet keeps a smaller part idle than a small one.
+struct staffing
+{
+    double perLoad = 1.0;
+    double perRoot = 0.0;
+
+    auto operator<=>(const staffing &) const = default;
+
+    double engines(double load) const;
+
+    /// The load that needs so many engines.
+    double loadFor(double engines) const;
+};
+
+/// Figures from days on the users' bench: with engines three times the load where that is 3 (nine engines),
+/// and 1.6 times where it is 25.
 struct capacity_options
 {
-    /// Part of the time that engines may be busy: in ordinary times, so that a burst is carried until new
-    /// engines have booted;
-    double ordinaryBusy = 0.33;
+    /// In ordinary times, so that a burst is carried until new engines have booted;
+    staffing ordinary{2.0, 1.8};
     /// while reclaimable upstreams are missing;
-    double reducedBusy = 0.35;
+    staffing reduced{2.0, 1.5};
     /// and right after a failure domain lost its reclaimable upstreams, until others have booted.
-    double busyAfterLoss = 0.5;
+    staffing afterLoss{1.8, 0.4};
     std::uint32_t leastOnDemand = 1; ///< kept for the case that all reclaimable ones go at once
 
     auto operator<=>(const capacity_options &) const = default;
--- a/libraries/duties/tests/capacity_test.cpp
+++ b/libraries/duties/tests/capacity_test.cpp
@@ -49,7 +49,7 @@
     void orderCapacity(const cloud::capacity_order &order, std::uint64_t, completion done) override
     {
         ++orders;
-        if (order.reclaimable && dry) {
+        if (order.reclaimable && dry && order.count > running(order.failureDomain, true)) {
             m_time.after(10ms, [done] { done(error{error_code::conflict, "none to be had"}); });
             return;
         }
@@ -96,6 +96,14 @@
     int orders = 0;
 
 private:
+    std::uint32_t running(const std::string &domain, bool reclaimable) const
+    {
+        std::uint32_t count = 0;
+        for (const auto &[id, where] : m_running)
+            count += where == std::pair(domain, reclaimable) ? 1 : 0;
+        return count;
+    }
+
     void carryOut(const cloud::capacity_order &order)
     {
         std::vector<std::string> there;
@@ -184,7 +192,7 @@
             CHECK(counts.total() <= threeDomains().most);
             largest = std::max(largest, counts.reclaimable);
         }
-        CHECK(totalOf(plan) * capacity_options().ordinaryBusy >= load - 1e-6);
+        CHECK(totalOf(plan) >= capacity_options().ordinary.engines(load) - 1e-6);
         CHECK((totalOf(plan) - largest) * 0.5 >= load - 1e-6);
         CHECK(onDemandOf(plan) >= 1);
     }
@@ -211,7 +219,7 @@
 {
     fixture with;
     with.runFor(60s, 0.9);
-    CHECK(with.fewest * capacity_options().reducedBusy >= 0.9);
+    CHECK(with.fewest >= 0.9 * capacity_options().reduced.engines(1.0));
     std::uint32_t onDemand = 0;
     for (const relay::upstream *each : with.upstreams.ready("s"))
         onDemand += each->record.reclaimable ? 0 : 1;
@@ -249,7 +257,31 @@
     with.cloud.reclaim("a");
     with.cloud.reclaim("b");
     with.runFor(4800ms, 2.0);
-    CHECK(with.cloud.ready() * capacity_options().reducedBusy >= 2.0 - 0.01);
+    CHECK(with.cloud.ready() >= capacity_options().reduced.engines(2.0) - 0.01);
+}
+
+TEST_CASE(
+    "after one domain was taken back the others keep their reclaimable upstreams, though the load falls")
+{
+    fixture with;
+    with.runFor(40s, 4.0);
+    const auto reclaimableIn = [&](const std::string &domain) {
+        std::uint32_t count = 0;
+        for (const relay::upstream *each : with.upstreams.ready("s"))
+            count += each->record.reclaimable && each->record.failureDomain == domain ? 1 : 0;
+        return count;
+    };
+    const std::uint32_t before = reclaimableIn("b");
+    REQUIRE(before >= 3);
+    with.runFor(400ms, 1.5);
+    REQUIRE(reclaimableIn("b") == before);
+    with.cloud.dry = true;
+    with.cloud.reclaim("a");
+    with.runFor(11s, 1.5);
+    CHECK(reclaimableIn("b") == before);
+    with.cloud.dry = false;
+    with.runFor(60s, 1.5);
+    CHECK(reclaimableIn("b") < before);
 }
 
 TEST_CASE("before the first call upstreams on demand are given back as soon as reclaimable ones boot")
@@ -292,3 +324,16 @@
     with.runFor(60s, 3.0);
     CHECK(with.cloud.orders == 0);
 }
+
+TEST_CASE(
+    "a large fleet keeps a smaller part idle than a small one, and a load is found again from its engines")
+{
+    const capacity_options options;
+    CHECK(options.ordinary.engines(3.0) >= 2.9 * 3.0);
+    CHECK(options.ordinary.engines(25.0) <= 2.5 * 25.0);
+    for (const double load : {0.5, 3.0, 25.0, 400.0}) {
+        CHECK(options.ordinary.loadFor(options.ordinary.engines(load)) == Approx(load));
+        CHECK(options.afterLoss.engines(load) < options.reduced.engines(load));
+        CHECK(options.reduced.engines(load) < options.ordinary.engines(load));
+    }
+}
--- a/libraries/duties/upstream_orders.cpp
+++ b/libraries/duties/upstream_orders.cpp
@@ -113,8 +113,9 @@
             each.name, follow(each.name, found == work.end() ? relay::service_work() : found->second));
         if (!listed || !held || there.empty())
             continue;
-        const capacity_plan plan = m_policy.choose(
+        capacity_plan plan = m_policy.choose(
             {*each.scaling, load, there, booting(each, there), m_loads[each.name].since == time_point()});
+        holdReclaimable(each.name, there, plan);
         logPlan(each.name, load, plan);
         for (const auto &[domain, counts] : plan) {
             const auto in = there.find(domain);
@@ -125,6 +126,30 @@
     }
 }
 
+void upstream_orders::holdReclaimable(const std::string &service, const capacity_plan &there,
+                                      capacity_plan &plan)
+{
+    for (const auto &[domain, counts] : plan) {
+        const order_key key{service, domain, true};
+        const auto sent = m_sent.find(key);
+        const auto left = m_lastLeft.find(key);
+        const auto found = there.find(domain);
+        const std::uint32_t listed = found == there.end() ? 0 : found->second.reclaimable;
+        const bool takenBack = sent != m_sent.end() && left != m_lastLeft.end()
+            && left->second >= sent->second.sentAt && listed < sent->second.count;
+        if (takenBack)
+            m_takenBackAt[service] = std::max(m_takenBackAt[service], left->second);
+    }
+    const auto at = m_takenBackAt.find(service);
+    if (at == m_takenBackAt.end() || m_tasks.now() - at->second > m_options.reclaimGroup)
+        return;
+    for (const auto &[domain, before] : m_plans[service]) {
+        const auto now = plan.find(domain);
+        if (now != plan.end())
+            now->second.reclaimable = std::max(now->second.reclaimable, before.reclaimable);
+    }
+}
+
 void upstream_orders::logPlan(const std::string &service, double load, const capacity_plan &plan)
 {
     if (std::exchange(m_plans[service], plan) == plan)
--- a/libraries/duties/upstream_orders.h
+++ b/libraries/duties/upstream_orders.h
@@ -24,6 +24,9 @@
     /// No upstream may have been found for so long before the first order: those that run list themselves one
     /// by one when the whole system starts.
     duration listing = std::chrono::milliseconds(1300);
+    /// Domains are taken back one after the other: so long after one was, no fewer reclaimable ones are
+    /// ordered.
+    duration reclaimGroup = std::chrono::seconds(12);
     duration learning = std::chrono::seconds(6); ///< calls must have come for so long before the load counts
 
     auto operator<=>(const order_options &) const = default;
@@ -78,6 +81,8 @@
     /// What was ordered since an upstream of the kind last left, taken by the platform, and can be booting
     /// still.
     capacity_plan booting(const relay::service &of, const capacity_plan &there) const;
+    /// Notes when reclaimable upstreams were taken back, and keeps a plan from releasing others soon after.
+    void holdReclaimable(const std::string &service, const capacity_plan &there, capacity_plan &plan);
     void logPlan(const std::string &service, double load, const capacity_plan &plan);
     void order(const relay::service &of, const std::string &domain, bool reclaimable, std::uint32_t count,
                std::uint32_t there);
@@ -92,6 +97,7 @@
     std::uint64_t m_tenure = 0;
     std::map<order_key, sent_order> m_sent;
     std::map<order_key, time_point> m_lastLeft; ///< when an upstream last left
+    std::map<std::string, time_point> m_takenBackAt; ///< by service
     std::map<std::string, known_load> m_loads;
     std::map<std::string, double> m_plannedLoads;
     std::map<std::string, capacity_plan> m_plans; ///< as logged last
--- a/libraries/fleet/fleet_exchange.cpp
+++ b/libraries/fleet/fleet_exchange.cpp
@@ -137,13 +137,15 @@
 void fleet_exchange::chooseBelieved()
 {
     m_believed = nullptr;
+    m_hearsOthers = false;
     for (const membership::incarnation each : m_rankedCollectors) {
         const auto found = m_collectors.find(each);
-        if (found != m_collectors.end()
-            && m_tasks.now() - found->second.heardAt <= silent_intervals * m_interval) {
+        if (found == m_collectors.end()
+            || m_tasks.now() - found->second.heardAt > silent_intervals * m_interval)
+            continue;
+        if (!m_believed)
             m_believed = &found->second;
-            return;
-        }
+        m_hearsOthers = m_hearsOthers || each != m_members.self().id;
     }
 }
 
@@ -183,7 +185,7 @@
     if (!m_believed)
         return 0.0;
     const auto found = m_believed->loads.find(shortName(upstream));
-    return found == m_believed->loads.end() ? 0.0 : static_cast<double>(found->second);
+    return found == m_believed->loads.end() ? 0.0 : static_cast<double>(found->second) / load_units_per_call;
 }
 
 } // namespace ivypier::fleet
--- a/libraries/fleet/fleet_exchange.h
+++ b/libraries/fleet/fleet_exchange.h
@@ -43,7 +43,13 @@
     /// This node holds the duty under a fencing number: the others report to it from now on.
     void announceHolder(std::uint64_t fencing);
 
-    /// Calls of other nodes under way at an upstream.
+    /// True while another node answers as a collector.
+    bool hearsOthers() const
+    {
+        return m_hearsOthers;
+    }
+
+    /// Load of other nodes at an upstream, in calls.
     double othersLoad(const std::string &upstream) const;
 
     /// What was told to this node.
@@ -95,6 +101,7 @@
     std::vector<membership::incarnation> m_rankedCollectors;
     std::map<membership::incarnation, collector> m_collectors;
     const collector *m_believed = nullptr; ///< the collector whose sums count
+    bool m_hearsOthers = false;
     duration m_interval = least_report_interval;
 };
 
--- a/libraries/fleet/own_numbers.cpp
+++ b/libraries/fleet/own_numbers.cpp
@@ -37,7 +37,8 @@
     }
     for (const relay::upstream *each : m_upstreams.all()) {
         if (each->running > 0)
-            numbers.push_back({number_kind::load, shortName(each->record.id), 0, each->running});
+            numbers.push_back({number_kind::load, shortName(each->record.id), 0,
+                               static_cast<std::uint64_t>(each->load() * load_units_per_call)});
     }
     const std::int64_t windows = round % rounds_per_repeat == 0 ? repeated_windows : told_windows;
     for (std::int64_t each = window - windows + 1; each <= window; ++each) {
--- a/libraries/fleet/own_numbers.h
+++ b/libraries/fleet/own_numbers.h
@@ -14,6 +14,9 @@
 /// upstreams look busier, nothing worse.
 std::string shortName(const std::string &upstream);
 
+/// Loads are told in whole tenths of a call.
+inline constexpr double load_units_per_call = 10.0;
+
 /// What this node tells the others.
 class own_numbers
 {
--- a/libraries/fleet/tests/fleet_exchange_test.cpp
+++ b/libraries/fleet/tests/fleet_exchange_test.cpp
@@ -65,7 +65,7 @@
         for (const auto &each : nodes) {
             for (membership::incarnation id = 1; id <= count; ++id)
                 each->view.see(memberOf(id));
-            each->quota.setNodes(nodes.size());
+            each->quota.setNodes(nodes.size(), false);
             each->exchange.start();
         }
     }
@@ -165,7 +165,7 @@
     fleet_of with(9);
     for (const auto &each : with.nodes) {
         each->upstreams.put({"up", "s", {}, "hall", 4});
-        each->upstreams.callBegins("up", 10);
+        each->upstreams.callBegins("up", 0);
     }
     with.time.advance(2s);
     for (const auto &each : with.nodes) {
@@ -179,7 +179,7 @@
     fleet_of with(6);
     for (const auto &each : with.nodes) {
         each->upstreams.put({"up", "s", {}, "hall", 4});
-        each->upstreams.callBegins("up", 10);
+        each->upstreams.callBegins("up", 0);
     }
     with.time.advance(2s);
     const membership::incarnation lost = with.firstCollector();
@@ -214,6 +214,19 @@
     CHECK(taken <= 1000.0 * 31 * 1.1 + 1000.0 * 30 * 2.0 / 5.0); // the lost node has its own part, twice
 }
 
+TEST_CASE("a node hears the others until it is cut off from them")
+{
+    fleet_of with(6);
+    with.time.advance(2s);
+    for (const auto &each : with.nodes)
+        CHECK(each->exchange.hearsOthers());
+    const membership::incarnation lost = with.firstCollector();
+    with.lose(lost);
+    with.time.advance(3s);
+    for (const auto &each : with.nodes)
+        CHECK(each->exchange.hearsOthers() == (each->view.self().id != lost));
+}
+
 TEST_CASE("one node alone may use a limit that nobody else wants, up to twice its equal part")
 {
     fleet_of with(2);
--- a/libraries/fleet/told_number.h
+++ b/libraries/fleet/told_number.h
@@ -10,7 +10,7 @@
 enum class number_kind : std::uint8_t {
     taken, ///< units of an account's limit, since the teller began
     runs, ///< calls of an account that began to run in a window
-    load, ///< calls under way at an upstream
+    load, ///< tenths of calls under way at an upstream, unread prompts counted as several
     work, ///< prompt tokens a second that calls of a service bring
     speed, ///< prompt tokens a second that one engine of a service reads
 };
--- a/libraries/relay/prefix_choice.cpp
+++ b/libraries/relay/prefix_choice.cpp
@@ -41,7 +41,7 @@
 
 double prefix_choice::loadOf(const upstream &each) const
 {
-    return each.running + (m_othersLoad ? m_othersLoad(each.record.id) : 0.0);
+    return each.load() + (m_othersLoad ? m_othersLoad(each.record.id) : 0.0);
 }
 
 std::vector<const upstream *> prefix_choice::candidates(const choice_question &question) const
--- a/libraries/relay/prefix_choice.h
+++ b/libraries/relay/prefix_choice.h
@@ -24,7 +24,7 @@
 class prefix_choice final : public upstream_choice
 {
 public:
-    /// Calls under way at an upstream from other nodes, as last heard.
+    /// Load of other nodes at an upstream, as last heard.
     using foreign_load = std::function<double(const std::string &upstream)>;
 
     prefix_choice(const clock &time, random_source &randomness, const upstream_directory &upstreams,
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -99,12 +99,12 @@
     }
     m_serviceName = pickService();
     m_service = m_table->content().findService(m_serviceName);
-    m_work = choice_question{m_route, &m_call, m_serviceName, {}}.work();
     if (!m_account)
         return true;
     double units = 1.0;
     if (m_account->countsTokens)
-        units = m_call.size ? static_cast<double>(m_work) : m_account->unitsWithoutUsage;
+        units = m_call.size ? static_cast<double>(choice_question{m_route, &m_call, m_serviceName, {}}.work())
+                            : m_account->unitsWithoutUsage;
     const duration wait = m_environment.quota.take(m_account->name, units);
     if (wait > duration::zero()) {
         refuse(status_too_many, "account_limit", wait);
@@ -152,8 +152,9 @@
     ++m_sendings;
     if (m_sendings == 1)
         m_environment.repeats.noteFirst(m_serviceName);
+    m_unreadTokens = m_call.size ? newTokens() : 0;
     if (m_call.size)
-        m_environment.work.sent(m_serviceName, newTokens());
+        m_environment.work.sent(m_serviceName, m_unreadTokens);
     m_sentAt = m_environment.tasks.now();
     m_sending = sending::sent;
     attempt how{m_upstream, m_account ? m_account->name : std::string(), timeLeft(), std::nullopt,
@@ -162,7 +163,7 @@
         how.priority = m_account && m_account->priority ? *m_account->priority : m_route->priority;
     if (m_scanner && m_scanner->lastEvent())
         how.lastEvent = m_scanner->lastEvent();
-    m_environment.upstreams.callBegins(m_upstream, m_work);
+    m_environment.upstreams.callBegins(m_upstream, m_unreadTokens);
     http::exchange_options options;
     if (m_service)
         options.connections = m_environment.connectionsFor(*m_service);
@@ -179,7 +180,7 @@
         return;
     m_sending = sending::none;
     m_exchange.reset();
-    m_environment.upstreams.callEnds(m_upstream, m_work);
+    m_environment.upstreams.callEnds(m_upstream, m_unreadTokens);
     if (succeeded)
         m_environment.upstreams.succeeded(m_upstream);
 }
@@ -314,6 +315,7 @@
     const std::string events = m_scanner->feed(bytes);
     if (events.empty())
         return;
+    notePromptRead();
     countRun();
     if (m_scanner->hasGap() || m_scanner->isBroken()) {
         m_environment.upstreams.failed(m_upstream);
@@ -375,6 +377,12 @@
         refuse(status_unavailable, "not_sent", retry_pause);
 }
 
+void relayed_call::notePromptRead()
+{
+    if (m_unreadTokens > 0)
+        m_environment.upstreams.promptRead(m_upstream, std::exchange(m_unreadTokens, 0));
+}
+
 void relayed_call::countRun()
 {
     if (std::exchange(m_runCounted, true))
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -47,6 +47,7 @@
     void onTimeOver();
     void onCallerGone();
     void countRun();
+    void notePromptRead();
     std::uint64_t newTokens() const;
     void passOn(std::string_view bytes);
     duration timeLeft() const;
@@ -72,7 +73,7 @@
     std::unique_ptr<http::outgoing_exchange> m_exchange;
     std::set<std::string> m_tried;
     std::string m_upstream; ///< the one that has the call now
-    std::uint64_t m_work = 1;
+    std::uint64_t m_unreadTokens = 0; ///< of the prompt, at the upstream that has the call now
     std::optional<event_scanner> m_scanner; ///< for streams of events
     std::optional<http::response_head> m_head; ///< of an answer that is collected whole
     std::string m_body;
--- a/libraries/relay/tests/relay_parts_test.cpp
+++ b/libraries/relay/tests/relay_parts_test.cpp
@@ -91,7 +91,7 @@
 {
     virtual_scheduler time;
     unit_quota quota(time);
-    quota.setNodes(1);
+    quota.setNodes(1, false);
     client_account account{"a", {}, std::nullopt, 100.0, 50.0, true, 1.0};
     quota.setAccounts({account});
     time.advance(10s);
@@ -111,7 +111,7 @@
 {
     virtual_scheduler time;
     unit_quota quota(time);
-    quota.setNodes(8);
+    quota.setNodes(8, false);
     quota.setAccounts({{"a", {}, std::nullopt, 100.0, 50.0, true, 1.0}});
     bool passed = false;
     for (int round = 0; round < 300 && !passed; ++round) {
@@ -122,6 +122,28 @@
     CHECK(passed);
 }
 
+TEST_CASE(
+    "in a large fleet a node takes large calls as they come while it hears the others, and little while not")
+{
+    virtual_scheduler time;
+    const auto takenIn = [&](bool hearsOthers) {
+        unit_quota quota(time);
+        quota.setNodes(68, hearsOthers);
+        quota.setAccounts({{"a", {}, std::nullopt, 30000.0, 60000.0, true, 1.0}});
+        time.advance(10s);
+        double taken = 0.0;
+        for (int round = 0; round < 100; ++round) {
+            time.advance(100ms);
+            // A call of 9,000 tokens is as much as an equal part brings in 20 s.
+            if (round % 50 == 0 && quota.take("a", 9000.0) == duration::zero())
+                taken += 9000.0;
+        }
+        return taken;
+    };
+    CHECK(takenIn(true) == 18000.0);
+    CHECK(takenIn(false) < 18000.0);
+}
+
 TEST_CASE("an account with no limit takes what it wants")
 {
     virtual_scheduler time;
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -26,7 +26,8 @@
 
 double unit_quota::ownPart() const
 {
-    return std::min(own_part_factor / static_cast<double>(m_nodes), 1.0);
+    const double equal = std::min(own_part_factor / static_cast<double>(m_nodes), 1.0);
+    return m_hearsOthers ? std::max(equal, part_while_heard) : equal;
 }
 
 void unit_quota::trim(bucket &which) const
@@ -73,13 +74,14 @@
     m_buckets = std::move(next);
 }
 
-void unit_quota::setNodes(std::size_t count)
+void unit_quota::setNodes(std::size_t count, bool hearsOthers)
 {
-    if (count == m_nodes)
+    if (count == m_nodes && hearsOthers == m_hearsOthers)
         return;
     for (auto &[account, each] : m_buckets)
         fill(each);
     m_nodes = std::max<std::size_t>(count, 1);
+    m_hearsOthers = hearsOthers;
     for (auto &[account, each] : m_buckets)
         trim(each);
 }
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -24,8 +24,9 @@
     /// Takes in the limits of a configuration. A lower limit takes away what was saved above it.
     void setAccounts(const std::vector<client_account> &accounts);
 
-    /// The number of nodes that share the limits, at least 1.
-    void setNodes(std::size_t count);
+    /// The number of nodes that share the limits, at least 1, and whether this node hears what the others
+    /// take.
+    void setNodes(std::size_t count, bool hearsOthers);
 
     /// Takes units. Zero when they were there; otherwise nothing is taken, and the time until they may be
     /// there is given.
@@ -62,12 +63,17 @@
 
     const clock &m_time;
     std::size_t m_nodes;
+    bool m_hearsOthers = false;
     std::map<std::string, bucket> m_buckets;
 };
 
 /// What one node may take of a limit, as a multiple of its equal part.
 inline constexpr double own_part_factor = 2.0;
 
+/// What one node may take of a limit while it hears what the others take. In a large fleet an equal part is
+/// less than one large call now and then, and the fleet's bucket bounds the sum.
+inline constexpr double part_while_heard = 0.125;
+
 /// Age of what other nodes told last, on average: the interval at which they tell and the way of the news.
 inline constexpr duration telling_lag = std::chrono::milliseconds(700);
 
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -84,22 +84,30 @@
     return result;
 }
 
-void upstream_directory::callBegins(const std::string &id, std::uint64_t tokens)
+void upstream_directory::callBegins(const std::string &id, std::uint64_t unreadTokens)
 {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
         return;
     ++found->second.running;
-    found->second.runningTokens += tokens;
+    found->second.unreadTokens += unreadTokens;
 }
 
-void upstream_directory::callEnds(const std::string &id, std::uint64_t tokens)
+void upstream_directory::promptRead(const std::string &id, std::uint64_t tokens)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    found->second.unreadTokens -= std::min(found->second.unreadTokens, tokens);
+}
+
+void upstream_directory::callEnds(const std::string &id, std::uint64_t unreadTokens)
 {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end() || found->second.running == 0)
         return;
     --found->second.running;
-    found->second.runningTokens -= std::min(found->second.runningTokens, tokens);
+    promptRead(id, unreadTokens);
 }
 
 void upstream_directory::succeeded(const std::string &id)
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -28,15 +28,25 @@
     auto operator<=>(const upstream_record &) const = default;
 };
 
+/// Unread prompt tokens that weigh as much as one call under way: a call of twice the usual prompt delays the
+/// others on its engine for as long as a few calls that only make tokens.
+inline constexpr double tokens_per_call = 2000.0;
+
 /// An upstream with what this node knows of it by its own calls.
 struct upstream
 {
     upstream_record record;
     std::uint32_t running = 0; ///< calls of this node that are under way
-    std::uint64_t runningTokens = 0; ///< tokens of these calls that are still to be read or made
+    std::uint64_t unreadTokens = 0; ///< of their prompts that it still has to read
     std::uint32_t failuresInRow = 0;
     time_point setAsideUntil{};
 
+    /// What this node's calls ask of it, as a number of ordinary calls.
+    double load() const
+    {
+        return running + static_cast<double>(unreadTokens) / tokens_per_call;
+    }
+
     bool isSetAside(time_point now) const
     {
         return now < setAsideUntil;
@@ -67,9 +77,14 @@
     /// Every upstream that is listed.
     std::vector<const upstream *> all() const;
 
-    /// A call begins or ends at an upstream. `tokens` is the work that it brings.
-    void callBegins(const std::string &id, std::uint64_t tokens);
-    void callEnds(const std::string &id, std::uint64_t tokens);
+    /// A call begins at an upstream, which has so many tokens to read before its first event.
+    void callBegins(const std::string &id, std::uint64_t unreadTokens);
+
+    /// The upstream has read the prompt of a call.
+    void promptRead(const std::string &id, std::uint64_t tokens);
+
+    /// A call ends, of which so many tokens were not read.
+    void callEnds(const std::string &id, std::uint64_t unreadTokens);
 
     /// An upstream answered as it should.
     void succeeded(const std::string &id);
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -390,7 +390,7 @@
 void edge_node::parts::update()
 {
     tasks.after(update_interval, [this] { update(); });
-    quota.setNodes(nodeCount());
+    quota.setNodes(nodeCount(), numbers.hearsOthers());
     repeats.setSlack(repeat_part * settings.repeatSlack / static_cast<double>(nodeCount()));
     const std::int64_t now = wall.milliseconds();
     const std::int64_t window = runs.windowAt(now);
