Limits: debts are not forgotten, a node saves one large call at most, and a start brings no burst

With an eighth of a limit for each node that hears the others, 79 nodes together take ten times the rate until news arrives; the bucket then went below minus one burst, where the rest of the debt was cut off, and opened again too soon (logged: from +768,394 to -768,394 and back every 2.5 s).

Change: beyond its equal part a node may save up one call of 20,000 tokens (a quarter of the burst at most); debts count down to minus two bursts; a node starts with nothing saved. Ruled out: datagrams lost (counts of all nodes arrive; the test loses none and fails the same way).

--- a/libraries/fleet/tests/fleet_exchange_test.cpp
+++ b/libraries/fleet/tests/fleet_exchange_test.cpp
@@ -214,6 +214,91 @@
     CHECK(taken <= 1000.0 * 31 * 1.1 + 1000.0 * 30 * 2.0 / 5.0); // the lost node has its own part, twice
 }
 
+namespace {
+
+/// Callers that want a multiple of a limit and come back at once when they are refused.
+class greedy_callers
+{
+public:
+    static constexpr double rate = 768000.0;
+    static constexpr double call = 9000.0;
+
+    /// Asks random nodes for 100 ms.
+    void turn(fleet_of &with)
+    {
+        with.time.advance(100ms);
+        m_waiting += 4.0 * rate / call / 10.0;
+        takenAt.push_back(0.0);
+        double refused = 0.0;
+        for (; m_waiting >= 1.0; m_waiting -= 1.0) {
+            node &asked = *with.nodes[with.randomness.index(with.nodes.size())];
+            if (asked.quota.take("a", call) == duration::zero())
+                takenAt.back() += call;
+            else if (with.randomness.uniform() < 0.8)
+                refused += 1.0;
+        }
+        m_waiting = std::min(refused, 2000.0);
+    }
+
+    /// The least and the most that was taken in 8 s.
+    std::pair<double, double> extremes() const
+    {
+        constexpr std::size_t window = 80;
+        std::pair<double, double> result{1e18, 0.0};
+        for (std::size_t from = 0; from + window <= takenAt.size(); ++from) {
+            double sum = 0.0;
+            for (std::size_t index = from; index < from + window; ++index)
+                sum += takenAt[index];
+            result = {std::min(result.first, sum), std::max(result.second, sum)};
+        }
+        return result;
+    }
+
+    static constexpr double most = (8.0 * rate + rate) * 1.1 + 110000.0;
+    std::vector<double> takenAt; ///< by 100 ms
+
+private:
+    double m_waiting = 0.0;
+};
+
+void startLimits(fleet_of &with)
+{
+    for (const auto &each : with.nodes)
+        each->quota.setNodes(with.nodes.size(), true);
+    setLimit(with, greedy_callers::rate, greedy_callers::rate);
+}
+
+} // namespace
+
+TEST_CASE("a large fleet keeps a limit while callers want four times as much and repeat at once")
+{
+    fleet_of with(60);
+    startLimits(with);
+    with.time.advance(5s);
+    greedy_callers callers;
+    for (int step = 0; step < 200; ++step)
+        callers.turn(with);
+    const auto [least, most] = callers.extremes();
+    CHECK(most <= greedy_callers::most);
+    CHECK(least >= 8.0 * greedy_callers::rate * 0.7);
+}
+
+TEST_CASE("a large fleet keeps a limit when all its nodes end and start again")
+{
+    greedy_callers callers;
+    fleet_of before(60);
+    startLimits(before);
+    before.time.advance(5s);
+    for (int step = 0; step < 70; ++step)
+        callers.turn(before);
+    callers.takenAt.insert(callers.takenAt.end(), 8, 0.0); // until they are back
+    fleet_of after(60, 6);
+    startLimits(after);
+    for (int step = 0; step < 80; ++step)
+        callers.turn(after);
+    CHECK(callers.extremes().second <= greedy_callers::most);
+}
+
 TEST_CASE("a node hears the others until it is cut off from them")
 {
     fleet_of with(6);
--- a/libraries/relay/tests/relay_parts_test.cpp
+++ b/libraries/relay/tests/relay_parts_test.cpp
@@ -130,7 +130,7 @@
         unit_quota quota(time);
         quota.setNodes(68, hearsOthers);
         quota.setAccounts({{"a", {}, std::nullopt, 30000.0, 60000.0, true, 1.0}});
-        time.advance(10s);
+        time.advance(30s);
         double taken = 0.0;
         for (int round = 0; round < 100; ++round) {
             time.advance(100ms);
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -26,14 +26,20 @@
 
 double unit_quota::ownPart() const
 {
-    const double equal = std::min(own_part_factor / static_cast<double>(m_nodes), 1.0);
-    return m_hearsOthers ? std::max(equal, part_while_heard) : equal;
+    return std::min(own_part_factor / static_cast<double>(m_nodes), 1.0);
+}
+
+double unit_quota::ownBurst(const bucket &which) const
+{
+    const double equal = ownPart() * which.burst;
+    const double saved = std::min(saved_while_heard, saved_part_while_heard * which.burst);
+    return m_hearsOthers ? std::max(equal, saved) : equal;
 }
 
 void unit_quota::trim(bucket &which) const
 {
-    which.fleetUnits = std::clamp(which.fleetUnits, -which.burst, which.burst);
-    which.ownUnits = std::min(which.ownUnits, ownPart() * which.burst);
+    which.fleetUnits = std::clamp(which.fleetUnits, -deepest_debt * which.burst, which.burst);
+    which.ownUnits = std::min(which.ownUnits, ownBurst(which));
 }
 
 void unit_quota::fill(bucket &which) const
@@ -64,9 +70,10 @@
             fresh.taken = known->second.taken;
             fresh.othersPerSecond = known->second.othersPerSecond;
         } else {
-            // Other nodes may have taken the burst before this one started.
-            fresh.fleetUnits = fresh.burst / static_cast<double>(m_nodes);
-            fresh.ownUnits = fresh.burst / static_cast<double>(m_nodes);
+            // Other nodes, or the ones that all ended with this one's predecessor, may have taken the burst
+            // just before.
+            fresh.fleetUnits = 0.0;
+            fresh.ownUnits = 0.0;
         }
         trim(fresh);
         next.emplace(each.name, fresh);
@@ -97,7 +104,7 @@
     // quite full.
     const double notTold = which.othersPerSecond * seconds(telling_lag);
     const double fleetNeed = std::min(units + notTold, full_part * which.burst) - which.fleetUnits;
-    const double ownNeed = std::min(units, full_part * ownPart() * which.burst) - which.ownUnits;
+    const double ownNeed = std::min(units, full_part * ownBurst(which)) - which.ownUnits;
     if (fleetNeed <= 0.0 && ownNeed <= 0.0) {
         which.fleetUnits -= units;
         which.ownUnits -= units;
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -58,6 +58,7 @@
     };
 
     double ownPart() const;
+    double ownBurst(const bucket &which) const;
     void fill(bucket &which) const;
     void trim(bucket &which) const;
 
@@ -70,9 +71,14 @@
 /// What one node may take of a limit, as a multiple of its equal part.
 inline constexpr double own_part_factor = 2.0;
 
-/// What one node may take of a limit while it hears what the others take. In a large fleet an equal part is
-/// less than one large call now and then, and the fleet's bucket bounds the sum.
-inline constexpr double part_while_heard = 0.125;
+/// What a node that hears the others may save up of a limit beyond that: an ordinary large call of 20,000
+/// tokens, a quarter of the burst at most. In a large fleet an equal part of the burst is less than one call.
+/// It refills with the node's part of the rate, so all nodes together cannot go on so.
+inline constexpr double saved_while_heard = 20000.0;
+inline constexpr double saved_part_while_heard = 0.25;
+
+/// How far below zero a bucket may go, in bursts: what others took late is not forgotten before.
+inline constexpr double deepest_debt = 2.0;
 
 /// Age of what other nodes told last, on average: the interval at which they tell and the way of the news.
 inline constexpr duration telling_lag = std::chrono::milliseconds(700);
