A node that started counts on 64 nodes until it has found the others

Ruled out: what was taken before the kill (it kept its debts).

Change: 64 nodes are assumed, until a collector answers (1 s at least) or 3 s passed. In a small fleet this costs a second of a smaller part after a start.

Test: fleet_exchange_test, seen failing with 8 (7,866,000 of 7,713,200).

--- a/libraries/fleet/tests/fleet_exchange_test.cpp
+++ b/libraries/fleet/tests/fleet_exchange_test.cpp
@@ -65,7 +65,6 @@
         for (const auto &each : nodes) {
             for (membership::incarnation id = 1; id <= count; ++id)
                 each->view.see(memberOf(id));
-            each->quota.setNodes(nodes.size(), false);
             each->exchange.start();
         }
     }
@@ -194,6 +193,8 @@
 TEST_CASE("together nodes take a limit's rate, whichever of them is asked")
 {
     fleet_of with(3);
+    for (const auto &each : with.nodes)
+        each->quota.setNodes(3, false);
     with.time.advance(1s);
     setLimit(with, 1000.0, 1000.0);
     const double taken = takeFor(with, 40s, 50.0);
@@ -206,6 +207,8 @@
 {
     fleet_of with(5);
     with.wires.setLoss(0.2);
+    for (const auto &each : with.nodes)
+        each->quota.setNodes(5, false);
     with.time.advance(1s);
     setLimit(with, 1000.0, 1000.0);
     double taken = takeFor(with, 10s, 50.0);
@@ -292,10 +295,15 @@
     for (int step = 0; step < 70; ++step)
         callers.turn(before);
     callers.takenAt.insert(callers.takenAt.end(), 8, 0.0); // until they are back
+    // For a second they do not know how many they are.
     fleet_of after(60, 6);
-    startLimits(after);
-    for (int step = 0; step < 80; ++step)
+    setLimit(after, greedy_callers::rate, greedy_callers::rate);
+    for (int step = 0; step < 80; ++step) {
+        for (const auto &each : after.nodes)
+            each->quota.setNodes(step < 10 ? relay::assumed_node_count : after.nodes.size(),
+                                 each->exchange.hearsOthers());
         callers.turn(after);
+    }
     CHECK(callers.extremes().second <= greedy_callers::most);
 }
 
@@ -315,6 +323,8 @@
 TEST_CASE("one node alone may use a limit that nobody else wants, up to twice its equal part")
 {
     fleet_of with(2);
+    for (const auto &each : with.nodes)
+        each->quota.setNodes(2, false);
     setLimit(with, 1000.0, 1000.0);
     with.time.advance(5s);
     double taken = 0.0;
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -83,7 +83,8 @@
 /// Age of what other nodes told last, on average: the interval at which they tell and the way of the news.
 inline constexpr duration telling_lag = std::chrono::milliseconds(700);
 
-/// Nodes that a node counts on before it has found the others.
-inline constexpr std::size_t assumed_node_count = 8;
+/// Nodes that a node counts on before it has found the others: when a large fleet starts again all at once, a
+/// smaller number would let its nodes take many times a limit.
+inline constexpr std::size_t assumed_node_count = 64;
 
 } // namespace ivypier::relay
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -54,8 +54,10 @@
 /// A window's counts have arrived two reports and this time after its end.
 constexpr duration count_arrival = std::chrono::milliseconds(800);
 constexpr int reports_per_count = 2;
-/// Until then the membership may not have found all nodes.
+/// Until then the membership may not have found all nodes, or until a collector answers, after the first
+/// time.
 constexpr duration joining_time = std::chrono::seconds(3);
+constexpr duration least_joining_time = std::chrono::seconds(1);
 /// A newer configuration that another node has is asked for again after this time.
 constexpr duration newer_check_interval = std::chrono::milliseconds(300);
 /// Nodes that watch the lease of a duty.
@@ -379,7 +381,9 @@
 std::size_t edge_node::parts::nodeCount() const
 {
     const std::size_t known = std::max<std::size_t>(members.memberCount(), 1);
-    return tasks.now() - startedAt < joining_time ? std::max(known, relay::assumed_node_count) : known;
+    const duration age = tasks.now() - startedAt;
+    const bool joined = age > joining_time || (age > least_joining_time && numbers.hearsOthers());
+    return joined ? known : std::max(known, relay::assumed_node_count);
 }
 
 std::size_t edge_node::parts::connectionsFor(const relay::service &of) const
