--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -1,17 +1,13 @@
 #include "edge_node.h"
 
 #include "caller_lookup.h"
-#include "peer_rows.h"
 #include "peer_rows_codec.h"
-#include "peer_rows_server.h"
-#include "shared_feed.h"
-#include "table_readers.h"
+#include "platform_tables.h"
 
 #include "base/hash.h"
 #include "base/log_event.h"
 #include "base/random_source.h"
 #include "base/steady_wall_clock.h"
-#include "cloud/table_follower.h"
 #include "duties/upstream_orders.h"
 #include "duties/usage_reporter.h"
 #include "fleet/fleet_exchange.h"
@@ -24,16 +20,11 @@
 #include "placement/lease.h"
 #include "platform/caller_codec.h"
 #include "platform/cloud_client.h"
-#include "platform/configuration_codec.h"
 #include "platform/front_codec.h"
 #include "platform/runner_protocol.h"
 #include "platform/store_client.h"
-#include "platform/upstream_codec.h"
-#include "platform/wire_names.h"
-#include "relay/configuration_rows.h"
 #include "relay/prefix_choice.h"
 #include "relay/relay_service.h"
-#include "relay/upstream_rows.h"
 
 namespace ivypier::edge {
 
@@ -44,11 +35,6 @@
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
-/// The fact by which nodes tell the newest version of the configuration, and the prefix of those by which
-/// they tell that an upstream leaves.
-constexpr const char *configuration_fact = "configuration";
-constexpr std::string_view leaving_prefix = "leaving/";
-
 /// How often limits, loads and duties are brought up to date.
 constexpr duration update_interval = std::chrono::milliseconds(400);
 /// A window's counts have arrived two reports and this time after its end.
@@ -58,8 +44,6 @@
 /// time.
 constexpr duration joining_time = std::chrono::seconds(3);
 constexpr duration least_joining_time = std::chrono::seconds(1);
-/// A newer configuration that another node has is asked for again after this time.
-constexpr duration newer_check_interval = std::chrono::milliseconds(300);
 /// Nodes that watch the lease of a duty.
 constexpr std::size_t duty_candidates = 3;
 /// Callers keep an answer to a look-up for up to three times its lifetime.
@@ -103,11 +87,6 @@
     http::fetcher platformCalls{tasks, platformConnections};
     adapter::store_client store{platformCalls, settings.store};
     adapter::cloud_client cloud{platformCalls, settings.cloud, settings.name};
-    table_readers readers{tasks, randomness, members};
-    peer_rows peers{readers, platformCalls, settings.control.port};
-    shared_feed tables{readers, store, peers};
-    peer_rows_server peerQuestions{tasks};
-
     relay::upstream_directory upstreams{tasks};
     adapter::runner_protocol protocol;
     relay::prefix_choice choice{tasks, randomness, upstreams, settings.failureDomain,
@@ -122,14 +101,15 @@
                                 repeats, quota, runs, work, [this] { return wall.milliseconds(); },
                                 [this](const relay::service &of) { return connectionsFor(of); }}};
 
-    relay::configuration_rows configurationRows{
-        adapter::wire::configuration_key, adapter::decodeConfiguration,
+    platform_tables tables{
+        tasks,
+        randomness,
+        members,
+        store,
+        platformCalls,
+        settings.control.port,
+        upstreams,
         [this](std::shared_ptr<const relay::route_table> table) { takeConfiguration(std::move(table)); }};
-    relay::upstream_rows upstreamRows{tasks, upstreams, adapter::decodeUpstream};
-    cloud::table_follower configurationTable{
-        tasks, randomness, tables, &peers, adapter::wire::operator_table, configurationRows};
-    cloud::table_follower upstreamTable{
-        tasks, randomness, tables, &peers, adapter::wire::upstream_table, upstreamRows};
 
     /// One process runs on a VM at a time: its name is enough of a holder.
     placement::lease_keeper lease{
@@ -157,8 +137,6 @@
     void answerControl(const http::incoming_request &incoming, const std::shared_ptr<http::reply> &to);
     void answerMetrics(const http::incoming_request &incoming, http::reply &to);
     void takeConfiguration(std::shared_ptr<const relay::route_table> table);
-    void takeFact(const membership::fact &news);
-    void readNewer(std::uint64_t version, int attempts);
     void update();
     std::size_t nodeCount() const;
     std::size_t connectionsFor(const relay::service &of) const;
@@ -245,17 +223,9 @@
 void edge_node::parts::start()
 {
     startedAt = tasks.now();
-    peerQuestions.serve(adapter::wire::operator_table, configurationTable);
-    peerQuestions.serve(adapter::wire::upstream_table, upstreamTable);
-    configurationTable.onAnswered([this] { members.platformAnswered(); });
-    members.onFact([this](const membership::fact &news) { takeFact(news); });
-    upstreams.onLeaving([this](const relay::upstream_record &each) {
-        members.publish({std::string(leaving_prefix) + each.id, 1, ""});
-    });
+    tables.start();
     members.start();
     numbers.start();
-    configurationTable.start();
-    upstreamTable.start();
     lease.setEligible(false);
     lease.start();
     update();
@@ -309,7 +279,7 @@
                                      const std::shared_ptr<http::reply> &to)
 {
     if (incoming.head.path() == peer_rows_path)
-        peerQuestions.answer(incoming, to);
+        tables.answer(incoming, to);
     else
         to->send(status_not_found, {}, {});
 }
@@ -327,7 +297,7 @@
     metrics.set("ivypier_caller_connections", {}, static_cast<double>(callers->connectionCount()));
     metrics.set("ivypier_calls_running", {}, static_cast<double>(calls.running()));
     metrics.set("ivypier_nodes", {}, static_cast<double>(members.memberCount()));
-    metrics.set("ivypier_configuration_version", {}, static_cast<double>(configurationRows.version()));
+    metrics.set("ivypier_configuration_version", {}, static_cast<double>(tables.configurationVersion()));
     metrics.set("ivypier_gossip_bytes", {}, static_cast<double>(members.traffic().bytes));
     metrics.set("ivypier_fleet_number_bytes", {}, static_cast<double>(numbers.bytesSent()));
     metrics.set("ivypier_duty_held", {}, lease.held() ? 1.0 : 0.0);
@@ -339,7 +309,6 @@
 void edge_node::parts::takeConfiguration(std::shared_ptr<const relay::route_table> table)
 {
     const relay::caller_limits &limits = table->content().limits;
-    const std::uint64_t version = table->version();
     http::connection_limits bounds;
     bounds.headerBytes = limits.headerBytes;
     bounds.bodyBytes = limits.bodyBytes;
@@ -350,32 +319,6 @@
         : settings.descriptors / 2;
     callers->setLimits(bounds);
     calls.setTable(std::move(table));
-    members.publish({configuration_fact, version, ""});
-}
-
-void edge_node::parts::takeFact(const membership::fact &news)
-{
-    if (news.key == configuration_fact) {
-        constexpr int attempts = 10;
-        readNewer(news.version, attempts);
-        return;
-    }
-    if (!news.key.starts_with(leaving_prefix))
-        return;
-    const relay::upstream *known = upstreams.find(news.key.substr(leaving_prefix.size()));
-    if (!known || known->record.draining)
-        return;
-    relay::upstream_record leaving = known->record;
-    leaving.draining = true;
-    upstreams.put(leaving);
-}
-
-void edge_node::parts::readNewer(std::uint64_t version, int attempts)
-{
-    if (configurationRows.version() >= version || attempts == 0)
-        return;
-    configurationTable.refresh();
-    tasks.after(newer_check_interval, [this, version, attempts] { readNewer(version, attempts - 1); });
 }
 
 std::size_t edge_node::parts::nodeCount() const
--- /dev/null
+++ b/services/edge/platform_tables.cpp
@@ -0,0 +1,91 @@
+#include "platform_tables.h"
+
+#include "platform/configuration_codec.h"
+#include "platform/upstream_codec.h"
+#include "platform/wire_names.h"
+
+namespace ivypier::edge {
+
+namespace {
+
+/// The fact by which nodes tell the newest version of the configuration, and the prefix of those by which
+/// they tell that an upstream leaves.
+constexpr const char *configuration_fact = "configuration";
+constexpr std::string_view leaving_prefix = "leaving/";
+
+/// A newer configuration that another node has is asked for again after this time, so often at most.
+constexpr duration newer_check_interval = std::chrono::milliseconds(300);
+constexpr int newer_attempts = 10;
+
+} // namespace
+
+platform_tables::platform_tables(scheduler &tasks, random_source &randomness,
+                                 membership::gossip_membership &members, cloud::change_feed &store,
+                                 http::fetcher &calls, std::uint16_t controlPort,
+                                 relay::upstream_directory &upstreams,
+                                 relay::configuration_rows::receiver onConfiguration)
+    : m_tasks(tasks)
+    , m_members(members)
+    , m_upstreams(upstreams)
+    , m_readers(tasks, randomness, members)
+    , m_peers(m_readers, calls, controlPort)
+    , m_feed(m_readers, store, m_peers)
+    , m_questions(tasks)
+    , m_configurationRows(adapter::wire::configuration_key, adapter::decodeConfiguration,
+                          [&members, onConfiguration = std::move(onConfiguration)](
+                              std::shared_ptr<const relay::route_table> table) {
+                              const std::uint64_t version = table->version();
+                              onConfiguration(std::move(table));
+                              members.publish({configuration_fact, version, ""});
+                          })
+    , m_upstreamRows(tasks, upstreams, adapter::decodeUpstream)
+    , m_configuration(tasks, randomness, m_feed, &m_peers, adapter::wire::operator_table, m_configurationRows)
+    , m_upstreamTable(tasks, randomness, m_feed, &m_peers, adapter::wire::upstream_table, m_upstreamRows)
+{
+}
+
+void platform_tables::start()
+{
+    m_questions.serve(adapter::wire::operator_table, m_configuration);
+    m_questions.serve(adapter::wire::upstream_table, m_upstreamTable);
+    m_configuration.onAnswered([this] { m_members.platformAnswered(); });
+    m_members.onFact([this](const membership::fact &news) { takeFact(news); });
+    m_upstreams.onLeaving([this](const relay::upstream_record &each) {
+        m_members.publish({std::string(leaving_prefix) + each.id, 1, ""});
+    });
+    m_configuration.start();
+    m_upstreamTable.start();
+}
+
+void platform_tables::answer(const http::incoming_request &question, const std::shared_ptr<http::reply> &to)
+{
+    m_questions.answer(question, to);
+}
+
+void platform_tables::takeFact(const membership::fact &news)
+{
+    if (news.key == configuration_fact)
+        readNewer(news.version, newer_attempts);
+    else if (news.key.starts_with(leaving_prefix))
+        takeLeaving(news.key.substr(leaving_prefix.size()));
+}
+
+void platform_tables::takeLeaving(const std::string &upstream)
+{
+    const relay::upstream *known = m_upstreams.find(upstream);
+    if (!known || known->record.draining)
+        return;
+    relay::upstream_record leaving = known->record;
+    leaving.draining = true;
+    m_upstreams.put(leaving);
+}
+
+void platform_tables::readNewer(std::uint64_t version, int attempts)
+{
+    if (m_configurationRows.version() >= version || attempts == 0)
+        return;
+    m_configuration.refresh();
+    m_tasks.after(newer_check_interval, [this, version, attempts] { readNewer(version, attempts - 1); });
+}
+
+} // namespace ivypier::edge
