Calm limits bind no node to its own part; the number of nodes is kept for nodes that start

Change: while less than 0.8 of a rate is taken, the bucket is half full and the others were heard for 3 s, only the fleet's bucket binds; news is as old as the interval of reports; the row of usage tells the number of nodes, read at the start.

--- a/libraries/duties/usage_reporter.cpp
+++ b/libraries/duties/usage_reporter.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr const char *row_key = "usage";
 /// Pause after a failed call.
 constexpr duration pause = std::chrono::milliseconds(400);
 /// Pause after the platform refused the fencing number: longer than a lease, so that a holder that lost its
@@ -30,10 +29,11 @@
 {
 }
 
-std::string usage_reporter::encode(const cloud::usage_report &report)
+std::string usage_reporter::encode(const cloud::usage_report &report, std::size_t nodes)
 {
     Json::Value json(Json::objectValue);
     json["window"] = Json::Int64{report.window};
+    json["nodes"] = Json::UInt64{nodes};
     json["counts"] = Json::Value(Json::objectValue);
     for (const auto &[account, count] : report.counts)
         json["counts"][account] = Json::UInt64{count};
@@ -53,6 +53,20 @@
     return result;
 }
 
+std::optional<std::size_t> usage_reporter::decodeNodes(const std::string &text)
+{
+    const outcome<Json::Value> json = parseJson(text);
+    if (!json || !json.value().isObject())
+        return std::nullopt;
+    const std::uint64_t nodes = unsignedMember(json.value(), "nodes", 0);
+    return nodes > 0 ? std::optional<std::size_t>(nodes) : std::nullopt;
+}
+
+void usage_reporter::setNodes(std::size_t count)
+{
+    m_nodes = count;
+}
+
 void usage_reporter::setSettle(duration settle)
 {
     m_options.settle = settle;
@@ -118,7 +132,7 @@
 {
     const cloud::usage_report report{window, m_ledger.runsIn(window)};
     m_busy = true;
-    m_table.write(row_key, m_rowVersion, encode(report),
+    m_table.write(row_key, m_rowVersion, encode(report, m_nodes),
                   [this, report](const outcome<cloud::table_row> &written) {
                       if (ended())
                           return;
--- a/libraries/duties/usage_reporter.h
+++ b/libraries/duties/usage_reporter.h
@@ -35,6 +35,12 @@
     /// Goes on with the duty if there is something to do. To be called a few times a second.
     void turn(std::int64_t wallMilliseconds);
 
+    /// The key of the row.
+    static constexpr const char *row_key = "usage";
+
+    /// The number of nodes, kept in the row for nodes that start.
+    void setNodes(std::size_t count);
+
     /// How long after a window's end the nodes' counts have arrived.
     void setSettle(duration settle);
 
@@ -44,9 +50,12 @@
         return m_reported;
     }
 
-    static std::string encode(const cloud::usage_report &report);
+    static std::string encode(const cloud::usage_report &report, std::size_t nodes);
     static std::optional<cloud::usage_report> decode(const std::string &text);
 
+    /// The number of nodes that a row tells; nothing when it does not.
+    static std::optional<std::size_t> decodeNodes(const std::string &text);
+
 private:
     void readRow();
     void takeRow(const std::optional<cloud::table_row> &row);
@@ -66,6 +75,7 @@
     std::optional<cloud::usage_report> m_decided; ///< what the row holds
     std::optional<std::int64_t> m_reported;
     std::int64_t m_wall = 0;
+    std::size_t m_nodes = 1;
     bool m_busy = false;
     time_point m_pausedUntil{};
 };
--- a/libraries/fleet/fleet_exchange.h
+++ b/libraries/fleet/fleet_exchange.h
@@ -16,6 +16,9 @@
 /// was told before.
 inline constexpr std::size_t collector_count = 3;
 
+/// The way of the news and the spread of its age.
+inline constexpr duration news_delivery = std::chrono::milliseconds(300);
+
 /// Between two reports of a node: short enough for limits to be shared, in a large fleet long enough for a
 /// collector to take 250 reports a second, about 1% of a core.
 inline constexpr duration least_report_interval = std::chrono::milliseconds(400);
@@ -61,6 +64,13 @@
     /// Between two reports of this node.
     duration interval() const;
 
+    /// The age of what the others told last, on average: they report, and the answer to the next report
+    /// brings it.
+    duration newsAge() const
+    {
+        return m_interval + news_delivery;
+    }
+
     /// Bytes sent so far, without the headers of UDP and IP.
     std::uint64_t bytesSent() const
     {
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -33,7 +33,19 @@
 {
     const double equal = ownPart() * which.burst;
     const double saved = std::min(saved_while_heard, saved_part_while_heard * which.burst);
-    return m_hearsOthers ? std::max(equal, saved) : equal;
+    return m_hearsSince ? std::max(equal, saved) : equal;
+}
+
+double unit_quota::notTold(const bucket &which) const
+{
+    return which.othersPerSecond * seconds(m_newsAge);
+}
+
+bool unit_quota::isCalm(const bucket &which) const
+{
+    return m_hearsSince && m_time.now() - *m_hearsSince >= calm_hearing_time
+        && which.fleetUnits - notTold(which) > calm_level * which.burst
+        && which.othersPerSecond + which.ownPerSecond < calm_rate_part * which.perSecond;
 }
 
 void unit_quota::trim(bucket &which) const
@@ -48,7 +60,9 @@
     const double gained = which.perSecond * seconds(now - which.filledAt);
     which.fleetUnits += gained;
     which.ownUnits += ownPart() * gained;
-    which.othersPerSecond *= std::exp(-seconds(now - which.filledAt) / rate_seconds);
+    const double kept = std::exp(-seconds(now - which.filledAt) / rate_seconds);
+    which.othersPerSecond *= kept;
+    which.ownPerSecond *= kept;
     which.filledAt = now;
     trim(which);
 }
@@ -69,6 +83,7 @@
             fresh.ownUnits = known->second.ownUnits;
             fresh.taken = known->second.taken;
             fresh.othersPerSecond = known->second.othersPerSecond;
+            fresh.ownPerSecond = known->second.ownPerSecond;
         } else {
             // Other nodes, or the ones that all ended with this one's predecessor, may have taken the burst
             // just before.
@@ -81,14 +96,25 @@
     m_buckets = std::move(next);
 }
 
-void unit_quota::setNodes(std::size_t count, bool hearsOthers)
+void unit_quota::setNodes(std::size_t count)
 {
-    if (count == m_nodes && hearsOthers == m_hearsOthers)
+    if (count == m_nodes)
         return;
     for (auto &[account, each] : m_buckets)
         fill(each);
     m_nodes = std::max<std::size_t>(count, 1);
-    m_hearsOthers = hearsOthers;
+    for (auto &[account, each] : m_buckets)
+        trim(each);
+}
+
+void unit_quota::setHearing(bool hearsOthers, duration age)
+{
+    m_newsAge = age;
+    if (hearsOthers == m_hearsSince.has_value())
+        return;
+    for (auto &[account, each] : m_buckets)
+        fill(each);
+    m_hearsSince = hearsOthers ? std::optional(m_time.now()) : std::nullopt;
     for (auto &[account, each] : m_buckets)
         trim(each);
 }
@@ -102,13 +128,14 @@
     fill(which);
     // A large call is let through when a bucket is mostly full, and leaves a debt: others keep it from being
     // quite full.
-    const double notTold = which.othersPerSecond * seconds(telling_lag);
-    const double fleetNeed = std::min(units + notTold, full_part * which.burst) - which.fleetUnits;
-    const double ownNeed = std::min(units, full_part * ownBurst(which)) - which.ownUnits;
+    const double fleetNeed = std::min(units + notTold(which), full_part * which.burst) - which.fleetUnits;
+    const double ownNeed
+        = isCalm(which) ? 0.0 : std::min(units, full_part * ownBurst(which)) - which.ownUnits;
     if (fleetNeed <= 0.0 && ownNeed <= 0.0) {
         which.fleetUnits -= units;
         which.ownUnits -= units;
         which.taken += units;
+        which.ownPerSecond += units / rate_seconds;
         return duration::zero();
     }
     const double wait = std::max(fleetNeed, ownNeed / ownPart()) / which.perSecond;
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -5,11 +5,41 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace ivypier::relay {
 
+/// What one node may take of a limit, as a multiple of its equal part.
+inline constexpr double own_part_factor = 2.0;
+
+/// What a node that hears the others may save up of a limit beyond that: an ordinary large call of 20,000
+/// tokens, a quarter of the burst at most. In a large fleet an equal part of the burst is less than one call.
+/// It refills with the node's part of the rate, so all nodes together cannot go on so.
+inline constexpr double saved_while_heard = 20000.0;
+inline constexpr double saved_part_while_heard = 0.25;
+
+/// How far below zero a bucket may go, in bursts: what others took late is not forgotten before.
+inline constexpr double deepest_debt = 2.0;
+
+/// Age of what other nodes told last, on average, before it is known: the interval at which they tell and the
+/// way of the news.
+inline constexpr duration telling_lag = std::chrono::milliseconds(700);
+
+/// Nodes that a node counts on before it has found the others: when a large fleet starts again all at once, a
+/// smaller number would let its nodes take many times a limit.
+inline constexpr std::size_t assumed_node_count = 64;
+
+/// A limit is calm while less than this part of its rate is taken and its bucket is fuller than this part of
+/// the burst. A node that hears the others is then not bound to its own part: large calls come to one of many
+/// nodes now and then.
+inline constexpr double calm_rate_part = 0.8;
+inline constexpr double calm_level = 0.5;
+
+/// The others must have been heard for so long before that.
+inline constexpr duration calm_hearing_time = std::chrono::seconds(3);
+
 /// Each account's limit, in units (calls or tokens), as this node sees it.
 ///
 /// A bucket for the whole fleet fills with the account's rate up to its burst. This node's own calls are
@@ -24,9 +54,11 @@
     /// Takes in the limits of a configuration. A lower limit takes away what was saved above it.
     void setAccounts(const std::vector<client_account> &accounts);
 
-    /// The number of nodes that share the limits, at least 1, and whether this node hears what the others
-    /// take.
-    void setNodes(std::size_t count, bool hearsOthers);
+    /// The number of nodes that share the limits, at least 1.
+    void setNodes(std::size_t count);
+
+    /// Whether this node hears what the others take, and how old their news is on average.
+    void setHearing(bool hearsOthers, duration age);
 
     /// Takes units. Zero when they were there; otherwise nothing is taken, and the time until they may be
     /// there is given.
@@ -54,37 +86,22 @@
         double ownUnits = 0.0;
         double taken = 0.0;
         double othersPerSecond = 0.0; ///< what other nodes take, over the last second or so
+        double ownPerSecond = 0.0; ///< what this node takes
         time_point filledAt{};
     };
 
     double ownPart() const;
     double ownBurst(const bucket &which) const;
+    double notTold(const bucket &which) const;
+    bool isCalm(const bucket &which) const;
     void fill(bucket &which) const;
     void trim(bucket &which) const;
 
     const clock &m_time;
     std::size_t m_nodes;
-    bool m_hearsOthers = false;
+    duration m_newsAge = telling_lag;
+    std::optional<time_point> m_hearsSince;
     std::map<std::string, bucket> m_buckets;
 };
 
-/// What one node may take of a limit, as a multiple of its equal part.
-inline constexpr double own_part_factor = 2.0;
-
-/// What a node that hears the others may save up of a limit beyond that: an ordinary large call of 20,000
-/// tokens, a quarter of the burst at most. In a large fleet an equal part of the burst is less than one call.
-/// It refills with the node's part of the rate, so all nodes together cannot go on so.
-inline constexpr double saved_while_heard = 20000.0;
-inline constexpr double saved_part_while_heard = 0.25;
-
-/// How far below zero a bucket may go, in bursts: what others took late is not forgotten before.
-inline constexpr double deepest_debt = 2.0;
-
-/// Age of what other nodes told last, on average: the interval at which they tell and the way of the news.
-inline constexpr duration telling_lag = std::chrono::milliseconds(700);
-
-/// Nodes that a node counts on before it has found the others: when a large fleet starts again all at once, a
-/// smaller number would let its nodes take many times a limit.
-inline constexpr std::size_t assumed_node_count = 64;
-
 } // namespace ivypier::relay
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -128,6 +128,7 @@
     std::unique_ptr<http::listener> control;
     std::unique_ptr<http::listener> metricsListener;
     time_point startedAt{};
+    std::size_t assumedNodes = relay::assumed_node_count; ///< until the others are found
     time_point stopAt{}; ///< when the process ends at the latest
     bool stopping = false;
 
@@ -138,6 +139,7 @@
     void answerMetrics(const http::incoming_request &incoming, http::reply &to);
     void takeConfiguration(std::shared_ptr<const relay::route_table> table);
     void update();
+    void readFleetSize();
     std::size_t nodeCount() const;
     std::size_t connectionsFor(const relay::service &of) const;
     bool isReady() const;
@@ -228,6 +230,7 @@
     numbers.start();
     lease.setEligible(false);
     lease.start();
+    readFleetSize();
     update();
     log_event(log_level::info, "edge.started")
         .with("name", settings.name)
@@ -321,12 +324,25 @@
     calls.setTable(std::move(table));
 }
 
+void edge_node::parts::readFleetSize()
+{
+    store.read(duties::usage_reporter::row_key, [this](const outcome<std::optional<cloud::table_row>> &read) {
+        const auto nodes
+            = read && read.value() ? duties::usage_reporter::decodeNodes(read.value()->value) : std::nullopt;
+        log_event(log_level::info, "fleet.size_read")
+            .with("nodes", nodes ? static_cast<std::int64_t>(*nodes) : 0)
+            .with("reason", read ? "" : read.error().message)
+            .write();
+        assumedNodes = nodes.value_or(assumedNodes);
+    });
+}
+
 std::size_t edge_node::parts::nodeCount() const
 {
     const std::size_t known = std::max<std::size_t>(members.memberCount(), 1);
     const duration age = tasks.now() - startedAt;
     const bool joined = age > joining_time || (age > least_joining_time && numbers.hearsOthers());
-    return joined ? known : std::max(known, relay::assumed_node_count);
+    return joined ? known : std::max(known, assumedNodes);
 }
 
 std::size_t edge_node::parts::connectionsFor(const relay::service &of) const
@@ -337,7 +353,8 @@
 void edge_node::parts::update()
 {
     tasks.after(update_interval, [this] { update(); });
-    quota.setNodes(nodeCount(), numbers.hearsOthers());
+    quota.setNodes(nodeCount());
+    quota.setHearing(numbers.hearsOthers(), numbers.newsAge());
     repeats.setSlack(repeat_part * settings.repeatSlack / static_cast<double>(nodeCount()));
     const std::int64_t now = wall.milliseconds();
     const std::int64_t window = runs.windowAt(now);
@@ -352,6 +369,7 @@
     if (const auto held = lease.held())
         numbers.announceHolder(held->tenure);
     usage.setSettle(count_arrival + reports_per_count * numbers.interval());
+    usage.setNodes(nodeCount());
     usage.turn(now);
     if (const auto &table = calls.table())
         orders.turn(table->content(), numbers.ledger().work());
