One reader and one seal for the datagrams of gossip and of numbers

Cause: telling.cpp and gossip_codec.cpp held the same twenty lines (duplicates). The seal and the reading of packed messages stand in membership/sealed_datagram and packed_message. A comment of unit_quota says when its second bucket binds.

--- a/libraries/fleet/telling.cpp
+++ b/libraries/fleet/telling.cpp
@@ -1,23 +1,20 @@
 #include "fleet/telling.h"
 
 #include "membership/datagram_channel.h"
-
-#define MSGPACK_NO_BOOST
-#include <msgpack.hpp>
+#include "membership/packed_message.h"
+#include "membership/sealed_datagram.h"
 
 namespace ivypier::fleet {
 
 namespace {
 
 constexpr std::uint8_t protocol_version = 1;
-constexpr std::size_t authenticator_bytes = 32;
 constexpr std::string_view authenticated_context = "ivypier fleet 1:";
 /// Bytes of a datagram beside its numbers, at most.
-constexpr std::size_t datagram_overhead = authenticator_bytes + 32;
+constexpr std::size_t datagram_overhead = membership::seal_bytes + 32;
 /// Bytes of a number beside its name, at most: array, kind, two integers and the length of the name.
 constexpr std::size_t number_overhead = 24;
 constexpr std::size_t most_entries = 1024;
-constexpr std::size_t deepest_nesting = 4;
 
 struct wire_number
 {
@@ -39,17 +36,11 @@
     MSGPACK_DEFINE(version, kind, sender, round, isLast, numbers);
 };
 
-std::string authenticated(std::string_view body)
-{
-    return std::string(authenticated_context).append(body);
-}
-
 std::string pack(const secret_key &key, const wire_telling &part)
 {
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, part);
-    const std::string_view body(buffer.data(), buffer.size());
-    return key.authenticate(authenticated(body)).append(body);
+    return membership::sealDatagram(key, authenticated_context, {buffer.data(), buffer.size()});
 }
 
 outcome<telling> fromWire(wire_telling &&wire)
@@ -99,27 +90,15 @@
 
 outcome<telling> telling_codec::decode(std::string_view datagram) const
 {
-    if (datagram.size() < authenticator_bytes)
-        return error{error_code::unauthenticated, "too short"};
-    const std::string_view body = datagram.substr(authenticator_bytes);
-    if (!m_fleetKey.verify(authenticated(body), datagram.substr(0, authenticator_bytes)))
-        return error{error_code::unauthenticated, "not of this fleet"};
-    // msgpack reports malformed input by exceptions; here they become values.
-    try {
-        const msgpack::unpack_limit limit(most_entries, 0, datagram.size(), 0, 0, deepest_nesting);
-        const msgpack::object_handle unpacked
-            = msgpack::unpack(body.data(), body.size(), nullptr, nullptr, limit);
-        const msgpack::object &root = unpacked.get();
-        const bool known = root.type == msgpack::type::ARRAY && root.via.array.size > 0
-            && root.via.array.ptr[0].as<std::uint64_t>() == protocol_version;
-        if (!known)
-            return error{error_code::invalid_argument, "not a telling of this version"};
-        wire_telling wire;
-        root.convert(wire);
-        return fromWire(std::move(wire));
-    } catch (const std::exception &failure) {
-        return error{error_code::invalid_argument, failure.what()};
-    }
+    const outcome<std::string_view> body
+        = membership::openDatagram(m_fleetKey, authenticated_context, datagram);
+    if (!body)
+        return body.error();
+    outcome<wire_telling> wire
+        = membership::unpackMessage<wire_telling>(body.value(), protocol_version, most_entries);
+    if (!wire)
+        return wire.error();
+    return fromWire(std::move(wire.value()));
 }
 
 } // namespace ivypier::fleet
--- a/libraries/membership/gossip_codec.cpp
+++ b/libraries/membership/gossip_codec.cpp
@@ -1,19 +1,17 @@
 #include "membership/gossip_codec.h"
 
-#include <boost/asio/ip/address_v4.hpp>
+#include "membership/packed_message.h"
+#include "membership/sealed_datagram.h"
 
-#define MSGPACK_NO_BOOST
-#include <msgpack.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 
 namespace ivypier::membership {
 
 namespace {
 
 constexpr std::uint8_t protocol_version = 1;
-constexpr std::size_t authenticator_bytes = 32;
 constexpr std::string_view authenticated_context = "ivypier gossip 1:";
 constexpr std::size_t most_entries = 256;
-constexpr std::size_t deepest_nesting = 8;
 constexpr std::size_t member_overhead = 15; ///< beside the generation and the texts
 constexpr std::size_t details_overhead = 32;
 constexpr std::size_t fact_overhead = 7; ///< beside version, age and the texts
@@ -242,13 +240,6 @@
     return value <= 0xffffffff ? 5 : 9;
 }
 
-std::string authenticated(std::string_view body)
-{
-    std::string text(authenticated_context);
-    text += body;
-    return text;
-}
-
 } // namespace
 
 gossip_codec::gossip_codec(const secret_key &fleetKey)
@@ -260,37 +251,20 @@
 {
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, toWire(message));
-    const std::string_view body(buffer.data(), buffer.size());
-    std::string datagram = m_fleetKey.authenticate(authenticated(body));
-    datagram += body;
-    return datagram;
+    return sealDatagram(m_fleetKey, authenticated_context, {buffer.data(), buffer.size()});
 }
 
 outcome<gossip_message> gossip_codec::decode(std::string_view datagram) const
 {
-    if (datagram.size() < authenticator_bytes)
-        return error{error_code::unauthenticated, "too short"};
-    const std::string_view body = datagram.substr(authenticator_bytes);
-    if (!m_fleetKey.verify(authenticated(body), datagram.substr(0, authenticator_bytes)))
-        return error{error_code::unauthenticated, "not of this fleet"};
-    // msgpack reports malformed input by exceptions; here they become values.
-    try {
-        const msgpack::unpack_limit limit(most_entries, 0, datagram.size(), 0, 0, deepest_nesting);
-        const msgpack::object_handle unpacked
-            = msgpack::unpack(body.data(), body.size(), nullptr, nullptr, limit);
-        const msgpack::object &root = unpacked.get();
-        const bool known = root.type == msgpack::type::ARRAY && root.via.array.size > 0
-            && root.via.array.ptr[0].as<std::uint64_t>() == protocol_version;
-        if (!known)
-            return error{error_code::invalid_argument, "not a message of this version"};
-        wire_message wire;
-        root.convert(wire);
-        if (wire.kind > static_cast<std::uint8_t>(message_kind::pull) || wire.sender == 0)
-            return error{error_code::invalid_argument, "no such message"};
-        return fromWire(std::move(wire));
-    } catch (const std::exception &failure) {
-        return error{error_code::invalid_argument, failure.what()};
-    }
+    const outcome<std::string_view> body = openDatagram(m_fleetKey, authenticated_context, datagram);
+    if (!body)
+        return body.error();
+    outcome<wire_message> wire = unpackMessage<wire_message>(body.value(), protocol_version, most_entries);
+    if (!wire)
+        return wire.error();
+    if (wire.value().kind > static_cast<std::uint8_t>(message_kind::pull) || wire.value().sender == 0)
+        return error{error_code::invalid_argument, "no such message"};
+    return fromWire(std::move(wire.value()));
 }
 
 std::size_t encodedSize(const member_news &news)
--- /dev/null
+++ b/libraries/membership/packed_message.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/outcome.h"
+
+#define MSGPACK_NO_BOOST
+#include <msgpack.hpp>
+
+#include <string_view>
+
+namespace ivypier::membership {
+
+/// Reads a message that msgpack packed as an array whose first entry is the protocol's version.
+/// `invalid_argument` for anything else, also for more than `mostEntries` entries in one array.
+template <typename Message>
+outcome<Message> unpackMessage(std::string_view body, std::uint64_t version, std::size_t mostEntries)
+{
+    constexpr std::size_t deepestNesting = 8;
+    // msgpack reports malformed input by exceptions; here they become values.
+    try {
+        const msgpack::unpack_limit limit(mostEntries, 0, body.size(), 0, 0, deepestNesting);
+        const msgpack::object_handle unpacked
+            = msgpack::unpack(body.data(), body.size(), nullptr, nullptr, limit);
+        const msgpack::object &root = unpacked.get();
+        const bool known = root.type == msgpack::type::ARRAY && root.via.array.size > 0
+            && root.via.array.ptr[0].as<std::uint64_t>() == version;
+        if (!known)
+            return error{error_code::invalid_argument, "not a message of this version"};
+        Message message;
+        root.convert(message);
+        return message;
+    } catch (const std::exception &failure) {
+        return error{error_code::invalid_argument, failure.what()};
+    }
+}
+
+} // namespace ivypier::membership
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -44,8 +44,8 @@
 ///
 /// A bucket for the whole fleet fills with the account's rate up to its burst. This node's own calls are
 /// taken from it at once, those of the other nodes when they tell. What others took late leaves a debt, so
-/// that the rate holds in the long run. A second bucket bounds what this node alone may take in the meantime
-/// to a few times its equal part.
+/// that the rate holds in the long run. A second bucket bounds what this node alone may take until news
+/// arrives to a few times its equal part; it is left aside while the limit is calm.
 class unit_quota
 {
 public:
