A stop waits for answers to be sent, not only to be written

An answer that began before the signal keeps its connection, so its end made the connection idle while its last bytes waited for the next turn of the loop; a stop that closed idle connections, or ended the loop, in that turn cut them off. Ruled out: the upstream (it ended with 200) and the limit of the stop (2.9 of 8 s).

Change: a connection with unsent bytes is not idle and counts as unanswered. Test: listener_test, seen failing (0 unanswered, the rest of the answer lost).

--- a/libraries/http/listener.cpp
+++ b/libraries/http/listener.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <list>
 
 namespace ivypier::http {
@@ -153,7 +154,9 @@
 
 std::size_t listener::unanswered() const
 {
-    return m_state->shared->unanswered;
+    const auto &connections = m_state->connections;
+    return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(),
+                                                  [](const auto &each) { return each->isAnswering(); }));
 }
 
 } // namespace ivypier::http
--- a/libraries/http/listener.h
+++ b/libraries/http/listener.h
@@ -50,7 +50,7 @@
     /// Connections that are open.
     std::size_t connectionCount() const;
 
-    /// Requests that were read and are not answered yet.
+    /// Requests that were read and whose answers are not sent yet.
     std::size_t unanswered() const;
 
 private:
--- a/libraries/http/listener_connection.cpp
+++ b/libraries/http/listener_connection.cpp
@@ -25,12 +25,12 @@
         , m_keep(keep)
         , m_headOnly(headOnly)
     {
-        ++m_connection->m_shared->unanswered;
+        m_connection->m_replying = true;
     }
 
     ~connection_reply() override
     {
-        --m_connection->m_shared->unanswered;
+        m_connection->m_replying = false;
         m_connection->m_onSent = nullptr;
         m_connection->m_onClosed = nullptr;
         m_connection->answerEnded(m_ended, m_keep);
--- a/libraries/http/listener_connection.h
+++ b/libraries/http/listener_connection.h
@@ -16,7 +16,6 @@
     connection_limits limits;
     listener::handler requests;
     bool closeAfterAnswer = false;
-    std::size_t unanswered = 0;
 };
 
 /// One connection of a caller: reads a request, has it answered, reads the next one.
@@ -37,7 +36,19 @@
     }
     bool isIdle() const
     {
-        return m_phase == phase::idle && m_input.empty();
+        return m_phase == phase::idle && m_input.empty() && !hasUnsent();
+    }
+
+    /// True while bytes of an answer wait to be handed to the system.
+    bool hasUnsent() const
+    {
+        return m_open && (m_sending || !m_output.empty() || !m_writing.empty());
+    }
+
+    /// True from a request's last byte until its answer is sent or given up.
+    bool isAnswering() const
+    {
+        return m_open && (m_replying || hasUnsent());
     }
     void close();
 
@@ -67,6 +78,7 @@
     bool m_open = true;
     bool m_waiting = false;
     bool m_closeWhenSent = false;
+    bool m_replying = false; ///< a reply is out
     bool m_sending = false;
     std::function<void()> m_onSent;
     std::function<void()> m_onClosed;
--- a/libraries/http/tests/listener_test.cpp
+++ b/libraries/http/tests/listener_test.cpp
@@ -148,3 +148,28 @@
     CHECK(answer.ends_with("whole"));
     CHECK(server.thread.run([&] { return server.listener->unanswered(); }) == 0);
 }
+
+TEST_CASE("an answer that ends just before idle connections are closed still arrives whole")
+{
+    std::shared_ptr<http::reply> reply;
+    served server([&](const auto &, const auto &to) {
+        reply = to;
+        to->begin(200, {});
+        to->write("first");
+    });
+    raw_peer caller = raw_peer::connectTo(server.address);
+    caller.send(get_request);
+    CHECK(caller.readUntil("5\r\nfirst\r\n").starts_with("HTTP/1.1 200"));
+    const std::string last(100000, 'x');
+    server.thread.run([&] {
+        reply->write(last);
+        reply->finish();
+        reply.reset();
+        server.listener->closeAfterAnswers();
+        CHECK(server.listener->unanswered() == 1); // not sent yet
+        server.listener->closeIdle();
+    });
+    const std::string rest = caller.readUntil("0\r\n\r\n");
+    CHECK(rest.find(last) != std::string::npos);
+    CHECK(rest.ends_with("0\r\n\r\n"));
+}
