Tasks of an event loop run in the order in which they were posted, from any thread

Cause: Boost.Asio keeps what its own thread posts in a private queue until the current task ends, so a task that another thread posted later ran first. The server's responder begins an answer on the loop and is written to from other threads: a piece could stand before the head of its answer (the client says "bad version" and repeats a repeatable call).

Change: event_loop keeps its own queue under a mutex, one turn of the context for each task. Weighed: a strand, which runs what is ready in one go, so that stop() would not end after the current task.

Test: event_loop_test, seen failing ("b" before "a").

--- a/libraries/base/event_loop.cpp
+++ b/libraries/base/event_loop.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <deque>
+#include <mutex>
 #include <unordered_map>
 
 namespace ivypier {
@@ -15,6 +17,7 @@
 struct event_loop::state
 {
     void waitForReload();
+    void runOldest();
 
     boost::asio::io_context context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{context.get_executor()};
@@ -23,8 +26,21 @@
     task onReload;
     std::unordered_map<timer_id, std::unique_ptr<boost::asio::steady_timer>> timers;
     timer_id nextTimer = 1;
+    std::mutex postedMutex;
+    std::deque<task> posted; ///< one turn of the context is queued for each
 };
 
+void event_loop::state::runOldest()
+{
+    task oldest;
+    {
+        const std::lock_guard lock(postedMutex);
+        oldest = std::move(posted.front());
+        posted.pop_front();
+    }
+    oldest();
+}
+
 event_loop::event_loop()
     : m_state(std::make_unique<state>())
 {
@@ -44,7 +60,12 @@
 
 void event_loop::post(task work)
 {
-    boost::asio::post(m_state->context, std::move(work));
+    // The context itself runs what another thread posts before what its own thread posted earlier.
+    {
+        const std::lock_guard lock(m_state->postedMutex);
+        m_state->posted.push_back(std::move(work));
+    }
+    boost::asio::post(m_state->context, [state = m_state.get()] { state->runOldest(); });
 }
 
 timer_id event_loop::after(duration delay, task work)
