--- a/libraries/fleet/fleet_exchange.h
+++ b/libraries/fleet/fleet_exchange.h
@@ -20,7 +20,7 @@
 inline constexpr duration news_delivery = std::chrono::milliseconds(300);
 
 /// Between two reports of a node: short enough for limits to be shared, in a large fleet long enough for a
-/// collector to take 250 reports a second, about 1% of a core.
+/// collector to take 250 reports a second at most.
 inline constexpr duration least_report_interval = std::chrono::milliseconds(400);
 /// FIXME: above some 500 nodes limits are shared too seldom; collectors of each failure domain are missing.
 inline constexpr duration report_interval_per_node = std::chrono::milliseconds(4);
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -28,8 +28,8 @@
     auto operator<=>(const upstream_record &) const = default;
 };
 
-/// Unread prompt tokens that weigh as much as one call under way: a call of twice the usual prompt delays the
-/// others on its engine for as long as a few calls that only make tokens.
+/// Unread prompt tokens that weigh as much as one call under way. The engines of the users' pages read them
+/// in 40 to 47 ms, the time of about eight steps for all calls that make tokens.
 inline constexpr double tokens_per_call = 2000.0;
 
 /// An upstream with what this node knows of it by its own calls.
--- a/services/edge/table_readers.h
+++ b/services/edge/table_readers.h
@@ -17,12 +17,13 @@
 class table_readers
 {
 public:
-    /// Domains of up to so many nodes have all of them read.
+    /// Domains of up to so many nodes have all of them read: there is little to save.
     static constexpr std::size_t most_direct_nodes = 4;
-    /// Readers of a larger domain, and the nodes that one more of them serves.
+    /// Readers of a larger domain, so that one may be lost, and the nodes that one more of them serves: with
+    /// five answers a second to each, a reader answers 100 questions a second for a table.
     static constexpr std::size_t least_readers = 2;
     static constexpr std::size_t nodes_per_reader = 20;
-    /// A reader that failed is not asked for this long.
+    /// A reader that failed is not asked for this long, about the time in which it is found dead.
     static constexpr duration avoided_time = std::chrono::seconds(3);
 
     table_readers(const clock &time, random_source &randomness, const membership::membership_view &members);
