--- a/libraries/base/log_event.cpp
+++ b/libraries/base/log_event.cpp
@@ -2,6 +2,7 @@
 
 #include "base/boot_clock.h"
 #include "base/log_writer.h"
+#include "base/quoted_text.h"
 
 #include <easylogging++.h>
 
@@ -27,26 +28,6 @@
     return false;
 }
 
-std::string quoted(std::string_view value)
-{
-    std::string result = "\"";
-    for (const char character : value) {
-        if (character == '"' || character == '\\') {
-            result += '\\';
-            result += character;
-            continue;
-        }
-        if (static_cast<unsigned char>(character) >= 0x20 && character != 0x7f) {
-            result += character;
-            continue;
-        }
-        std::array<char, 8> escape{};
-        std::snprintf(escape.data(), escape.size(), "\\x%02x", static_cast<unsigned char>(character));
-        result += escape.data();
-    }
-    return result + '"';
-}
-
 /// Below it lines are not made.
 log_level leastLevel = log_level::debug;
 
@@ -100,7 +81,7 @@
         m_text += ' ';
     m_text += key;
     m_text += '=';
-    m_text += needsQuotes(value) ? quoted(value) : std::string(value);
+    m_text += needsQuotes(value) ? quotedText(value, control_escape::hexadecimal) : std::string(value);
     return *this;
 }
 
--- a/libraries/cloud/http_platform.cpp
+++ b/libraries/cloud/http_platform.cpp
@@ -1,6 +1,7 @@
 #include "cloud/http_platform.h"
 
 #include "base/json.h"
+#include "base/status_codes.h"
 
 #include <algorithm>
 #include <charconv>
@@ -12,15 +13,6 @@
 constexpr duration call_timeout = std::chrono::seconds(2);
 constexpr duration shortest_retry_after = std::chrono::seconds(1);
 
-constexpr int status_ok = 200;
-constexpr int status_created = 201;
-constexpr int status_no_content = 204;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_precondition_failed = 412;
-constexpr int status_too_many_requests = 429;
-constexpr int status_service_unavailable = 503;
-
 error statusError(const http::response &answer)
 {
     const std::string message = "the platform answered " + std::to_string(answer.status);
--- a/libraries/configuration/document_writer.cpp
+++ b/libraries/configuration/document_writer.cpp
@@ -1,8 +1,9 @@
 #include "configuration/document_writer.h"
 
+#include "base/quoted_text.h"
+
 #include <array>
 #include <charconv>
-#include <cstdio>
 
 namespace ivypier::configuration {
 
@@ -124,22 +125,7 @@
 
 std::string quotedToml(std::string_view text)
 {
-    std::string result = "\"";
-    for (const char character : text) {
-        if (character == '"' || character == '\\') {
-            result += '\\';
-            result += character;
-            continue;
-        }
-        if (static_cast<unsigned char>(character) >= 0x20 && character != 0x7f) {
-            result += character;
-            continue;
-        }
-        std::array<char, 8> escape{};
-        std::snprintf(escape.data(), escape.size(), "\\u%04x", static_cast<unsigned char>(character));
-        result += escape.data();
-    }
-    return result + '"';
+    return quotedText(text, control_escape::unicode);
 }
 
 std::string writeDocument(const document &content)
--- a/libraries/console/console.cpp
+++ b/libraries/console/console.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log_event.h"
 #include "base/secret.h"
+#include "base/status_codes.h"
 #include "base/utf8.h"
 #include "configuration/document_writer.h"
 #include "configuration/operator_key.h"
@@ -16,15 +17,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_unauthorized = 401;
-constexpr int status_forbidden = 403;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_unprocessable = 422;
-constexpr int status_bad_gateway = 502;
-
 constexpr const char *api_path = "/api/document";
 constexpr const char *bootstrap_name = "bootstrap";
 
--- a/libraries/console/console_request.cpp
+++ b/libraries/console/console_request.cpp
@@ -1,13 +1,13 @@
 #include "console/console_request.h"
 
 #include "base/secret.h"
+#include "base/status_codes.h"
 
 namespace ivypier::console {
 
 namespace {
 
 constexpr std::string_view cookie_name = "ivypier_session=";
-constexpr int status_see_other = 303;
 
 } // namespace
 
--- a/libraries/console/document_api.cpp
+++ b/libraries/console/document_api.cpp
@@ -1,6 +1,7 @@
 #include "base/json.h"
 #include "base/log_event.h"
 #include "base/secret.h"
+#include "base/status_codes.h"
 #include "configuration/document_json.h"
 #include "configuration/document_writer.h"
 #include "console/console.h"
@@ -11,14 +12,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_unauthorized = 401;
-constexpr int status_method_not_allowed = 405;
-constexpr int status_conflict = 409;
-constexpr int status_unprocessable = 422;
-constexpr int status_bad_gateway = 502;
-
 constexpr std::string_view bearer = "Bearer ";
 
 http::response failure(int status, std::string_view code, const std::string &message)
--- a/libraries/fleet/fleet_exchange.h
+++ b/libraries/fleet/fleet_exchange.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <unordered_map>
 
 namespace ivypier::fleet {
 
@@ -83,7 +84,7 @@
         std::uint64_t round = 0;
         time_point heardAt{};
         std::map<std::string, std::uint64_t> taken;
-        std::map<std::string, std::uint64_t> loads;
+        std::unordered_map<std::string, std::uint64_t> loads; ///< looked up for each upstream of each call
     };
 
     void tell();
--- a/libraries/gateway/answer_writer.cpp
+++ b/libraries/gateway/answer_writer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/answer_writer.h"
 
 #include "base/json.h"
+#include "base/status_codes.h"
 
 #include <cmath>
 #include <sstream>
@@ -10,9 +11,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_see_other = 303;
-
 /// Significant digits of a cost in a header.
 constexpr int cost_digits = 4;
 
--- a/libraries/gateway/caller_api.cpp
+++ b/libraries/gateway/caller_api.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "base/json.h"
 #include "base/random_source.h"
+#include "base/status_codes.h"
 #include "gateway/request_reader.h"
 
 #include <charconv>
@@ -11,15 +12,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_unauthorized = 401;
-constexpr int status_forbidden = 403;
-constexpr int status_not_found = 404;
-constexpr int status_unprocessable = 422;
-constexpr int status_bad_gateway = 502;
-constexpr int status_service_unavailable = 503;
-
 /// When a caller may come back to a node that has no configuration yet.
 constexpr duration not_ready_retry_after = std::chrono::seconds(1);
 
--- a/libraries/gateway/tests/simulated_caller.cpp
+++ b/libraries/gateway/tests/simulated_caller.cpp
@@ -1,6 +1,7 @@
 #include "simulated_caller.h"
 
 #include "base/json.h"
+#include "base/status_codes.h"
 #include "gateway/request_reader.h"
 
 #include <sstream>
@@ -11,8 +12,6 @@
 
 constexpr duration patience = std::chrono::milliseconds(2500);
 constexpr unsigned most_rounds = 12;
-constexpr int status_see_other = 303;
-constexpr int status_not_found = 404;
 
 /// One connection of a caller; what comes after the node died never arrives.
 class caller_connection final : public http::responder
--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include "base/status_codes.h"
+
 #include "http/background_loop.h"
 #include "http/listener.h"
 #include "http/tls_stream.h"
@@ -12,8 +14,6 @@
 
 namespace {
 
-constexpr int status_internal_error = 500;
-
 /// A caller of our own interface may be slow, but not for ever.
 constexpr duration header_time = std::chrono::seconds(10);
 constexpr duration silence_limit = std::chrono::seconds(120);
--- a/libraries/relay/prefix_choice.cpp
+++ b/libraries/relay/prefix_choice.cpp
@@ -71,27 +71,30 @@
 const upstream *prefix_choice::chooseHome(const std::vector<const upstream *> &from,
                                           std::uint64_t prefix) const
 {
+    // Looked up once each: there may be thousands.
+    std::vector<double> loads;
+    loads.reserve(from.size());
     double total = 0.0;
-    for (const upstream *each : from)
-        total += loadOf(*each);
+    for (const upstream *each : from) {
+        loads.push_back(loadOf(*each));
+        total += loads.back();
+    }
     const double bound
         = m_options.loadBound * total / static_cast<double>(from.size()) + m_options.slackCalls;
     const std::string key = std::to_string(prefix);
     const upstream *best = nullptr;
-    const upstream *lightest = from.front();
     std::uint64_t bestWeight = 0;
-    for (const upstream *each : from) {
-        if (loadOf(*each) < loadOf(*lightest))
-            lightest = each;
-        if (loadOf(*each) > bound)
+    for (std::size_t index = 0; index < from.size(); ++index) {
+        if (loads[index] > bound)
             continue;
-        const std::uint64_t weight = rendezvousWeight(key, each->record.id);
+        const std::uint64_t weight = rendezvousWeight(key, from[index]->record.id);
         if (best && weight <= bestWeight)
             continue;
-        best = each;
+        best = from[index];
         bestWeight = weight;
     }
-    return best ? best : lightest;
+    // The least loaded one is within the bound, which is the mean load at least.
+    return best;
 }
 
 const upstream *prefix_choice::chooseLighter(const std::vector<const upstream *> &from)
--- a/libraries/relay/prefix_choice.h
+++ b/libraries/relay/prefix_choice.h
@@ -10,7 +10,8 @@
 
 struct prefix_choice_options
 {
-    /// A home with more than this times the mean load, and `slack` calls, passes a call on to the next.
+    /// A home with more than this times the mean load, and `slackCalls`, passes a call on to the next. At
+    /// least 1.
     double loadBound = 1.4;
     double slackCalls = 3.0;
 
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayed_call.h"
 
 #include "base/log_event.h"
+#include "base/status_codes.h"
 
 #include <algorithm>
 #include <array>
@@ -10,14 +11,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_unauthorized = 401;
-constexpr int status_not_found = 404;
-constexpr int status_too_many = 429;
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
-
 /// Sendings of one call, also those that were not run.
 constexpr std::uint32_t sending_limit = 4;
 /// With less time left, another sending can't be of use.
@@ -72,7 +65,7 @@
 bool relayed_call::admit()
 {
     if (!m_table) {
-        refuse(status_unavailable, "no_configuration", retry_pause);
+        refuse(status_service_unavailable, "no_configuration", retry_pause);
         return false;
     }
     const std::string_view target = m_call.target;
@@ -94,7 +87,7 @@
         allowed = std::min(allowed, m_route->timeout);
     m_endsAt = m_call.receivedAt + std::min(allowed, longest);
     if (timeLeft() <= duration::zero()) {
-        refuse(status_unavailable, "no_time_left", duration::zero());
+        refuse(status_service_unavailable, "no_time_left", duration::zero());
         return false;
     }
     m_serviceName = pickService();
@@ -107,7 +100,7 @@
                             : m_account->unitsWithoutUsage;
     const duration wait = m_environment.quota.take(m_account->name, units);
     if (wait > duration::zero()) {
-        refuse(status_too_many, "account_limit", wait);
+        refuse(status_too_many_requests, "account_limit", wait);
         return false;
     }
     m_unitsTaken = units;
@@ -142,7 +135,7 @@
     if (m_mayHaveRun)
         fail(status_bad_gateway, "no_other_upstream");
     else
-        refuse(status_unavailable, "no_upstream", retry_pause);
+        refuse(status_service_unavailable, "no_upstream", retry_pause);
 }
 
 void relayed_call::sendTo(const upstream &chosen)
@@ -251,7 +244,7 @@
     if (m_mayHaveRun)
         fail(status_bad_gateway, "not_run_after_a_run");
     else
-        refuse(status_unavailable, "upstreams_full", retry_pause);
+        refuse(status_service_unavailable, "upstreams_full", retry_pause);
 }
 
 void relayed_call::takeServedHead(http::response_head head)
@@ -374,7 +367,7 @@
     if (m_mayHaveRun)
         fail(status_bad_gateway, "upstream_broke_off");
     else
-        refuse(status_unavailable, "not_sent", retry_pause);
+        refuse(status_service_unavailable, "not_sent", retry_pause);
 }
 
 void relayed_call::notePromptRead()
@@ -409,7 +402,7 @@
     if (mayHaveRun)
         fail(status_gateway_timeout, "time_over");
     else
-        refuse(status_unavailable, "time_over", duration::zero());
+        refuse(status_service_unavailable, "time_over", duration::zero());
 }
 
 void relayed_call::onCallerGone()
--- a/libraries/requests/attempt_runner.cpp
+++ b/libraries/requests/attempt_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/log_event.h"
+#include "base/status_codes.h"
 
 #include <algorithm>
 #include <string_view>
@@ -11,9 +12,6 @@
 
 namespace {
 
-constexpr int status_bad_gateway = 502;
-constexpr int status_service_unavailable = 503;
-
 /// When a caller whose request found no upstream may come back.
 constexpr duration short_retry_after = std::chrono::seconds(1);
 
--- a/libraries/requests/handover_sender.cpp
+++ b/libraries/requests/handover_sender.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/log_event.h"
+#include "base/status_codes.h"
 #include "entry/entry_directory.h"
 
 #include <algorithm>
@@ -19,8 +20,6 @@
 constexpr duration closing_margin = std::chrono::milliseconds(300);
 
 constexpr duration short_retry_after = std::chrono::seconds(1);
-constexpr int status_bad_gateway = 502;
-constexpr int status_service_unavailable = 503;
 
 std::string conversationOf(const request_record &record)
 {
--- a/libraries/requests/request_service.cpp
+++ b/libraries/requests/request_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/log_event.h"
+#include "base/status_codes.h"
 #include "entry/entry_directory.h"
 
 #include <algorithm>
@@ -11,12 +12,6 @@
 
 namespace {
 
-constexpr int status_gone = 410;
-constexpr int status_too_many_requests = 429;
-constexpr int status_bad_gateway = 502;
-constexpr int status_service_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
-
 /// When a caller whose request could not get its grant or upstream may come back.
 constexpr duration short_retry_after = std::chrono::seconds(1);
 
--- a/libraries/requests/request_table.cpp
+++ b/libraries/requests/request_table.cpp
@@ -1,5 +1,7 @@
 #include "requests/request_table.h"
 
+#include "base/status_codes.h"
+
 #include <algorithm>
 #include <optional>
 
@@ -7,8 +9,6 @@
 
 namespace {
 
-constexpr int status_gone = 410;
-
 std::size_t bytesOf(const request_record &record)
 {
     std::size_t total = record.final ? record.final->body.size() : 0;
--- a/libraries/rpc/peer_client.cpp
+++ b/libraries/rpc/peer_client.cpp
@@ -1,13 +1,13 @@
 #include "rpc/peer_client.h"
 
+#include "base/status_codes.h"
+
 #include "rpc/codec/rpc_codec.h"
 
 namespace ivypier::rpc {
 
 namespace {
 
-constexpr int status_ok = 200;
-
 outcome<Json::Value> decode(const outcome<http::response> &answered)
 {
     if (!answered)
--- a/libraries/rpc/peer_server.cpp
+++ b/libraries/rpc/peer_server.cpp
@@ -1,17 +1,12 @@
 #include "rpc/peer_server.h"
 
+#include "base/status_codes.h"
+
 #include "rpc/codec/rpc_codec.h"
 #include "rpc/peer_client.h"
 
 namespace ivypier::rpc {
 
-namespace {
-
-constexpr int status_forbidden = 403;
-constexpr int status_ok = 200;
-
-} // namespace
-
 struct peer_server::state
 {
     scheduler &tasks;
--- a/libraries/upstream/http_model_engine.cpp
+++ b/libraries/upstream/http_model_engine.cpp
@@ -1,6 +1,7 @@
 #include "upstream/http_model_engine.h"
 
 #include "base/json.h"
+#include "base/status_codes.h"
 #include "upstream/event_stream_parser.h"
 
 #include <utility>
@@ -11,9 +12,6 @@
 
 constexpr duration stream_silence_limit = std::chrono::seconds(30);
 constexpr duration call_timeout = std::chrono::seconds(2);
-constexpr int status_ok = 200;
-constexpr int status_conflict = 409;
-constexpr int status_service_unavailable = 503;
 
 token_usage usageOf(const Json::Value &json)
 {
--- a/services/console/main.cpp
+++ b/services/console/main.cpp
@@ -1,6 +1,7 @@
 #include "base/event_loop.h"
 #include "base/json.h"
 #include "base/log_event.h"
+#include "base/status_codes.h"
 #include "cloud/http_platform.h"
 #include "console/console.h"
 #include "console_settings.h"
@@ -11,8 +12,6 @@
 
 using namespace ivypier;
 
-constexpr int status_ok = 200;
-
 /// Longest form or document that the console reads, in bytes.
 constexpr std::size_t body_limit = std::size_t{2} * 1024 * 1024;
 
--- a/services/ctl/node_request.cpp
+++ b/services/ctl/node_request.cpp
@@ -1,6 +1,7 @@
 #include "node_request.h"
 
 #include "base/json.h"
+#include "base/status_codes.h"
 #include "platform_session.h"
 #include "program/file_reader.h"
 
@@ -8,10 +9,6 @@
 
 namespace {
 
-constexpr int status_bad_request = 400;
-constexpr int status_unauthorized = 401;
-constexpr int status_forbidden = 403;
-
 error describeStatus(const http::response &answer)
 {
     const outcome<Json::Value> json = parseJson(answer.body);
--- a/services/ctl/status_command.cpp
+++ b/services/ctl/status_command.cpp
@@ -1,4 +1,5 @@
 #include "base/json.h"
+#include "base/status_codes.h"
 #include "commands.h"
 #include "platform_session.h"
 
@@ -8,8 +9,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-
 /// The addresses to ask: the one of `--node`, else every node that the platform lists.
 outcome<std::vector<endpoint>> nodesToAsk(const command_options &options)
 {
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "base/log_event.h"
 #include "base/random_source.h"
+#include "base/status_codes.h"
 #include "base/steady_wall_clock.h"
 #include "duties/upstream_orders.h"
 #include "duties/usage_reporter.h"
@@ -30,11 +31,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
-
 /// How often limits, loads and duties are brought up to date.
 constexpr duration update_interval = std::chrono::milliseconds(400);
 /// A window's counts have arrived two reports and this time after its end.
@@ -259,7 +255,7 @@
 void edge_node::parts::answerReadiness(const http::incoming_request &incoming, http::reply &to) const
 {
     const bool known = adapter::isReadinessQuestion(incoming);
-    to.send(!known ? status_not_found : isReady() ? status_ok : status_unavailable, {}, {});
+    to.send(!known ? status_not_found : isReady() ? status_ok : status_service_unavailable, {}, {});
 }
 
 void edge_node::parts::answerLookup(const http::incoming_request &incoming, http::reply &to) const
@@ -271,7 +267,7 @@
     }
     const std::vector<endpoint> addresses = addressesFor(members.members(), question->failureDomain);
     if (addresses.empty()) {
-        to.send(status_unavailable, {}, {});
+        to.send(status_service_unavailable, {}, {});
         return;
     }
     to.send(status_ok, {{"Content-Type", "application/json"}},
--- a/services/edge/peer_rows.cpp
+++ b/services/edge/peer_rows.cpp
@@ -1,5 +1,7 @@
 #include "peer_rows.h"
 
+#include "base/status_codes.h"
+
 #include "peer_rows_codec.h"
 
 #include <algorithm>
@@ -12,8 +14,6 @@
 constexpr duration call_time = std::chrono::milliseconds(600);
 /// A reader may be cut off from the platform and not know it yet: it is not waited for long.
 constexpr duration longest_wait = std::chrono::seconds(1);
-constexpr int status_ok = 200;
-constexpr int status_gone = 410;
 
 } // namespace
 
--- a/services/edge/peer_rows_server.cpp
+++ b/services/edge/peer_rows_server.cpp
@@ -1,5 +1,7 @@
 #include "peer_rows_server.h"
 
+#include "base/status_codes.h"
+
 #include "peer_rows_codec.h"
 
 #include "http/message.h"
@@ -11,10 +13,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_gone = 410;
-constexpr int status_unavailable = 503;
 /// A question waits no longer, whatever it asks for.
 constexpr duration longest_wait = std::chrono::seconds(2);
 /// How often questions are looked through for those that waited long enough.
@@ -76,7 +74,7 @@
 bool peer_rows_server::answerIfKnown(const served &table, const waiting &question) const
 {
     if (!table.follower->isConnected()) {
-        question.to->send(status_unavailable, {}, {});
+        question.to->send(status_service_unavailable, {}, {});
         return true;
     }
     const auto changes = table.follower->changesSince(question.after);
--- a/services/node/node.cpp
+++ b/services/node/node.cpp
@@ -9,6 +9,7 @@
 #include "base/json.h"
 #include "base/log_event.h"
 #include "base/random_source.h"
+#include "base/status_codes.h"
 #include "cloud/http_platform.h"
 #include "configuration/configuration_follower.h"
 #include "configuration/document_store.h"
@@ -40,8 +41,6 @@
 constexpr duration notice_interval = std::chrono::milliseconds(500);
 constexpr double notice_reads_per_second = 100.0;
 constexpr std::string_view node_role = "node";
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
 
 membership::member describeSelf(const node_settings &settings, random_source &randomness)
 {
--- a/services/node/operator_access.cpp
+++ b/services/node/operator_access.cpp
@@ -1,6 +1,7 @@
 #include "operator_access.h"
 
 #include "base/json.h"
+#include "base/status_codes.h"
 #include "configuration/operator_key.h"
 
 namespace ivypier::node {
@@ -8,9 +9,6 @@
 namespace {
 
 constexpr std::string_view bearer = "Bearer ";
-constexpr int status_unauthorized = 401;
-constexpr int status_method_not_allowed = 405;
-constexpr int status_service_unavailable = 503;
 
 int statusOf(error_code code)
 {
--- a/services/planner/demand_poller.cpp
+++ b/services/planner/demand_poller.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/json.h"
+#include "base/status_codes.h"
 
 #include <algorithm>
 
@@ -11,7 +12,6 @@
 
 constexpr std::size_t most_nodes = 64;
 constexpr duration call_timeout = std::chrono::seconds(2);
-constexpr int status_ok = 200;
 constexpr int fresh_intervals = 4;
 
 placement::node_counters countersOf(const Json::Value &json)
--- a/services/planner/planner.cpp
+++ b/services/planner/planner.cpp
@@ -4,6 +4,7 @@
 #include "base/json.h"
 #include "base/log_event.h"
 #include "base/random_source.h"
+#include "base/status_codes.h"
 #include "cloud/http_platform.h"
 #include "configuration/configuration_follower.h"
 #include "configuration/document_store.h"
@@ -27,8 +28,6 @@
 constexpr duration longest_release = std::chrono::seconds(5);
 constexpr std::size_t duties_per_service = 2;
 constexpr std::string_view node_role = "node";
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
 
 Json::Value describe(const placement::lease_keeper &keeper)
 {
--- a/standins/engine/engine_state.cpp
+++ b/standins/engine/engine_state.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/json.h"
+#include "base/status_codes.h"
 
 #include <algorithm>
 #include <array>
@@ -11,12 +12,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_service_unavailable = 503;
-
 constexpr std::uint64_t bytes_per_token = 4;
 constexpr std::uint64_t least_answer_tokens = 16;
 constexpr std::uint64_t answer_token_spread = 32;
--- a/standins/plain/main.cpp
+++ b/standins/plain/main.cpp
@@ -1,6 +1,7 @@
 #include "base/event_loop.h"
 #include "base/json.h"
 #include "base/log_event.h"
+#include "base/status_codes.h"
 #include "http/server.h"
 
 #include <absl/flags/flag.h>
@@ -16,8 +17,6 @@
 
 using namespace ivypier;
 
-constexpr int status_ok = 200;
-
 /// Price of a parcel, so that answers differ from request to request.
 constexpr double cedis_per_kilogram = 12.5;
 
--- a/standins/platform/cloud_state.cpp
+++ b/standins/platform/cloud_state.cpp
@@ -1,6 +1,7 @@
 #include "cloud_state.h"
 
 #include "base/json.h"
+#include "base/status_codes.h"
 
 #include <algorithm>
 #include <charconv>
@@ -9,13 +10,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_created = 201;
-constexpr int status_no_content = 204;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-
 constexpr std::string_view vm_prefix = "/cloud/vms/";
 constexpr std::int64_t default_notice_milliseconds = 30'000;
 
--- a/standins/platform/platform_state.cpp
+++ b/standins/platform/platform_state.cpp
@@ -1,6 +1,7 @@
 #include "platform_state.h"
 
 #include "base/json.h"
+#include "base/status_codes.h"
 
 #include <charconv>
 #include <cmath>
@@ -9,13 +10,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_precondition_failed = 412;
-constexpr int status_too_many_requests = 429;
-constexpr int status_service_unavailable = 503;
-
 constexpr double writes_per_second = 400.0;
 constexpr double reads_per_second = 2000.0;
 constexpr double weight_deliveries_per_second = 10.0;
--- a/utilities/replay/live_pairs.cpp
+++ b/utilities/replay/live_pairs.cpp
@@ -1,5 +1,7 @@
 #include "live_pairs.h"
 
+#include "base/status_codes.h"
+
 #include "http/client.h"
 #include "replay_result.h"
 
@@ -10,7 +12,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
 constexpr double milliseconds_per_second = 1000.0;
 constexpr unsigned warm_up_calls = 50;
 
