--- a/libraries/base/quoted_text.cpp
+++ b/libraries/base/quoted_text.cpp
@@ -7,8 +7,8 @@
 
 std::string quotedText(std::string_view text, control_escape style)
 {
-    constexpr unsigned char first_printable = 0x20;
-    constexpr char delete_character = 0x7f;
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr char deleteCharacter = 0x7f;
     const char *const format = style == control_escape::unicode ? "\\u%04x" : "\\x%02x";
     std::string result = "\"";
     for (const char character : text) {
@@ -17,7 +17,7 @@
             result += character;
             continue;
         }
-        if (static_cast<unsigned char>(character) >= first_printable && character != delete_character) {
+        if (static_cast<unsigned char>(character) >= firstPrintable && character != deleteCharacter) {
             result += character;
             continue;
         }
