Reads of tables from other nodes are logged and counted

The logs of the incident could not tell whether a node lacked a configuration because its reader's link was full, because reads were abandoned half way, or because it read the same change twice. A read of 16 KiB or more from another node, or one that failed, writes table.read_from_node with reader, time, bytes and outcome; ivypier_table_bytes_sent counts what a node sends. Long polls that end without news stay silent.

--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -311,6 +311,7 @@
     metrics.set("ivypier_configuration_version", {}, static_cast<double>(tables.configurationVersion()));
     metrics.set("ivypier_gossip_bytes", {}, static_cast<double>(members.traffic().bytes));
     metrics.set("ivypier_fleet_number_bytes", {}, static_cast<double>(fleetExchange.bytesSent()));
+    metrics.set("ivypier_table_bytes_sent", {}, static_cast<double>(tables.bytesSentToNodes()));
     metrics.set("ivypier_store_restores", {}, static_cast<double>(store.restoresSeen()));
     metrics.set("ivypier_duty_held", {}, lease.held() ? 1.0 : 0.0);
     for (const relay::upstream *each : upstreams.all())
--- a/services/edge/peer_feed.cpp
+++ b/services/edge/peer_feed.cpp
@@ -1,5 +1,6 @@
 #include "peer_feed.h"
 
+#include "base/log_event.h"
 #include "base/status_codes.h"
 
 #include "peer_feed_codec.h"
@@ -18,11 +19,32 @@
 /// Maximum long-poll wait. It is short because a reader may be cut off from the platform without having
 /// noticed it yet.
 constexpr duration max_wait = std::chrono::seconds(1);
+/// Responses of at least this size are logged.
+constexpr std::size_t logged_response_bytes = 16384;
+
+bool isWorthLogging(const outcome<http::response> &result)
+{
+    return !result || result.value().body.size() >= logged_response_bytes;
+}
+
+void logRead(const std::string &table, const membership::member &reader, duration took,
+             const outcome<http::response> &result)
+{
+    log_event(result ? log_level::info : log_level::warning, "table.read_from_node")
+        .with("table", table)
+        .with("reader", reader.name)
+        .with("ms", milliseconds(took))
+        .with("bytes", result ? static_cast<std::int64_t>(result.value().body.size()) : 0)
+        .with("outcome", result ? std::to_string(result.value().status) : result.error().message)
+        .write();
+}
 
 } // namespace
 
-peer_feed::peer_feed(table_readers &readers, http::fetcher &calls, std::uint16_t controlPort)
-    : m_readers(readers)
+peer_feed::peer_feed(const clock &time, table_readers &readers, http::fetcher &calls,
+                     std::uint16_t controlPort)
+    : m_time(time)
+    , m_readers(readers)
     , m_calls(calls)
     , m_controlPort(controlPort)
 {
@@ -35,7 +57,7 @@
         done(error{error_code::unavailable, "no reader is available in any failure domain"});
         return;
     }
-    sendRequest(*reader, "table=" + table, list_timeout, std::move(done));
+    sendRequest(*reader, table, "", list_timeout, std::move(done));
 }
 
 void peer_feed::changes(const std::string &table, std::uint64_t after, duration wait, completion done)
@@ -46,18 +68,20 @@
         return;
     }
     const duration waitTime = std::min(wait, max_wait);
-    sendRequest(*reader,
-                "table=" + table + "&after=" + std::to_string(after)
-                    + "&wait_ms=" + std::to_string(milliseconds(waitTime)),
+    sendRequest(*reader, table,
+                "&after=" + std::to_string(after) + "&wait_ms=" + std::to_string(milliseconds(waitTime)),
                 waitTime + request_timeout_margin, std::move(done));
 }
 
-void peer_feed::sendRequest(const membership::member &reader, std::string query, duration timeout,
-                            completion done)
+void peer_feed::sendRequest(const membership::member &reader, const std::string &table,
+                            const std::string &parameters, duration timeout, completion done)
 {
     m_calls.send({reader.address.host, m_controlPort},
-                 {.path = std::string(peer_feed_path), .query = std::move(query)}, timeout,
-                 [this, id = reader.id, done = std::move(done)](const outcome<http::response> &result) {
+                 {.path = std::string(peer_feed_path), .query = "table=" + table + parameters}, timeout,
+                 [this, table, reader, startedAt = m_time.now(),
+                  done = std::move(done)](const outcome<http::response> &result) {
+                     if (isWorthLogging(result))
+                         logRead(table, reader, m_time.now() - startedAt, result);
                      if (result && result.value().status == status_ok) {
                          done(decodeVersionedRows(result.value().body));
                          return;
@@ -66,7 +90,7 @@
                          done(error{error_code::not_found, "the reader no longer has the requested changes"});
                          return;
                      }
-                     m_readers.reportFailure(id);
+                     m_readers.reportFailure(reader.id);
                      if (result)
                          done(error{error_code::unavailable, "the reader cannot serve the table"});
                      else
--- a/services/edge/peer_feed.h
+++ b/services/edge/peer_feed.h
@@ -10,7 +10,7 @@
 class peer_feed final : public cloud::change_feed
 {
 public:
-    peer_feed(table_readers &readers, http::fetcher &calls, std::uint16_t controlPort);
+    peer_feed(const clock &time, table_readers &readers, http::fetcher &calls, std::uint16_t controlPort);
 
     /// Returns all rows of a table as known to a reader of any failure domain.
     void list(const std::string &table, completion done) override;
@@ -21,8 +21,10 @@
     void changes(const std::string &table, std::uint64_t after, duration wait, completion done) override;
 
 private:
-    void sendRequest(const membership::member &reader, std::string query, duration timeout, completion done);
+    void sendRequest(const membership::member &reader, const std::string &table,
+                     const std::string &parameters, duration timeout, completion done);
 
+    const clock &m_time;
     table_readers &m_readers;
     http::fetcher &m_calls;
     std::uint16_t m_controlPort;
--- a/services/edge/peer_feed_server.cpp
+++ b/services/edge/peer_feed_server.cpp
@@ -25,11 +25,6 @@
     return number;
 }
 
-void sendRows(http::reply &to, const cloud::versioned_rows &rows)
-{
-    to.send(status_ok, {{"Content-Type", "application/json"}}, encodeVersionedRows(rows));
-}
-
 } // namespace
 
 peer_feed_server::peer_feed_server(scheduler &tasks)
@@ -72,7 +67,7 @@
         scheduleSweep(table);
 }
 
-bool peer_feed_server::tryRespond(const served_table &table, const pending_request &pending) const
+bool peer_feed_server::tryRespond(const served_table &table, const pending_request &pending)
 {
     if (!table.follower->isConnected()) {
         pending.reply->send(status_service_unavailable, {}, {});
@@ -89,6 +84,13 @@
     return true;
 }
 
+void peer_feed_server::sendRows(http::reply &to, const cloud::versioned_rows &rows)
+{
+    const std::string body = encodeVersionedRows(rows);
+    m_bytesSent += body.size();
+    to.send(status_ok, {{"Content-Type", "application/json"}}, body);
+}
+
 void peer_feed_server::respondToPending(served_table &table)
 {
     table.pendingRequests.remove_if([&](const pending_request &each) { return tryRespond(table, each); });
--- a/services/edge/peer_feed_server.h
+++ b/services/edge/peer_feed_server.h
@@ -23,6 +23,12 @@
     /// cannot reach the platform, or 404 for a table that is not served or not yet loaded.
     void handleRequest(const http::incoming_request &incoming, const std::shared_ptr<http::reply> &to);
 
+    /// Returns the total size of all response bodies so far.
+    std::uint64_t bytesSent() const
+    {
+        return m_bytesSent;
+    }
+
 private:
     struct pending_request
     {
@@ -38,12 +44,14 @@
     };
 
     void handleChangesRequest(served_table &table, const pending_request &pending);
-    bool tryRespond(const served_table &table, const pending_request &pending) const;
+    bool tryRespond(const served_table &table, const pending_request &pending);
+    void sendRows(http::reply &to, const cloud::versioned_rows &rows);
     void respondToPending(served_table &table);
     void scheduleSweep(served_table &table);
 
     scheduler &m_tasks;
     std::map<std::string, served_table> m_tables;
+    std::uint64_t m_bytesSent = 0;
 };
 
 } // namespace ivypier::edge
--- a/services/edge/platform_tables.cpp
+++ b/services/edge/platform_tables.cpp
@@ -35,7 +35,7 @@
     , m_members(members)
     , m_upstreams(upstreams)
     , m_readers(tasks, randomness, members)
-    , m_peerFeed(m_readers, calls, controlPort)
+    , m_peerFeed(tasks, m_readers, calls, controlPort)
     , m_feed(m_readers, store, m_peerFeed)
     , m_peerServer(tasks)
     , m_configurationRows(adapter::wire::configuration_key, adapter::decodeConfiguration,
--- a/services/edge/platform_tables.h
+++ b/services/edge/platform_tables.h
@@ -33,6 +33,12 @@
         return m_configurationRows.version();
     }
 
+    /// Returns the number of bytes of table rows sent to other nodes.
+    std::uint64_t bytesSentToNodes() const
+    {
+        return m_peerServer.bytesSent();
+    }
+
 private:
     void handleFact(const membership::fact &update);
     void markDraining(const std::string &upstream);
