--- a/libraries/base/json.cpp
+++ b/libraries/base/json.cpp
@@ -47,11 +47,41 @@
     return Json::writeString(builder, value);
 }
 
+std::string stringOf(const Json::Value &value)
+{
+    return value.isString() ? value.asString() : std::string();
+}
+
+std::uint64_t unsignedOf(const Json::Value &value, std::uint64_t fallback)
+{
+    return value.isUInt64() ? value.asUInt64() : fallback;
+}
+
+double numberOf(const Json::Value &value, double fallback)
+{
+    return value.isNumeric() ? value.asDouble() : fallback;
+}
+
+bool booleanOf(const Json::Value &value)
+{
+    return value.isBool() && value.asBool();
+}
+
+const Json::Value &arrayOf(const Json::Value &value)
+{
+    static const Json::Value emptyValue(Json::arrayValue);
+    return value.isArray() ? value : emptyValue;
+}
+
+const Json::Value &objectOf(const Json::Value &value)
+{
+    static const Json::Value emptyValue(Json::objectValue);
+    return value.isObject() ? value : emptyValue;
+}
+
 std::string stringMember(const Json::Value &object, const char *name)
 {
-    if (!object.isObject() || !object[name].isString())
-        return {};
-    return object[name].asString();
+    return object.isObject() ? stringOf(object[name]) : std::string();
 }
 
 std::int64_t integerMember(const Json::Value &object, const char *name, std::int64_t fallback)
@@ -63,33 +93,27 @@
 
 std::uint64_t unsignedMember(const Json::Value &object, const char *name, std::uint64_t fallback)
 {
-    if (!object.isObject() || !object[name].isUInt64())
-        return fallback;
-    return object[name].asUInt64();
+    return object.isObject() ? unsignedOf(object[name], fallback) : fallback;
 }
 
 double numberMember(const Json::Value &object, const char *name, double fallback)
 {
-    if (!object.isObject() || !object[name].isNumeric())
-        return fallback;
-    return object[name].asDouble();
+    return object.isObject() ? numberOf(object[name], fallback) : fallback;
 }
 
 bool booleanMember(const Json::Value &object, const char *name)
 {
-    return object.isObject() && object[name].isBool() && object[name].asBool();
+    return object.isObject() && booleanOf(object[name]);
 }
 
 const Json::Value &arrayMember(const Json::Value &object, const char *name)
 {
-    static const Json::Value emptyValue(Json::arrayValue);
-    return object.isObject() && object.isMember(name) && object[name].isArray() ? object[name] : emptyValue;
+    return arrayOf(object.isObject() ? object[name] : Json::Value::nullSingleton());
 }
 
 const Json::Value &objectMember(const Json::Value &object, const char *name)
 {
-    static const Json::Value emptyValue(Json::objectValue);
-    return object.isObject() && object.isMember(name) && object[name].isObject() ? object[name] : emptyValue;
+    return objectOf(object.isObject() ? object[name] : Json::Value::nullSingleton());
 }
 
 } // namespace ivypier
--- a/libraries/base/json.h
+++ b/libraries/base/json.h
@@ -19,6 +19,19 @@
 /// Returns a value as JSON without whitespace.
 std::string writeJson(const Json::Value &value);
 
+/// Return a value as a string, number or boolean, or a fallback (an empty string, false) if it is of another
+/// type or out of range.
+std::string stringOf(const Json::Value &value);
+std::uint64_t unsignedOf(const Json::Value &value, std::uint64_t fallback);
+double numberOf(const Json::Value &value, double fallback);
+bool booleanOf(const Json::Value &value);
+
+/// Returns a value that is an array, or an empty array if it is of another type.
+const Json::Value &arrayOf(const Json::Value &value);
+
+/// Returns a value that is an object, or an empty object if it is of another type.
+const Json::Value &objectOf(const Json::Value &value);
+
 /// Returns a member of an object as a string, or an empty string if it is missing or of another type.
 std::string stringMember(const Json::Value &object, const char *name);
 
