What an upstream states in its answers is decoded and logged

No log could tell whether a node knew of a limit: no program reads what an upstream states in its answers beside them. No decision uses it yet.

--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -226,6 +226,7 @@
 void relayed_call::onHead(http::response_head head)
 {
     const auto alive = shared_from_this();
+    m_environment.upstreams.recordStatement(m_upstream, m_environment.protocol.statement(head));
     switch (m_environment.protocol.classify(head)) {
     case answer_class::not_run:
         handleNotRun(answer_class::not_run);
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -34,6 +34,16 @@
             return answer_class::unsigned_success;
         return head.status == 200 ? answer_class::served : answer_class::failed;
     }
+    upstream_statement statement(const http::response_head &head) const override
+    {
+        upstream_statement result;
+        result.isLeaving = head.fields.find("Leaving") == "yes";
+        if (head.fields.count("Wait ms") > 0)
+            result.wait = std::chrono::milliseconds(std::stoll(std::string(head.fields.find("Wait ms"))));
+        if (head.fields.count("Limit") > 0)
+            result.callsPerSecond = std::stod(std::string(head.fields.find("Limit")));
+        return result;
+    }
     http::field_list answerFields(const http::response_head &head) const override
     {
         return head.fields;
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -158,6 +158,21 @@
         .write();
 }
 
+void upstream_directory::recordStatement(const std::string &id, const upstream_statement &statement)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || found->second.stated == statement)
+        return;
+    found->second.stated = statement;
+    log_event(statement.unreadable.empty() ? log_level::info : log_level::warning, "upstream.stated")
+        .with("id", id)
+        .with("leaving", statement.isLeaving ? "yes" : "no")
+        .with("wait_ms", milliseconds(statement.wait.value_or(duration::zero())))
+        .with("calls_per_second", statement.callsPerSecond.value_or(0.0))
+        .with("unreadable", statement.unreadable)
+        .write();
+}
+
 void upstream_directory::onUnavailable(std::function<void(const upstream_record &)> observer)
 {
     m_unavailableObservers.push_back(std::move(observer));
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/endpoint.h"
+#include "relay/upstream_statement.h"
 
 #include <compare>
 #include <cstdint>
@@ -40,6 +41,7 @@
     std::uint64_t pendingPrefillTokens = 0; ///< prompt tokens that it has yet to process
     std::uint32_t consecutiveFailures = 0;
     time_point ejectedUntil{};
+    upstream_statement stated; ///< in its last answer
 
     /// Returns the load that this node's calls put on the upstream, in calls.
     double load() const
@@ -96,6 +98,9 @@
     /// with each further failure.
     void recordFailure(const std::string &id);
 
+    /// Records what an upstream stated in an answer. Logs what changed.
+    void recordStatement(const std::string &id, const upstream_statement &statement);
+
     /// Registers an observer that is called when an upstream starts draining or is removed.
     void onUnavailable(std::function<void(const upstream_record &)> observer);
 
--- a/libraries/relay/upstream_protocol.h
+++ b/libraries/relay/upstream_protocol.h
@@ -2,6 +2,7 @@
 
 #include "http/incoming_head.h"
 #include "relay/call.h"
+#include "relay/upstream_statement.h"
 
 namespace ivypier::relay {
 
@@ -28,6 +29,9 @@
 
     virtual answer_class classify(const http::response_head &head) const = 0;
 
+    /// Returns what the upstream states about itself in the head of an answer.
+    virtual upstream_statement statement(const http::response_head &head) const = 0;
+
     /// Returns the header fields of an upstream's answer that are forwarded to the caller.
     virtual http::field_list answerFields(const http::response_head &head) const = 0;
 };
