--- /dev/null
+++ b/libraries/fleet/tests/stated_limit_test.cpp
@@ -0,0 +1,257 @@
+#include "fake_membership.h"
+#include "membership/virtual_network.h"
+#include "relay/tests/relay_fixture.h"
+#include "test_cluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+
+using namespace ivypier;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration service_time = 60ms;
+/// An upstream may get 1.5 times what it named in each window, and this many calls more.
+constexpr duration window = 4s;
+constexpr double allowed_share = 1.5;
+constexpr double allowed_extra = 5.0;
+/// The limit binds from this time after it was first named, and a node from this time after it was told.
+constexpr duration settling_time = 3s;
+constexpr duration node_settling_time = 500ms;
+
+/// Upstreams that answer every call after a fixed time, and name a limit if they have one.
+class limited_upstreams
+{
+public:
+    struct arrival
+    {
+        time_point at{};
+        std::size_t node = 0;
+    };
+
+    explicit limited_upstreams(virtual_scheduler &time)
+        : m_time(time)
+    {
+    }
+
+    void setLimit(std::uint16_t port, double callsPerSecond)
+    {
+        limits[port] = callsPerSecond;
+        namedSince.try_emplace(port, m_time.now());
+    }
+
+    /// Returns a transport that delivers the calls of a node.
+    std::unique_ptr<http::exchange_transport> transportOf(std::size_t node)
+    {
+        return std::make_unique<transport>(*this, node);
+    }
+
+    /// Returns the largest number of calls that an upstream got in a window from nodes that it had told, as a
+    /// share of what is allowed.
+    double worstShare(std::uint16_t port) const
+    {
+        std::vector<time_point> counted;
+        const auto named = namedSince.find(port);
+        for (const arrival &each : arrivals.at(port)) {
+            const auto told = toldAt.find({port, each.node});
+            if (told != toldAt.end() && each.at >= told->second + node_settling_time
+                && each.at >= named->second + settling_time)
+                counted.push_back(each.at);
+        }
+        std::size_t worst = 0;
+        for (std::size_t last = 0, first = 0; last < counted.size(); ++last) {
+            while (counted[last] - counted[first] > window)
+                ++first;
+            worst = std::max(worst, last - first + 1);
+        }
+        return static_cast<double>(worst)
+            / std::floor(allowed_share * seconds(window) * limits.at(port) + allowed_extra);
+    }
+
+    std::size_t arrivalsSince(std::uint16_t port, time_point since) const
+    {
+        return static_cast<std::size_t>(std::count_if(arrivals.at(port).begin(), arrivals.at(port).end(),
+                                                      [&](const arrival &each) { return each.at >= since; }));
+    }
+
+    std::map<std::uint16_t, double> limits;
+    std::map<std::uint16_t, time_point> namedSince;
+    std::map<std::uint16_t, std::vector<arrival>> arrivals;
+    std::map<std::pair<std::uint16_t, std::size_t>, time_point> toldAt;
+    std::size_t answersPerNaming = 1; ///< one answer in so many names the limit
+
+private:
+    class exchange final : public http::outgoing_exchange
+    {
+    public:
+        explicit exchange(std::shared_ptr<http::exchange_observer *> observer)
+            : m_observer(std::move(observer))
+        {
+        }
+        ~exchange() override
+        {
+            *m_observer = nullptr;
+        }
+        void pause() override
+        {
+        }
+        void resume() override
+        {
+        }
+
+    private:
+        std::shared_ptr<http::exchange_observer *> m_observer;
+    };
+
+    class transport final : public http::exchange_transport
+    {
+    public:
+        transport(limited_upstreams &upstreams, std::size_t node)
+            : m_upstreams(upstreams)
+            , m_node(node)
+        {
+        }
+        std::unique_ptr<http::outgoing_exchange> start(const endpoint &to, std::string,
+                                                       http::exchange_options,
+                                                       http::exchange_observer &observer) override
+        {
+            auto running = std::make_shared<http::exchange_observer *>(&observer);
+            m_upstreams.accept(to.port, m_node, running);
+            return std::make_unique<exchange>(running);
+        }
+
+    private:
+        limited_upstreams &m_upstreams;
+        std::size_t m_node;
+    };
+
+    void accept(std::uint16_t port, std::size_t node, const std::shared_ptr<http::exchange_observer *> &to)
+    {
+        arrivals[port].push_back({m_time.now(), node});
+        m_time.after(service_time, [this, port, node, to] {
+            if (!*to)
+                return;
+            http::field_list fields;
+            if (limits.contains(port) && ++m_answers[port] % answersPerNaming == 0) {
+                fields.add("Limit", std::to_string(limits.at(port)));
+                toldAt.try_emplace({port, node}, m_time.now());
+            }
+            (*to)->onHead({200, fields});
+            if (*to)
+                (*to)->onEnd();
+        });
+    }
+
+    virtual_scheduler &m_time;
+    std::map<std::uint16_t, std::size_t> m_answers;
+};
+
+/// Nodes that pass calls on to the same upstreams.
+struct relaying_fleet
+{
+    struct node
+    {
+        node(relaying_fleet &owner, std::size_t index)
+            : fleet(owner)
+            , randomness(100 + index)
+            , transport(owner.servers.transportOf(index))
+        {
+            for (const std::uint16_t port : owner.ports)
+                upstreams.put({"u" + std::to_string(port), "s", {"10.0.0.1", port}, "hall", 64});
+            relay.setTable(owner.table);
+        }
+
+        relaying_fleet &fleet;
+        seeded_random randomness;
+        metrics_registry metrics;
+        std::unique_ptr<http::exchange_transport> transport;
+        relay::tests::plain_protocol protocol;
+        relay::upstream_directory upstreams{fleet.time};
+        relay::prefix_affinity_selector selector{fleet.time, randomness, upstreams, "hall", {}};
+        relay::retry_budget retries{fleet.time, {0.2, 10.0, 10s}};
+        relay::unit_quota quota{fleet.time, randomness};
+        relay::run_counter runs{5000};
+        relay::work_meter work{fleet.time};
+        relay::relay_service relay{{fleet.time, randomness, metrics, *transport, protocol, upstreams,
+                                    selector, retries, quota, runs, work,
+                                    [this] { return fleet.time.wallMilliseconds(); },
+                                    [](const relay::service &) { return std::size_t{64}; }}};
+    };
+
+    relaying_fleet(std::size_t nodeCount, std::size_t upstreamCount, std::uint64_t seed)
+        : randomness(seed)
+    {
+        configureLog("tests", log_level::error);
+        for (std::size_t index = 0; index < upstreamCount; ++index)
+            ports.push_back(static_cast<std::uint16_t>(9000 + index));
+        for (std::size_t index = 0; index < nodeCount; ++index)
+            nodes.push_back(std::make_unique<node>(*this, index));
+    }
+
+    /// Sends calls at random times to random nodes.
+    void run(duration span, double callsPerSecond)
+    {
+        const time_point end = time.now() + span;
+        while (time.now() < end) {
+            time.advance(fromSeconds(-std::log(1.0 - randomness.uniform()) / callsPerSecond));
+            sendCall(*nodes[randomness.index(nodes.size())]);
+        }
+    }
+
+    void sendCall(node &to)
+    {
+        relay::call request;
+        request.id = "id" + std::to_string(++callCount);
+        request.method = "GET";
+        request.target = "/p/x";
+        request.host = "h";
+        request.callerTimeout = 2s;
+        request.receivedAt = time.now();
+        answers.push_back(std::make_shared<received_response>());
+        to.relay.handle(std::move(request), std::make_shared<fake_reply>(answers.back()));
+    }
+
+    std::size_t countAnswers(int status) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            answers.begin(), answers.end(), [&](const auto &each) { return each->status == status; }));
+    }
+
+    virtual_scheduler time;
+    seeded_random randomness;
+    std::vector<std::uint16_t> ports;
+    limited_upstreams servers{time};
+    std::shared_ptr<const relay::route_table> table = std::make_shared<const relay::route_table>(
+        relay::service_map{1,
+                           {{.name = "r",
+                             .host = "h",
+                             .prefix = "/p/",
+                             .kind = relay::call_kind::idempotent,
+                             .timeout = 3s,
+                             .targets = {{"s", 1}},
+                             .attempts = 2,
+                             .requiresKey = false}},
+                           {{"s", 64, std::nullopt, std::nullopt}},
+                           {},
+                           {}});
+    std::vector<std::unique_ptr<node>> nodes;
+    std::vector<std::shared_ptr<received_response>> answers;
+    int callCount = 0;
+};
+
+} // namespace
+
+TEST_CASE("an upstream that names a limit gets no more than that from all nodes together",
+          "[promise][promise-5]")
+{
+    relaying_fleet fleet(8, 9, 21);
+    fleet.run(5s, 50.0);
+    fleet.servers.setLimit(9000, 1.5);
+    fleet.servers.setLimit(9001, 1.9);
+    fleet.run(30s, 50.0);
+    CHECK(fleet.servers.worstShare(9000) <= 1.0);
+    CHECK(fleet.servers.worstShare(9001) <= 1.0);
+    CHECK(fleet.countAnswers(200) > fleet.answers.size() * 95 / 100);
+}
