Calls to an upstream that states a limit need a permit of the fleet

One node, by rendezvous hash, keeps a token bucket for each limited upstream; the others ask it before each call. Who gets no permit goes elsewhere or is told at once when the next one is.

Ruled out: a limit for each node or an equal share (0.4 calls a second before 295 nodes), totals of the collectors (too old).

--- a/libraries/fleet/tests/stated_limit_test.cpp
+++ b/libraries/fleet/tests/stated_limit_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_membership.h"
+#include "fleet/permit_exchange.h"
 #include "membership/virtual_network.h"
 #include "relay/tests/relay_fixture.h"
 #include "test_cluster.h"
@@ -156,6 +157,8 @@
         node(relaying_fleet &owner, std::size_t index)
             : fleet(owner)
             , randomness(100 + index)
+            , view(owner.gossip, index + 1)
+            , channel(owner.network.open(owner.time, fleet::tests::addressOf(index + 1)))
             , transport(owner.servers.transportOf(index))
         {
             for (const std::uint16_t port : owner.ports)
@@ -165,6 +168,8 @@
 
         relaying_fleet &fleet;
         seeded_random randomness;
+        admission::fake_network::view view;
+        std::unique_ptr<membership::datagram_channel> channel;
         metrics_registry metrics;
         std::unique_ptr<http::exchange_transport> transport;
         relay::tests::plain_protocol protocol;
@@ -174,8 +179,10 @@
         relay::unit_quota quota{fleet.time, randomness};
         relay::run_counter runs{5000};
         relay::work_meter work{fleet.time};
+        fleet::permit_exchange permits{fleet.time, randomness,        *channel, fleet::tests::fleetKey(),
+                                       view,       fleet::tests::port};
         relay::relay_service relay{{fleet.time, randomness, metrics, *transport, protocol, upstreams,
-                                    selector, retries, quota, runs, work,
+                                    selector, retries, quota, runs, work, permits,
                                     [this] { return fleet.time.wallMilliseconds(); },
                                     [](const relay::service &) { return std::size_t{64}; }}};
     };
@@ -188,6 +195,21 @@
             ports.push_back(static_cast<std::uint16_t>(9000 + index));
         for (std::size_t index = 0; index < nodeCount; ++index)
             nodes.push_back(std::make_unique<node>(*this, index));
+        network.setDelay(1ms, 3ms);
+        for (const auto &each : nodes) {
+            for (std::size_t id = 1; id <= nodeCount; ++id)
+                each->view.setMember(memberOf(id));
+            each->permits.start();
+        }
+    }
+
+    static membership::member memberOf(membership::incarnation id)
+    {
+        membership::member result;
+        result.id = id;
+        result.name = "node-" + std::to_string(id);
+        result.address = fleet::tests::addressOf(id);
+        return result;
     }
 
     /// Sends calls at random times to random nodes.
@@ -196,7 +218,9 @@
         const time_point end = time.now() + span;
         while (time.now() < end) {
             time.advance(fromSeconds(-std::log(1.0 - randomness.uniform()) / callsPerSecond));
-            sendCall(*nodes[randomness.index(nodes.size())]);
+            const std::size_t index = randomness.index(nodes.size());
+            if (!disturbed.contains(index))
+                sendCall(*nodes[index]);
         }
     }
 
@@ -213,6 +237,39 @@
         to.relay.handle(std::move(request), std::make_shared<fake_reply>(answers.back()));
     }
 
+    /// Stops or cuts off other nodes in each round, and lets the ones before come back. The others notice
+    /// after a second and a half. What such a node sends is excused, so it gets no calls until it is back.
+    void disturb(int round)
+    {
+        std::set<std::size_t> chosen;
+        const bool isCut = round % 2 == 1;
+        while (chosen.size() < (isCut ? nodes.size() / 3 : 2))
+            chosen.insert(randomness.index(nodes.size()));
+        std::set<endpoint> addresses;
+        for (const std::size_t each : chosen)
+            addresses.insert(fleet::tests::addressOf(each + 1));
+        network.setDropFilter([addresses](const endpoint &from, const endpoint &to) {
+            return addresses.contains(from) != addresses.contains(to);
+        });
+        disturbed = chosen;
+        time.after(1500ms, [this, chosen] { setStates(chosen, membership::member_state::dead); });
+        time.after(2500ms, [this, chosen] {
+            network.setDropFilter(nullptr);
+            setStates(chosen, membership::member_state::alive);
+            disturbed.clear();
+        });
+    }
+
+    void setStates(const std::set<std::size_t> &which, membership::member_state state)
+    {
+        for (std::size_t viewer = 0; viewer < nodes.size(); ++viewer) {
+            for (std::size_t other = 0; other < nodes.size(); ++other) {
+                if (which.contains(viewer) != which.contains(other))
+                    nodes[viewer]->view.setMember(other + 1, state);
+            }
+        }
+    }
+
     std::size_t countAnswers(int status) const
     {
         return static_cast<std::size_t>(std::count_if(
@@ -221,6 +278,8 @@
 
     virtual_scheduler time;
     seeded_random randomness;
+    membership::virtual_network network{time, randomness};
+    admission::fake_network gossip{time, randomness, 100ms};
     std::vector<std::uint16_t> ports;
     limited_upstreams servers{time};
     std::shared_ptr<const relay::route_table> table = std::make_shared<const relay::route_table>(
@@ -237,6 +296,7 @@
                            {},
                            {}});
     std::vector<std::unique_ptr<node>> nodes;
+    std::set<std::size_t> disturbed; ///< nodes that get no calls
     std::vector<std::shared_ptr<received_response>> answers;
     int callCount = 0;
 };
@@ -255,3 +315,105 @@
     CHECK(fleet.servers.worstShare(9001) <= 1.0);
     CHECK(fleet.countAnswers(200) > fleet.answers.size() * 95 / 100);
 }
+
+namespace {
+
+/// The share of the calls that the upstreams could have taken, and that they got, while callers were refused.
+double usedShare(const relaying_fleet &of, time_point since)
+{
+    std::size_t got = 0;
+    double could = 0.0;
+    for (const std::uint16_t port : of.ports) {
+        got += of.servers.arrivalsSince(port, since);
+        could += of.servers.limits.at(port) * seconds(of.time.now() - since);
+    }
+    return static_cast<double>(got) / could;
+}
+
+double worstShare(const relaying_fleet &of)
+{
+    double worst = 0.0;
+    for (const std::uint16_t port : of.ports)
+        worst = std::max(worst, of.servers.worstShare(port));
+    return worst;
+}
+
+void setLimits(relaying_fleet &of, double callsPerSecond)
+{
+    for (const std::uint16_t port : of.ports)
+        of.servers.setLimit(port, callsPerSecond);
+}
+
+} // namespace
+
+TEST_CASE("limits named by all upstreams hold in fleets of any size, and are used", "[promise][promise-5]")
+{
+    const std::size_t nodes = GENERATE(8, 60, 295);
+    const double limit = GENERATE(0.4, 1.5, 20.0, 400.0);
+    INFO(nodes << " nodes, " << limit << " calls a second");
+    relaying_fleet fleet(nodes, 3, 31);
+    setLimits(fleet, limit);
+    const double demand = 3 * std::max(2.0 * limit, 30.0);
+    fleet.run(8s, demand);
+    const time_point since = fleet.time.now();
+    fleet.run(40s, demand);
+    CHECK(worstShare(fleet) <= 1.0);
+    CHECK(usedShare(fleet, since) >= 0.9);
+}
+
+TEST_CASE("a limit holds while nodes restart, keepers end and a third of the nodes is cut off",
+          "[promise][promise-5]")
+{
+    const double limit = GENERATE(0.4, 1.5, 20.0);
+    const std::uint64_t seed = GENERATE(41, 42, 43, 44, 45);
+    INFO(limit << " calls a second, seed " << seed);
+    relaying_fleet fleet(24, 3, seed);
+    setLimits(fleet, limit);
+    fleet.run(8s, 200.0);
+    for (int round = 0; round < 10; ++round) {
+        fleet.disturb(round);
+        fleet.run(3s, 200.0);
+    }
+    CHECK(worstShare(fleet) <= 1.0);
+}
+
+TEST_CASE("a limit that rises, falls, ends and comes back is followed", "[promise][promise-5]")
+{
+    relaying_fleet fleet(24, 1, 51);
+    const std::uint16_t port = fleet.ports.front();
+    const auto rateOf = [&](duration span) {
+        const time_point since = fleet.time.now();
+        fleet.run(span, 100.0);
+        return static_cast<double>(fleet.servers.arrivalsSince(port, since)) / seconds(span);
+    };
+    fleet.servers.setLimit(port, 4.0);
+    fleet.run(8s, 100.0);
+    CHECK(rateOf(10s) == Approx(4.0).epsilon(0.15));
+    fleet.servers.setLimit(port, 20.0);
+    fleet.run(2s, 100.0);
+    CHECK(rateOf(10s) == Approx(20.0).epsilon(0.15));
+    fleet.servers.setLimit(port, 2.0);
+    fleet.run(2s, 100.0);
+    CHECK(rateOf(10s) == Approx(2.0).epsilon(0.2));
+    fleet.servers.limits.erase(port);
+    fleet.run(5s, 100.0);
+    CHECK(rateOf(10s) > 80.0);
+    fleet.servers.setLimit(port, 2.0);
+    fleet.run(8s, 100.0);
+    CHECK(rateOf(10s) == Approx(2.0).epsilon(0.2));
+}
+
+TEST_CASE("a limit that only one answer in three names holds", "[promise][promise-5]")
+{
+    const double limit = GENERATE(0.4, 1.5, 20.0, 400.0);
+    INFO(limit << " calls a second");
+    relaying_fleet fleet(24, 3, 61);
+    fleet.servers.answersPerNaming = 3;
+    setLimits(fleet, limit);
+    const double demand = 3 * std::max(2.0 * limit, 30.0);
+    fleet.run(8s, demand);
+    const time_point since = fleet.time.now();
+    fleet.run(40s, demand);
+    CHECK(worstShare(fleet) <= 1.0);
+    CHECK(usedShare(fleet, since) >= 0.9);
+}
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -142,15 +142,55 @@
 
 void relayed_call::startAttempt()
 {
+    excludeRefusedUpstreams();
     const selection_request selection{m_route, &m_call, m_serviceName, m_triedUpstreams};
     const std::optional<std::string> id = m_environment.selector.select(selection);
     const upstream *chosen = id ? m_environment.upstreams.find(*id) : nullptr;
-    if (chosen) {
+    if (!chosen) {
+        endWithoutUpstream();
+        return;
+    }
+    if (!m_environment.permits.isNeeded(*id)) {
+        startAttemptOn(*chosen);
+        return;
+    }
+    m_environment.permits.request(*id, [weak = weak_from_this(), id = *id](const permit_decision &decision) {
+        const auto self = weak.lock();
+        if (self && !self->m_completed)
+            self->onPermit(id, decision);
+    });
+}
+
+void relayed_call::excludeRefusedUpstreams()
+{
+    for (const upstream *each : m_environment.upstreams.ready(m_serviceName)) {
+        const auto refusal = m_environment.permits.knownRefusal(each->record.id);
+        if (!refusal)
+            continue;
+        m_triedUpstreams.insert(each->record.id);
+        m_returnAfter = std::min(m_returnAfter.value_or(refusal->returnAfter), refusal->returnAfter);
+    }
+}
+
+void relayed_call::onPermit(const std::string &id, const permit_decision &decision)
+{
+    const upstream *chosen = m_environment.upstreams.find(id);
+    if (decision.isGranted && chosen && !chosen->record.draining) {
         startAttemptOn(*chosen);
         return;
     }
+    if (!decision.isGranted)
+        m_returnAfter = std::min(m_returnAfter.value_or(decision.returnAfter), decision.returnAfter);
+    m_triedUpstreams.insert(id);
+    startAttempt();
+}
+
+void relayed_call::endWithoutUpstream()
+{
     if (m_mayHaveRun)
         fail(status_bad_gateway, "no_other_upstream");
+    else if (m_returnAfter)
+        refuse(status_service_unavailable, "upstreams_limited", *m_returnAfter);
     else
         refuse(status_service_unavailable, "no_upstream", retry_after_base);
 }
@@ -226,7 +266,9 @@
 void relayed_call::onHead(http::response_head head)
 {
     const auto alive = shared_from_this();
-    m_environment.upstreams.recordStatement(m_upstream, m_environment.protocol.statement(head));
+    const upstream_statement statement = m_environment.protocol.statement(head);
+    m_environment.upstreams.recordStatement(m_upstream, statement);
+    m_environment.permits.recordAnswer(m_upstream, statement.callsPerSecond);
     switch (m_environment.protocol.classify(head)) {
     case answer_class::not_run:
         handleNotRun(answer_class::not_run);
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -37,6 +37,9 @@
     bool admit();
     void logOverLimit(double units, duration wait) const;
     void startAttempt();
+    void excludeRefusedUpstreams();
+    void onPermit(const std::string &id, const permit_decision &decision);
+    void endWithoutUpstream();
     void startAttemptOn(const upstream &chosen);
     std::string selectService() const;
     bool canRetry() const;
@@ -72,7 +75,8 @@
     const service *m_service = nullptr;
     std::string m_serviceName;
     std::unique_ptr<http::outgoing_exchange> m_exchange;
-    std::set<std::string> m_triedUpstreams;
+    std::set<std::string> m_triedUpstreams; ///< including those that take no calls at present
+    std::optional<duration> m_returnAfter; ///< when an upstream that takes no calls now may take them again
     std::string m_upstream; ///< the upstream of the current or last attempt
     std::uint64_t m_pendingPrefillTokens = 0; ///< prompt tokens that the upstream has yet to process
     std::optional<event_scanner> m_scanner; ///< set for event streams only
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -50,6 +50,35 @@
     }
 };
 
+/// Refuses permits to the upstreams in `refused`, and needs none for the others.
+class fake_permits final : public call_permits
+{
+public:
+    bool isNeeded(const std::string &upstream) const override
+    {
+        return refused.contains(upstream) || pending.contains(upstream);
+    }
+    std::optional<permit_decision> knownRefusal(const std::string &) override
+    {
+        return std::nullopt;
+    }
+    void request(const std::string &upstream, completion done) override
+    {
+        if (const auto waiting = pending.find(upstream); waiting != pending.end())
+            waiting->second = std::move(done);
+        else
+            done(refused.at(upstream));
+    }
+    void recordAnswer(const std::string &upstream, std::optional<double> callsPerSecond) override
+    {
+        answers.emplace_back(upstream, callsPerSecond);
+    }
+
+    std::map<std::string, permit_decision> refused;
+    std::map<std::string, completion> pending; ///< upstreams whose requests the test completes
+    std::vector<std::pair<std::string, std::optional<double>>> answers;
+};
+
 /// Holds a relay with two upstreams `a` and `b` of the service `s`, in virtual time.
 struct relay_fixture
 {
@@ -111,10 +140,11 @@
     unit_quota quota{time, randomness};
     run_counter runs{5000};
     work_meter work{time};
+    fake_permits permits;
     route defaultRoute;
     client_account account;
     relay_service relay{{time, randomness, metrics, transport, protocol, upstreams, selector, retries, quota,
-                         runs, work, [this] { return time.wallMilliseconds(); },
+                         runs, work, permits, [this] { return time.wallMilliseconds(); },
                          [](const service &) { return std::size_t{8}; }}};
     int callCount = 0;
 };
--- a/libraries/relay/tests/relayed_call_test.cpp
+++ b/libraries/relay/tests/relayed_call_test.cpp
@@ -29,7 +29,7 @@
     relay_fixture fixture;
     relay_service empty{{fixture.time, fixture.randomness, fixture.metrics, fixture.transport,
                          fixture.protocol, fixture.upstreams, fixture.selector, fixture.retries,
-                         fixture.quota, fixture.runs, fixture.work, [] { return 0; },
+                         fixture.quota, fixture.runs, fixture.work, fixture.permits, [] { return 0; },
                          [](const service &) { return std::size_t{8}; }}};
     auto answer = std::make_shared<received_response>();
     empty.handle({}, std::make_shared<fake_reply>(answer));
@@ -291,3 +291,72 @@
     fixture.upstreams.remove("b");
     CHECK(fixture.startCall()->status == 503);
 }
+
+TEST_CASE("a call that gets no permit for an upstream goes to another one")
+{
+    relay_fixture fixture;
+    fixture.permits.refused["a"] = {false, std::chrono::seconds(1), std::chrono::seconds(1)};
+    for (int round = 0; round < 10; ++round) {
+        const auto answer = fixture.startCall();
+        CHECK(fixture.last().to.port == 'b');
+        fixture.last().head(200, {});
+        fixture.last().end();
+        CHECK(answer->status == 200);
+    }
+}
+
+TEST_CASE("a call for which no upstream has a permit is refused at once, with the time of the next one")
+{
+    relay_fixture fixture;
+    fixture.permits.refused["a"] = {false, std::chrono::seconds(1), std::chrono::seconds(2)};
+    fixture.permits.refused["b"] = {false, std::chrono::seconds(1), std::chrono::seconds(1)};
+    const auto answer = fixture.startCall();
+    CHECK(answer->status == 503);
+    CHECK(fixture.startedExchanges() == 0);
+    const double returnAfter = std::stod(std::string(answer->fields.find("Retry-After")));
+    CHECK(returnAfter >= 1.0);
+    CHECK(returnAfter <= 2.0);
+}
+
+TEST_CASE("a call waits for its permit, and is not sent if the upstream drained or the caller left meanwhile")
+{
+    relay_fixture fixture;
+    fixture.permits.pending["a"];
+    fixture.permits.pending["b"];
+    const auto grant = [&](const std::string &upstream) {
+        if (const auto done = std::exchange(fixture.permits.pending[upstream], nullptr))
+            done({true, {}, {}});
+    };
+    const auto first = fixture.startCall();
+    CHECK(fixture.startedExchanges() == 0);
+    grant("a");
+    grant("b");
+    CHECK(fixture.startedExchanges() == 1);
+
+    const auto second = fixture.startCall();
+    second->onClosed();
+    grant("a");
+    grant("b");
+    CHECK(fixture.startedExchanges() == 1);
+
+    const auto third = fixture.startCall();
+    for (const char *id : {"a", "b"})
+        fixture.upstreams.put({id, "s", {"10.0.0.1", static_cast<std::uint16_t>(*id)}, "hall", 4, true});
+    grant("a");
+    grant("b");
+    CHECK(third->status == 503);
+    CHECK(fixture.startedExchanges() == 1);
+}
+
+TEST_CASE("what an upstream states about its limit is passed on with every answer")
+{
+    relay_fixture fixture;
+    fixture.startCall();
+    fixture.last().head(200, {{"Limit", "1.5"}});
+    fixture.last().end();
+    fixture.startCall();
+    fixture.last().head(500, {});
+    REQUIRE(fixture.permits.answers.size() == 2);
+    CHECK(fixture.permits.answers[0].second == 1.5);
+    CHECK_FALSE(fixture.permits.answers[1].second);
+}
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -13,6 +13,7 @@
 #include "duties/usage_reporter.h"
 #include "fleet/fleet_census.h"
 #include "fleet/fleet_exchange.h"
+#include "fleet/permit_exchange.h"
 #include "http/connection_pool.h"
 #include "http/fetcher.h"
 #include "http/listener.h"
@@ -64,7 +65,8 @@
 {
     edge_components(event_loop &loop, const edge_settings &initialSettings, secret_key key,
                     std::unique_ptr<membership::udp_channel> gossipUdpChannel,
-                    std::unique_ptr<membership::udp_channel> fleetUdpChannel);
+                    std::unique_ptr<membership::udp_channel> fleetUdpChannel,
+                    std::unique_ptr<membership::udp_channel> permitUdpChannel);
 
     outcome<void> listen();
     void start();
@@ -79,6 +81,7 @@
     steady_wall_clock wallClock{tasks};
     std::unique_ptr<membership::udp_channel> gossipChannel;
     std::unique_ptr<membership::udp_channel> fleetChannel;
+    std::unique_ptr<membership::udp_channel> permitChannel;
     membership::gossip_membership members;
     http::connection_pool upstreamConnections{tasks};
     http::connection_pool platformConnections{tasks};
@@ -97,9 +100,10 @@
     relay::work_meter workMeter{tasks};
     fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter};
     fleet::fleet_exchange fleetExchange;
+    fleet::permit_exchange permits;
     fleet::fleet_census census{tasks, members};
     relay::relay_service relayService{{tasks, randomness, metrics, upstreamConnections, protocol, upstreams,
-                                       upstreamSelector, retryBudget, quota, runCounter, workMeter,
+                                       upstreamSelector, retryBudget, quota, runCounter, workMeter, permits,
                                        [this] { return wallClock.milliseconds(); },
                                        [this](const relay::service &of) { return connectionsFor(of); }}};
 
@@ -174,15 +178,18 @@
 edge_node::edge_components::edge_components(event_loop &loop, const edge_settings &initialSettings,
                                             secret_key key,
                                             std::unique_ptr<membership::udp_channel> gossipUdpChannel,
-                                            std::unique_ptr<membership::udp_channel> fleetUdpChannel)
+                                            std::unique_ptr<membership::udp_channel> fleetUdpChannel,
+                                            std::unique_ptr<membership::udp_channel> permitUdpChannel)
     : tasks(loop)
     , settings(initialSettings)
     , gossipChannel(std::move(gossipUdpChannel))
     , fleetChannel(std::move(fleetUdpChannel))
+    , permitChannel(std::move(permitUdpChannel))
     , members(tasks, randomness, *gossipChannel, key, describeSelf(settings, randomness),
               gossipSeeds(settings))
     , fleetExchange(tasks, *fleetChannel, key, members, settings.fleetPort, duties_lease_name, localMetrics,
                     quota, [this] { return runCounter.windowAt(wallClock.milliseconds()); })
+    , permits(tasks, randomness, *permitChannel, key, members, settings.permitPort)
 {
 }
 
@@ -234,6 +241,7 @@
     tables.start();
     members.start();
     fleetExchange.start();
+    permits.start();
     lease.setEligible(false);
     lease.start();
     readFleetSize();
@@ -314,6 +322,8 @@
     metrics.set("ivypier_table_bytes_sent", {}, static_cast<double>(tables.bytesSentToNodes()));
     metrics.set("ivypier_store_restores", {}, static_cast<double>(store.restoresSeen()));
     metrics.set("ivypier_duty_held", {}, lease.held() ? 1.0 : 0.0);
+    metrics.set("ivypier_upstream_limits", {}, static_cast<double>(permits.limits().size()));
+    metrics.set("ivypier_permits_refused", {}, static_cast<double>(permits.refusals()));
     for (const relay::upstream *each : upstreams.all())
         metrics.set("ivypier_upstream_calls_running", {{"upstream", each->record.id}}, each->running);
     to.send(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition());
@@ -455,8 +465,12 @@
     auto fleetUdpChannel = bind(settings.fleetPort);
     if (!fleetUdpChannel)
         return fleetUdpChannel.error();
+    auto permitUdpChannel = bind(settings.permitPort);
+    if (!permitUdpChannel)
+        return permitUdpChannel.error();
     auto assembled = std::make_unique<edge_components>(
-        loop, settings, key.value(), std::move(gossipUdpChannel.value()), std::move(fleetUdpChannel.value()));
+        loop, settings, key.value(), std::move(gossipUdpChannel.value()), std::move(fleetUdpChannel.value()),
+        std::move(permitUdpChannel.value()));
     if (const outcome<void> listening = assembled->listen(); !listening)
         return listening.error();
     assembled->start();
--- a/services/edge/edge_settings.h
+++ b/services/edge/edge_settings.h
@@ -24,6 +24,7 @@
     endpoint metrics; ///< listens for metrics scrapes
     std::uint16_t gossipPort = 0; ///< UDP; the same on every node
     std::uint16_t fleetPort = 0; ///< UDP, for metrics exchanged between nodes; the same on every node
+    std::uint16_t permitPort = 0; ///< UDP, for permits of calls to limited upstreams; the same on every node
     std::vector<endpoint> seeds; ///< control addresses of other nodes; only the hosts are used
     std::string fleetKey; ///< secret
     endpoint store;
