--- a/services/edge/tests/edge_parts_test.cpp
+++ b/services/edge/tests/edge_parts_test.cpp
@@ -19,7 +19,6 @@
 metrics = "10.1.0.1:9464"
 gossip_port = 7600
 fleet_port = 7601
-permit_port = 7602
 seeds = ["10.1.0.1:8229", "10.2.0.1:8229"]
 fleet_key = "a passphrase of a fleet"
 store = "10.200.1.7:8225"
