A node that has just started assumes that the others admit as much as itself

The tests had nodes know each other at once; it takes 0.5 to 0.75 s. Until reports have arrived for as long as they are old, a node now counts each node's usage as its own.

Ruled out: sizes known late (units are taken at admission); the cap of what a call requires (the bucket was in order before).

--- a/libraries/fleet/tests/quota_at_scale_test.cpp
+++ b/libraries/fleet/tests/quota_at_scale_test.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t node_count = 295;
 constexpr std::size_t domain_count = 5;
-constexpr double units_per_call = 9000.0;
+constexpr double usual_units_per_call = 9000.0;
 /// The window and the tolerances within which the users' platform enforces a limit.
 constexpr double window_seconds = 8.0;
 constexpr double overage = 0.1;
@@ -80,8 +80,11 @@
 struct simulation
 {
     explicit simulation(std::vector<simulated_account> simulatedAccounts, std::uint64_t seed = 11,
-                        std::size_t maxSingleLevelNodes = max_single_level_nodes)
-        : cluster(node_count, seed, domain_count, maxSingleLevelNodes)
+                        std::size_t nodes = node_count, double unitsOfCalls = usual_units_per_call,
+                        duration discoveryTime = duration::zero())
+        : nodeCount(nodes)
+        , unitsPerCall(unitsOfCalls)
+        , cluster(nodes, seed, domain_count, max_single_level_nodes, discoveryTime)
         , accounts(std::move(simulatedAccounts))
     {
         configure();
@@ -95,7 +98,7 @@
         for (const auto &each : cluster.nodes) {
             each->quota.setTolerance(tolerance_units);
             each->quota.setAccounts(limits);
-            each->quota.setNodes(node_count);
+            each->quota.setNodes(nodeCount);
         }
     }
 
@@ -112,12 +115,12 @@
     void sendCalls(simulated_account &account)
     {
         double admitted = 0.0;
-        account.pendingCalls += account.demandPerSecond * seconds(step_time) / units_per_call;
+        account.pendingCalls += account.demandPerSecond * seconds(step_time) / unitsPerCall;
         for (; account.pendingCalls >= 1.0; account.pendingCalls -= 1.0) {
             ++account.calls;
             if (attempt(account)
                 || (cluster.randomness.uniform() < account.retryProbability && attempt(account)))
-                admitted += units_per_call;
+                admitted += unitsPerCall;
             else
                 ++account.refusedCalls;
         }
@@ -126,8 +129,8 @@
 
     bool attempt(const simulated_account &account)
     {
-        relay::unit_quota &quota = cluster.nodes[cluster.randomness.index(node_count)]->quota;
-        return quota.take(account.name, units_per_call) == duration::zero();
+        relay::unit_quota &quota = cluster.nodes[cluster.randomness.index(nodeCount)]->quota;
+        return quota.take(account.name, unitsPerCall) == duration::zero();
     }
 
     void resetCounts()
@@ -161,10 +164,26 @@
         }
     }
 
+    std::size_t nodeCount;
+    double unitsPerCall;
     test_cluster cluster;
     std::vector<simulated_account> accounts;
 };
 
+/// Has all nodes of a fleet end at once, and start again after `downTime`. Returns the fleet that started,
+/// whose nodes know each other after `discoveryTime`.
+std::unique_ptr<simulation> restartAll(const simulation &before, duration downTime, duration discoveryTime,
+                                       std::uint64_t seed)
+{
+    auto after = std::make_unique<simulation>(before.accounts, seed, before.nodeCount, before.unitsPerCall,
+                                              discoveryTime);
+    for (duration passed{}; passed < downTime; passed += step_time) {
+        for (simulated_account &each : after->accounts)
+            each.countStep(0.0);
+    }
+    return after;
+}
+
 /// Every third node of each domain, a third of the collectors among them.
 std::set<membership::incarnation> thirdOfNodes(seeded_random &randomness)
 {
@@ -178,6 +197,8 @@
 /// The users' platform counts a node as connected again this long after a cut.
 constexpr duration contact_time = 5s;
 constexpr double usual_demand = 1.0 / 1.8; ///< of a limit
+/// Time until nodes that all start at once know each other.
+constexpr duration usual_discovery_time = 700ms;
 
 } // namespace
 
@@ -202,7 +223,7 @@
         run.advance(20s);
         run.checkBounds();
         for (const simulated_account &each : run.accounts) {
-            const double admitted = (each.calls - each.refusedCalls) * units_per_call;
+            const double admitted = (each.calls - each.refusedCalls) * run.unitsPerCall;
             INFO(each.name << ": " << admitted / (20.0 * each.perSecond) << " of the limit");
             CHECK(admitted >= 0.85 * 20.0 * each.perSecond);
         }
@@ -278,6 +299,38 @@
     after.checkBounds();
 }
 
+TEST_CASE("the limits hold when all nodes of a fleet of any size start again during a high demand")
+{
+    // The size of calls and the limit for each node are those of a fleet of 79 nodes at which a limit broke.
+    constexpr double callUnits = 5000.0;
+    constexpr double unitsPerNode = 6050.0;
+    const std::size_t nodes = GENERATE(8, 60, 79, 99, 101, 295);
+    const std::uint64_t seed = GENERATE(11, 12, 13);
+    INFO(nodes << " nodes, seed " << seed);
+    const double rate = unitsPerNode * static_cast<double>(nodes);
+    simulation before({{"large", rate, 4.2 * rate}, smallAccount(6.0 * usual_demand)}, seed, nodes,
+                      callUnits);
+    before.advance(10s);
+    const auto after = restartAll(before, 400ms, usual_discovery_time, seed + 100);
+    after->advance(12s);
+    after->checkBounds();
+}
+
+TEST_CASE("after all nodes of a fleet of any size started again, accounts below their limits are served soon")
+{
+    const std::size_t nodes = GENERATE(8, 60, 79, 99, 101, 295);
+    INFO(nodes << " nodes");
+    simulation run(manyAccounts(usual_demand), 11, nodes, 5000.0, usual_discovery_time);
+    run.accounts.front().perSecond = 6050.0 * static_cast<double>(nodes);
+    run.accounts.front().demandPerSecond = usual_demand * run.accounts.front().perSecond;
+    run.configure();
+    run.advance(2s);
+    run.checkRefusedFraction(0.1);
+    run.resetCounts();
+    run.advance(8s);
+    run.checkRefusedFraction(0.01);
+}
+
 TEST_CASE("after all 295 nodes started again, accounts below their limits are served at once")
 {
     simulation run(manyAccounts(usual_demand));
--- a/libraries/fleet/tests/test_cluster.h
+++ b/libraries/fleet/tests/test_cluster.h
@@ -54,8 +54,10 @@
 /// Holds a number of nodes that are members of one another's view.
 struct test_cluster
 {
+    /// The nodes know each other after `discoveryTime`.
     explicit test_cluster(membership::incarnation count, std::uint64_t seed = 5, std::size_t domains = 1,
-                          std::size_t maxSingleLevelNodes = max_single_level_nodes)
+                          std::size_t maxSingleLevelNodes = max_single_level_nodes,
+                          duration discoveryTime = duration::zero())
         : randomness(seed)
         , domainCount(domains)
     {
@@ -64,10 +66,21 @@
         for (membership::incarnation id = 1; id <= count; ++id)
             nodes.push_back(
                 std::make_unique<node>(time, randomness, network, gossip, id, maxSingleLevelNodes));
+        for (const auto &each : nodes)
+            each->view.setMember(memberOf(each->view.self().id));
+        if (discoveryTime == duration::zero())
+            introduceAll();
+        else
+            time.after(discoveryTime, [this] { introduceAll(); });
+        for (const auto &each : nodes)
+            each->exchange.start();
+    }
+
+    void introduceAll() const
+    {
         for (const auto &each : nodes) {
-            for (membership::incarnation id = 1; id <= count; ++id)
+            for (membership::incarnation id = 1; id <= nodes.size(); ++id)
                 each->view.setMember(memberOf(id));
-            each->exchange.start();
         }
     }
 
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -46,6 +46,14 @@
     return m_nodes > 1 && !m_receivesReports && m_time.now() - m_startedAt > quota_start_time;
 }
 
+bool unit_quota::isStarting() const
+{
+    if (m_nodes <= 1)
+        return false;
+    return m_firstReportAt ? m_time.now() - *m_firstReportAt < m_reportAge
+                           : m_time.now() - m_startedAt <= quota_start_time;
+}
+
 void unit_quota::clampUnits(bucket &limit) const
 {
     limit.fleetUnits = std::clamp(limit.fleetUnits, -max_debt_bursts * limit.burst, limit.burst);
@@ -116,6 +124,8 @@
     m_reportAge = reportAge;
     if (receivesReports == m_receivesReports)
         return;
+    if (receivesReports && !m_firstReportAt)
+        m_firstReportAt = m_time.now();
     refillAll();
     m_receivesReports = receivesReports;
 }
@@ -147,7 +157,9 @@
         return duration::zero();
     bucket &limit = found->second;
     refill(limit);
-    const duration wait = isCutOff() ? takeShare(limit, units) : takeFromFleet(limit, units);
+    const duration wait = isCutOff() ? takeShare(limit, units)
+        : isStarting()               ? takeAtStart(limit, units)
+                                     : takeFromFleet(limit, units);
     if (wait == duration::zero())
         return admit(limit, units);
     limit.refused += units;
@@ -180,6 +192,17 @@
     return fromSeconds(std::min(units, limit.burst) * nodes / limit.perSecond);
 }
 
+duration unit_quota::takeAtStart(bucket &limit, double units)
+{
+    const auto nodes = static_cast<double>(m_nodes);
+    const double allowed = limit.perSecond * seconds(m_time.now() - m_startedAt)
+        + start_burst_fraction * limit.burst + used_tolerance_fraction * m_tolerance;
+    const bool isFirst = limit.taken == 0.0;
+    if (isFirst || m_random.uniform() * nodes * units < allowed - nodes * limit.taken)
+        return duration::zero();
+    return m_reportAge;
+}
+
 double unit_quota::unreportedUnits(const bucket &limit, double units) const
 {
     // A sudden rise shows first in this node's own calls. One call of prior usage for each node keeps the
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -28,6 +28,10 @@
 /// counts as cut off and uses only its equal share.
 inline constexpr duration quota_start_time = std::chrono::seconds(2);
 
+/// The part of the burst that all nodes together may use at once when all of them have just started and do
+/// not know of each other's usage.
+inline constexpr double start_burst_fraction = 0.5;
+
 /// The part of the tolerance of a limit that all nodes together may use at any time. It keeps imprecise
 /// estimates from refusing the calls of accounts whose limit is a few calls; the rest covers late reports.
 inline constexpr double used_tolerance_fraction = 0.2;
@@ -55,6 +59,9 @@
 /// - While reports arrive, a call is admitted if the bucket covers it and what the other nodes probably used
 ///   since their reports. If all nodes together are asked for more than the bucket will hold, each admits the
 ///   same fraction of its calls.
+/// - A node that has just started, and has no reports yet or has had them for less than their age, assumes
+///   that each node admitted as much as itself, as all may have started together. It always admits the first
+///   call of an account: most accounts send to few nodes in that time.
 /// - A node that is cut off admits its equal share of the rate. A share that is smaller than a call admits it
 ///   with the probability of the ratio, so the shares of all cut off nodes add up to their part of the limit.
 /// - The share of nodes that stopped reporting is withheld from the bucket, because they may be serving on
@@ -136,6 +143,8 @@
     };
 
     bool isCutOff() const;
+    bool isStarting() const;
+    duration takeAtStart(bucket &limit, double units);
     duration takeShare(bucket &limit, double units);
     duration takeFromFleet(bucket &limit, double units);
     duration admit(bucket &limit, double units);
@@ -153,6 +162,7 @@
     double m_tolerance = 0.0;
     double m_silentFraction = 0.0;
     bool m_receivesReports = false;
+    std::optional<time_point> m_firstReportAt;
     time_point m_startedAt;
     std::map<std::string, bucket> m_buckets;
 };
