An upstream that states that it leaves, or that it wants to wait, gets no calls

Leaving is kept like a draining row and never undone by a row; a wait keeps every kind of sending away until its end, does not count as ill health, and calls come back in steps. When all upstreams of a service wait, a call is refused at once with the time at which the first takes calls. Retry-After is spread once, where it is decided.

--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -15,9 +15,10 @@
 constexpr std::uint32_t max_attempts_per_call = 4;
 /// Minimum time left to start a retry; with less, it is unlikely to complete before the deadline.
 constexpr duration min_time_for_retry = std::chrono::milliseconds(40);
-/// Lower bound of Retry-After when no upstream accepted the call. Jitter of up to 100 % is added, so that
-/// callers do not retry at the same time.
+/// Lower bound of Retry-After when no upstream accepted the call.
 constexpr duration retry_after_base = std::chrono::milliseconds(250);
+/// Refused callers return within this time after an upstream that asked to wait may take calls again.
+constexpr duration return_spread = std::chrono::milliseconds(500);
 /// Bytes buffered for a slow caller above which reading from the upstream is paused.
 constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
 /// Maximum size in bytes of an answer that is buffered until it is complete.
@@ -65,7 +66,7 @@
 bool relayed_call::admit()
 {
     if (!m_table) {
-        refuse(status_service_unavailable, "no_configuration", retry_after_base);
+        refuse(status_service_unavailable, "no_configuration", spread(retry_after_base));
         return false;
     }
     const std::string_view target = m_call.target;
@@ -102,7 +103,7 @@
     const duration wait = m_environment.quota.take(m_account->name, units);
     if (wait > duration::zero()) {
         logOverLimit(units, wait);
-        refuse(status_too_many_requests, "account_limit", wait);
+        refuse(status_too_many_requests, "account_limit", spread(wait));
         return false;
     }
     m_unitsTaken = units;
@@ -164,14 +165,22 @@
 void relayed_call::excludeRefusedUpstreams()
 {
     for (const upstream *each : m_environment.upstreams.ready(m_serviceName)) {
+        const duration wait = each->waitLeft(m_environment.tasks.now());
         const auto refusal = m_environment.permits.knownRefusal(each->record.id);
-        if (!refusal)
+        if (wait == duration::zero() && !refusal)
             continue;
         m_triedUpstreams.insert(each->record.id);
-        m_returnAfter = std::min(m_returnAfter.value_or(refusal->returnAfter), refusal->returnAfter);
+        addReturnTime(
+            std::max(refusal ? refusal->returnAfter : duration::zero(),
+                     wait + fromSeconds(seconds(return_spread) * m_environment.randomness.uniform())));
     }
 }
 
+void relayed_call::addReturnTime(duration returnAfter)
+{
+    m_returnAfter = std::min(m_returnAfter.value_or(returnAfter), returnAfter);
+}
+
 void relayed_call::onPermit(const std::string &id, const permit_decision &decision)
 {
     const upstream *chosen = m_environment.upstreams.find(id);
@@ -180,7 +189,7 @@
         return;
     }
     if (!decision.isGranted)
-        m_returnAfter = std::min(m_returnAfter.value_or(decision.returnAfter), decision.returnAfter);
+        addReturnTime(decision.returnAfter);
     m_triedUpstreams.insert(id);
     startAttempt();
 }
@@ -192,7 +201,7 @@
     else if (m_returnAfter)
         refuse(status_service_unavailable, "upstreams_limited", *m_returnAfter);
     else
-        refuse(status_service_unavailable, "no_upstream", retry_after_base);
+        refuse(status_service_unavailable, "no_upstream", spread(retry_after_base));
 }
 
 void relayed_call::startAttemptOn(const upstream &chosen)
@@ -280,7 +289,7 @@
         handleServedHead(std::move(head));
         return;
     case answer_class::failed:
-        handleFailedHead(std::move(head));
+        handleFailedHead(std::move(head), statement.wait.has_value());
         return;
     case answer_class::unsigned_success:
         m_mayHaveRun = true;
@@ -304,7 +313,7 @@
     if (m_mayHaveRun)
         fail(status_bad_gateway, "not_run_after_a_run");
     else
-        refuse(status_service_unavailable, "upstreams_full", retry_after_base);
+        refuse(status_service_unavailable, "upstreams_full", spread(retry_after_base));
 }
 
 void relayed_call::handleServedHead(http::response_head head)
@@ -331,14 +340,15 @@
     });
 }
 
-void relayed_call::handleFailedHead(http::response_head head)
+void relayed_call::handleFailedHead(http::response_head head, bool asksToWait)
 {
     m_attemptState = attempt_state::answering;
     m_mayHaveRun = true;
     ++m_possibleRuns;
     if (!m_route->isStream())
         countRun();
-    m_environment.upstreams.recordFailure(m_upstream);
+    if (!asksToWait)
+        m_environment.upstreams.recordFailure(m_upstream);
     if (m_headSent || canRetry()) {
         endAttempt(false);
         if (retryAfterFailure("upstream_failed"))
@@ -427,7 +437,7 @@
     if (m_mayHaveRun)
         fail(status_bad_gateway, "upstream_broke_off");
     else
-        refuse(status_service_unavailable, "not_sent", retry_after_base);
+        refuse(status_service_unavailable, "not_sent", spread(retry_after_base));
 }
 
 void relayed_call::recordPrefillDone()
@@ -473,6 +483,12 @@
     complete(0, "caller_gone");
 }
 
+duration relayed_call::spread(duration base) const
+{
+    // Callers that were refused together do not return together.
+    return fromSeconds(seconds(base) * (1.0 + m_environment.randomness.uniform()));
+}
+
 void relayed_call::refuse(int status, const char *reason, duration retryAfter)
 {
     if (m_unitsTaken > 0.0 && m_account)
@@ -482,10 +498,8 @@
         return;
     }
     http::field_list fields;
-    if (retryAfter > duration::zero()) {
-        const double jitter = 1.0 + m_environment.randomness.uniform();
-        fields.add("Retry-After", formatSeconds(fromSeconds(seconds(retryAfter) * jitter)));
-    }
+    if (retryAfter > duration::zero())
+        fields.add("Retry-After", formatSeconds(retryAfter));
     m_caller->send(status, fields, {});
     complete(status, reason);
 }
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -45,6 +45,8 @@
     bool canRetry() const;
     bool retryAfterFailure(const char *reason);
     void endAttempt(bool succeeded);
+    duration spread(duration base) const;
+    void addReturnTime(duration returnAfter);
     void refuse(int status, const char *reason, duration retryAfter);
     void fail(int status, const char *reason);
     void complete(int status, const char *reason);
@@ -63,7 +65,7 @@
 
     void handleServedHead(http::response_head head);
     void handleNotRun(answer_class answer);
-    void handleFailedHead(http::response_head head);
+    void handleFailedHead(http::response_head head, bool asksToWait);
 
     call_environment &m_environment;
     std::shared_ptr<const route_table> m_table;
--- a/libraries/relay/tests/relayed_call_test.cpp
+++ b/libraries/relay/tests/relayed_call_test.cpp
@@ -360,3 +360,128 @@
     CHECK(fixture.permits.answers[0].second == 1.5);
     CHECK_FALSE(fixture.permits.answers[1].second);
 }
+
+TEST_CASE("an upstream that states in an answer that it leaves gets no further call, whatever its row says")
+{
+    relay_fixture fixture;
+    std::vector<std::string> told;
+    fixture.upstreams.onUnavailable([&](const upstream_record &each) { told.push_back(each.id); });
+    fixture.startCall();
+    const std::uint16_t leaving = fixture.last().to.port;
+    fixture.last().head(200, {{"Leaving", "yes"}});
+    fixture.last().end();
+    const std::string id(1, static_cast<char>(leaving));
+    CHECK(told == std::vector<std::string>{id});
+    fixture.upstreams.put({id, "s", {"10.0.0.1", leaving}, "hall", 4}); // a stale row
+    for (int round = 0; round < 20; ++round) {
+        fixture.startCall();
+        CHECK(fixture.last().to.port != leaving);
+    }
+    fixture.upstreams.remove(id);
+    fixture.upstreams.put({id, "s", {"10.0.0.1", leaving}, "hall", 4}); // of a restored store
+    CHECK_FALSE(fixture.upstreams.find(id));
+    fixture.upstreams.put({"new", "s", {"10.0.0.1", leaving}, "hall", 4}); // a new start
+    CHECK(fixture.upstreams.ready("s").size() == 2);
+}
+
+TEST_CASE("a call in progress at an upstream that leaves ends there")
+{
+    relay_fixture fixture(call_kind::resumable_stream);
+    const auto answer = fixture.startCall();
+    fixture.last().head(200, {{"Leaving", "yes"}});
+    fixture.last().body(event(1));
+    fixture.last().body(event(2));
+    fixture.last().end();
+    CHECK(answer->status == 200);
+    CHECK(answer->body == event(1) + event(2));
+    CHECK(fixture.startedExchanges() == 1);
+}
+
+TEST_CASE("an upstream that asks to wait gets nothing until the end of the time, and the call goes elsewhere")
+{
+    relay_fixture fixture;
+    const auto refused = fixture.startCall();
+    const std::uint16_t waiting = fixture.last().to.port;
+    fixture.last().head(503, {{"Meaning", "not_run"}, {"Wait ms", "1500"}});
+    CHECK(fixture.startedExchanges() == 2);
+    CHECK(fixture.last().to.port != waiting);
+    fixture.last().head(200, {});
+    fixture.last().end();
+    CHECK(refused->status == 200);
+    for (int round = 0; round < 14; ++round) {
+        fixture.time.advance(std::chrono::milliseconds(100));
+        fixture.startCall();
+        CHECK(fixture.last().to.port != waiting);
+        fixture.last().head(200, {});
+        fixture.last().end();
+    }
+    CHECK_FALSE(
+        fixture.upstreams.find(std::string(1, static_cast<char>(waiting)))->isEjected(fixture.time.now()));
+    fixture.time.advance(std::chrono::milliseconds(101));
+    bool isUsedAgain = false;
+    for (int round = 0; round < 20; ++round) {
+        fixture.startCall();
+        isUsedAgain = isUsedAgain || fixture.last().to.port == waiting;
+    }
+    CHECK(isUsedAgain);
+}
+
+TEST_CASE("while all upstreams ask to wait a call is refused at once, with the time at which one takes it")
+{
+    relay_fixture fixture;
+    const auto first = fixture.startCall();
+    fixture.last().head(503, {{"Meaning", "not_run"}, {"Wait ms", "1000"}});
+    fixture.last().head(503, {{"Meaning", "not_run"}, {"Wait ms", "4000"}});
+    CHECK(first->status == 503);
+    CHECK(fixture.startedExchanges() == 2);
+    std::set<std::string> returnTimes;
+    for (int round = 0; round < 10; ++round) {
+        const auto answer = fixture.startCall();
+        CHECK(answer->status == 503);
+        const std::string returnAfter(answer->fields.find("Retry-After"));
+        CHECK(std::stod(returnAfter) >= 1.0);
+        CHECK(std::stod(returnAfter) <= 1.5);
+        returnTimes.insert(returnAfter);
+    }
+    CHECK(returnTimes.size() > 5);
+    CHECK(fixture.startedExchanges() == 2);
+}
+
+TEST_CASE("calls come back in steps when a wait has ended")
+{
+    relay_fixture fixture;
+    fixture.upstreams.remove("b");
+    fixture.startCall();
+    fixture.last().head(503, {{"Meaning", "not_run"}, {"Wait ms", "1000"}});
+    fixture.time.advance(std::chrono::milliseconds(1001));
+    for (int round = 0; round < 10; ++round)
+        fixture.startCall();
+    CHECK(fixture.startedExchanges() == 1 + first_resume_limit);
+    fixture.last().head(200, {});
+    fixture.last().end();
+    for (int round = 0; round < 10; ++round)
+        fixture.startCall();
+    CHECK(fixture.startedExchanges() > 1 + 2 * first_resume_limit);
+    for (int round = 0; round < 10; ++round) {
+        fixture.last().head(200, {});
+        fixture.last().end();
+        fixture.startCall();
+    }
+    const std::size_t before = fixture.startedExchanges();
+    for (int round = 0; round < 30; ++round)
+        fixture.startCall();
+    CHECK(fixture.startedExchanges() == before + 30);
+}
+
+TEST_CASE("a wait ends with a new start of the upstream")
+{
+    relay_fixture fixture;
+    fixture.upstreams.remove("b");
+    fixture.startCall();
+    fixture.last().head(503, {{"Meaning", "not_run"}, {"Wait ms", "60000"}});
+    CHECK(fixture.startCall()->status == 503);
+    fixture.upstreams.remove("a");
+    fixture.upstreams.put({"a2", "s", {"10.0.0.1", 'a'}, "hall", 4});
+    fixture.startCall();
+    CHECK(fixture.startedExchanges() == 2);
+}
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -15,6 +15,13 @@
 
 } // namespace
 
+duration upstream::waitLeft(time_point now) const
+{
+    if (now < waitUntil)
+        return waitUntil - now;
+    return resumeLimit > 0 && awaitingAnswer >= resumeLimit ? resume_retry_interval : duration::zero();
+}
+
 upstream_directory::upstream_directory(const clock &time)
     : m_time(time)
 {
@@ -111,6 +118,7 @@
     if (found == m_upstreams.end())
         return;
     ++found->second.running;
+    ++found->second.awaitingAnswer;
     found->second.pendingPrefillTokens += pendingPrefillTokens;
 }
 
@@ -128,6 +136,7 @@
     if (found == m_upstreams.end() || found->second.running == 0)
         return;
     --found->second.running;
+    found->second.awaitingAnswer -= std::min(found->second.awaitingAnswer, 1U);
     recordPrefill(id, pendingPrefillTokens);
 }
 
@@ -136,8 +145,11 @@
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
         return;
-    found->second.consecutiveFailures = 0;
-    found->second.ejectedUntil = {};
+    upstream &each = found->second;
+    each.consecutiveFailures = 0;
+    each.ejectedUntil = {};
+    each.resumeLimit = each.resumeLimit >= last_resume_limit ? 0 : 2 * each.resumeLimit;
+    each.awaitingAnswer -= std::min(each.awaitingAnswer, 1U);
 }
 
 void upstream_directory::recordFailure(const std::string &id)
@@ -161,16 +173,36 @@
 void upstream_directory::recordStatement(const std::string &id, const upstream_statement &statement)
 {
     const auto found = m_upstreams.find(id);
-    if (found == m_upstreams.end() || found->second.stated == statement)
+    if (found == m_upstreams.end())
         return;
-    found->second.stated = statement;
-    log_event(statement.unreadable.empty() ? log_level::info : log_level::warning, "upstream.stated")
-        .with("id", id)
-        .with("leaving", statement.isLeaving ? "yes" : "no")
-        .with("wait_ms", milliseconds(statement.wait.value_or(duration::zero())))
-        .with("calls_per_second", statement.callsPerSecond.value_or(0.0))
-        .with("unreadable", statement.unreadable)
-        .write();
+    upstream &each = found->second;
+    if (statement.wait) {
+        each.waitUntil = std::max(each.waitUntil, m_time.now() + *statement.wait);
+        each.resumeLimit = first_resume_limit;
+        each.awaitingAnswer = 0;
+    }
+    if (each.stated != statement) {
+        each.stated = statement;
+        log_event(statement.unreadable.empty() ? log_level::info : log_level::warning, "upstream.stated")
+            .with("id", id)
+            .with("leaving", statement.isLeaving ? "yes" : "no")
+            .with("wait_ms", milliseconds(statement.wait.value_or(duration::zero())))
+            .with("calls_per_second", statement.callsPerSecond.value_or(0.0))
+            .with("unreadable", statement.unreadable)
+            .write();
+    }
+    if (statement.isLeaving)
+        markDraining(id);
+}
+
+void upstream_directory::markDraining(const std::string &id)
+{
+    const upstream *known = find(id);
+    if (!known || known->record.draining)
+        return;
+    upstream_record drained = known->record;
+    drained.draining = true;
+    put(drained);
 }
 
 void upstream_directory::onUnavailable(std::function<void(const upstream_record &)> observer)
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -42,6 +42,9 @@
     std::uint32_t consecutiveFailures = 0;
     time_point ejectedUntil{};
     upstream_statement stated; ///< in its last answer
+    time_point waitUntil{}; ///< it wants no calls from this node before
+    std::uint32_t resumeLimit = 0; ///< calls that may await their answers after a wait; 0: any number
+    std::uint32_t awaitingAnswer = 0; ///< calls sent since the wait that were not answered yet
 
     /// Returns the load that this node's calls put on the upstream, in calls.
     double load() const
@@ -53,6 +56,10 @@
     {
         return now < ejectedUntil;
     }
+
+    /// Returns for how long the upstream takes no further call because of a wait that it asked for; zero if
+    /// it takes one now.
+    duration waitLeft(time_point now) const;
 };
 
 /// The known upstreams, by id.
@@ -72,6 +79,9 @@
     /// Replaces all records, and removes the upstreams that are not in `records`.
     void replaceAll(const std::vector<upstream_record> &records);
 
+    /// Marks a known upstream as draining. It stays so, whatever later records state.
+    void markDraining(const std::string &id);
+
     /// Returns the upstream, including a draining one, or null if it is unknown or was removed.
     const upstream *find(const std::string &id) const;
 
@@ -98,7 +108,8 @@
     /// with each further failure.
     void recordFailure(const std::string &id);
 
-    /// Records what an upstream stated in an answer. Logs what changed.
+    /// Records what an upstream stated in an answer. One that leaves is draining from then on, whatever a
+    /// table states. Logs what changed.
     void recordStatement(const std::string &id, const upstream_statement &statement);
 
     /// Registers an observer that is called when an upstream starts draining or is removed.
@@ -113,6 +124,14 @@
     std::vector<std::function<void(const upstream_record &)>> m_unavailableObservers;
 };
 
+/// Number of calls that may await their answers when a wait has ended. Each success doubles it; from the
+/// last limit on any number is allowed.
+inline constexpr std::uint32_t first_resume_limit = 2;
+inline constexpr std::uint32_t last_resume_limit = 16;
+
+/// How soon an upstream that resumes after a wait may take another call.
+inline constexpr duration resume_retry_interval = std::chrono::milliseconds(200);
+
 /// Consecutive failures after which an upstream is ejected.
 inline constexpr std::uint32_t ejection_failure_threshold = 3;
 
--- a/services/edge/platform_tables.cpp
+++ b/services/edge/platform_tables.cpp
@@ -82,17 +82,7 @@
         m_tasks.after(refresh_delay,
                       [this, version = update.version] { refreshUntil(version, max_refresh_attempts); });
     else if (update.key.starts_with(draining_fact_prefix))
-        markDraining(update.key.substr(draining_fact_prefix.size()));
-}
-
-void platform_tables::markDraining(const std::string &upstream)
-{
-    const relay::upstream *known = m_upstreams.find(upstream);
-    if (!known || known->record.draining)
-        return;
-    relay::upstream_record drained = known->record;
-    drained.draining = true;
-    m_upstreams.put(drained);
+        m_upstreams.markDraining(update.key.substr(draining_fact_prefix.size()));
 }
 
 void platform_tables::refreshUntil(std::uint64_t version, int attempts)
--- a/services/edge/platform_tables.h
+++ b/services/edge/platform_tables.h
@@ -41,7 +41,6 @@
 
 private:
     void handleFact(const membership::fact &update);
-    void markDraining(const std::string &upstream);
     void refreshUntil(std::uint64_t version, int attempts);
 
     scheduler &m_tasks;
