Long tests run as a ctest test of their own; mutants for what upstreams state

fleet would come near its time limit on a busy machine: tests tagged [slow] run as <name>.slow. Mutants stated_leaving, stated_wait, stated_limit leave one rule each out.

--- a/libraries/fleet/permit_exchange.cpp
+++ b/libraries/fleet/permit_exchange.cpp
@@ -37,6 +37,9 @@
 
 bool permit_exchange::isNeeded(const std::string &upstream) const
 {
+#ifdef IVYPIER_MUTANT_STATED_LIMIT
+    return false;
+#endif
     return m_upstreams.contains(upstream);
 }
 
--- a/libraries/fleet/tests/quota_at_scale_test.cpp
+++ b/libraries/fleet/tests/quota_at_scale_test.cpp
@@ -299,7 +299,7 @@
     after.checkBounds();
 }
 
-TEST_CASE("the limits hold when all nodes of a fleet of any size start again during a high demand")
+TEST_CASE("the limits hold when all nodes of a fleet of any size start again during a high demand", "[slow]")
 {
     // The size of calls and the limit for each node are those of a fleet of 79 nodes at which a limit broke.
     constexpr double callUnits = 5000.0;
@@ -316,7 +316,8 @@
     after->checkBounds();
 }
 
-TEST_CASE("after all nodes of a fleet of any size started again, accounts below their limits are served soon")
+TEST_CASE("after all nodes of a fleet of any size started again, accounts below their limits are served soon",
+          "[slow]")
 {
     const std::size_t nodes = GENERATE(8, 60, 79, 99, 101, 295);
     INFO(nodes << " nodes");
--- a/libraries/fleet/tests/stated_limit_test.cpp
+++ b/libraries/fleet/tests/stated_limit_test.cpp
@@ -303,8 +303,7 @@
 
 } // namespace
 
-TEST_CASE("an upstream that names a limit gets no more than that from all nodes together",
-          "[promise][promise-5]")
+TEST_CASE("an upstream that names a limit gets no more than that from all nodes together", "[slow]")
 {
     relaying_fleet fleet(8, 9, 21);
     fleet.run(5s, 50.0);
@@ -346,7 +345,7 @@
 
 } // namespace
 
-TEST_CASE("limits named by all upstreams hold in fleets of any size, and are used", "[promise][promise-5]")
+TEST_CASE("limits named by all upstreams hold in fleets of any size, and are used", "[slow]")
 {
     const std::size_t nodes = GENERATE(8, 60, 295);
     const double limit = GENERATE(0.4, 1.5, 20.0, 400.0);
@@ -361,8 +360,7 @@
     CHECK(usedShare(fleet, since) >= 0.9);
 }
 
-TEST_CASE("a limit holds while nodes restart, keepers end and a third of the nodes is cut off",
-          "[promise][promise-5]")
+TEST_CASE("a limit holds while nodes restart, keepers end and a third of the nodes is cut off", "[slow]")
 {
     const double limit = GENERATE(0.4, 1.5, 20.0);
     const std::uint64_t seed = GENERATE(41, 42, 43, 44, 45);
@@ -377,7 +375,7 @@
     CHECK(worstShare(fleet) <= 1.0);
 }
 
-TEST_CASE("a limit that rises, falls, ends and comes back is followed", "[promise][promise-5]")
+TEST_CASE("a limit that rises, falls, ends and comes back is followed", "[slow]")
 {
     relaying_fleet fleet(24, 1, 51);
     const std::uint16_t port = fleet.ports.front();
@@ -403,7 +401,7 @@
     CHECK(rateOf(10s) == Approx(2.0).epsilon(0.2));
 }
 
-TEST_CASE("a limit that only one answer in three names holds", "[promise][promise-5]")
+TEST_CASE("a limit that only one answer in three names holds", "[slow]")
 {
     const double limit = GENERATE(0.4, 1.5, 20.0, 400.0);
     INFO(limit << " calls a second");
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -17,6 +17,9 @@
 
 duration upstream::waitLeft(time_point now) const
 {
+#ifdef IVYPIER_MUTANT_STATED_WAIT
+    return duration::zero();
+#endif
     if (now < waitUntil)
         return waitUntil - now;
     return resumeLimit > 0 && awaitingAnswer >= resumeLimit ? resume_retry_interval : duration::zero();
@@ -191,8 +194,10 @@
             .with("unreadable", statement.unreadable)
             .write();
     }
+#ifndef IVYPIER_MUTANT_STATED_LEAVING
     if (statement.isLeaving)
         markDraining(id);
+#endif
 }
 
 void upstream_directory::markDraining(const std::string &id)
--- a/meta/cmake/ivypier.cmake
+++ b/meta/cmake/ivypier.cmake
@@ -19,8 +19,8 @@
 endfunction()
 
 # ivypier_tests(<name> <targets>): declares the test program of the sources in tests/ of the current folder. Tests
-# tagged [promise-N] run as ctest test <name>.promise-N with the labels "promise" and "promise-N"; the tests without
-# the tag [promise] run as ctest test <name> with the label "unit".
+# tagged [promise-N] run as ctest test <name>.promise-N with the labels "promise" and "promise-N", those tagged [slow]
+# as ctest test <name>.slow, all others as ctest test <name>; the last two have the label "unit".
 function(ivypier_tests name)
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
     if(NOT tests OR NOT IVYPIER_TESTS)
@@ -28,10 +28,15 @@
     endif()
     add_executable(ivypier-${name}-tests ${tests})
     target_link_libraries(ivypier-${name}-tests PRIVATE ${ARGN} ivypier_test_main)
-    add_test(NAME ${name} COMMAND ivypier-${name}-tests ~[promise])
+    add_test(NAME ${name} COMMAND ivypier-${name}-tests ~[promise]~[slow])
     set_tests_properties(${name} PROPERTIES LABELS unit)
     set(numbers "")
     foreach(test ${tests})
+        file(STRINGS ${test} slow REGEX "\\[slow\\]" LIMIT_COUNT 1)
+        if(slow AND NOT TEST ${name}.slow)
+            add_test(NAME ${name}.slow COMMAND ivypier-${name}-tests "[slow]")
+            set_tests_properties(${name}.slow PROPERTIES LABELS unit)
+        endif()
         file(STRINGS ${test} lines REGEX "\\[promise-[1-7]\\]")
         foreach(line ${lines})
             string(REGEX MATCH "promise-[1-7]" number "${line}")
