--- a/services/edge/tests/shared_tables_test.cpp
+++ b/services/edge/tests/shared_tables_test.cpp
@@ -142,6 +142,45 @@
     CHECK(testFleet.directReaders().size() == 2);
 }
 
+TEST_CASE("large rows come to every node from a reader, and none passes them on to more than a few others")
+{
+    const membership::incarnation count = GENERATE(5, 26, 100, 300);
+    const fleet testFleet(count);
+    const std::vector<std::size_t> directReaders = testFleet.directReaders();
+    std::map<membership::incarnation, std::size_t> children;
+    std::map<std::size_t, std::size_t> parentOf;
+    for (std::size_t node = 0; node < testFleet.readers.size(); ++node) {
+        if (std::count(directReaders.begin(), directReaders.end(), node) > 0)
+            continue;
+        const auto parent = testFleet.readers[node]->pickRelay();
+        REQUIRE(parent);
+        ++children[parent->id];
+        parentOf[node] = parent->id - 1;
+    }
+    for (const auto &[parent, number] : children)
+        CHECK(number <= table_readers::max_children);
+    for (const auto &[node, parent] : parentOf) {
+        std::size_t at = node;
+        for (int level = 0; level < 4 && parentOf.contains(at); ++level)
+            at = parentOf.at(at);
+        CHECK(std::count(directReaders.begin(), directReaders.end(), at) == 1);
+    }
+}
+
+TEST_CASE("a node whose relay failed asks a reader")
+{
+    fleet testFleet(100);
+    const std::vector<std::size_t> directReaders = testFleet.directReaders();
+    for (const auto &each : testFleet.readers) {
+        if (each->readsDirectly())
+            continue;
+        each->reportFailure(each->pickRelay()->id);
+        const auto next = each->pickRelay();
+        REQUIRE(next);
+        CHECK(std::count(directReaders.begin(), directReaders.end(), next->id - 1) == 1);
+    }
+}
+
 TEST_CASE("a node that is not a reader asks its peers, and the platform when they fail")
 {
     fleet testFleet(10);
