--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -36,6 +36,8 @@
         return;
     auto [found, isNew] = m_upstreams.try_emplace(record.id);
     upstream &each = found->second;
+    if (const auto wait = m_waits.extract(record.id); !wait.empty())
+        startWait(each, wait.mapped());
     const bool wasDraining = !isNew && each.record.draining;
     const bool startsDraining = record.draining && !wasDraining;
     each.record = record;
@@ -61,6 +63,8 @@
     if (found == m_upstreams.end())
         return;
     const upstream_record record = found->second.record;
+    // The row may come back, as may that of an upstream that answers after its row is gone.
+    m_waits[id] = found->second.waitUntil;
     m_upstreams.erase(found);
     forgetLeft();
     if (record.draining)
@@ -73,6 +77,7 @@
 void upstream_directory::forgetLeft()
 {
     std::erase_if(m_left, [&](const auto &each) { return m_time.now() - each.second > left_retention; });
+    std::erase_if(m_waits, [&](const auto &each) { return m_time.now() >= each.second; });
 }
 
 void upstream_directory::replaceAll(const std::vector<upstream_record> &records)
@@ -176,14 +181,17 @@
 void upstream_directory::recordStatement(const std::string &id, const upstream_statement &statement)
 {
     const auto found = m_upstreams.find(id);
-    if (found == m_upstreams.end())
+    const time_point waitUntil = m_time.now() + statement.wait.value_or(duration::zero());
+    if (found == m_upstreams.end()) {
+        m_waits[id] = std::max(m_waits[id], waitUntil);
+        if (statement.isLeaving)
+            m_left[id] = m_time.now();
+        forgetLeft();
         return;
-    upstream &each = found->second;
-    if (statement.wait) {
-        each.waitUntil = std::max(each.waitUntil, m_time.now() + *statement.wait);
-        each.resumeLimit = first_resume_limit;
-        each.awaitingAnswer = 0;
     }
+    upstream &each = found->second;
+    if (statement.wait)
+        startWait(each, waitUntil);
     if (each.stated != statement) {
         each.stated = statement;
         log_event(statement.unreadable.empty() ? log_level::info : log_level::warning, "upstream.stated")
@@ -200,6 +208,13 @@
 #endif
 }
 
+void upstream_directory::startWait(upstream &of, time_point until)
+{
+    of.waitUntil = std::max(of.waitUntil, until);
+    of.resumeLimit = first_resume_limit;
+    of.awaitingAnswer = 0;
+}
+
 void upstream_directory::markDraining(const std::string &id)
 {
     const upstream *known = find(id);
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -116,11 +116,13 @@
     void onUnavailable(std::function<void(const upstream_record &)> observer);
 
 private:
+    static void startWait(upstream &of, time_point until);
     void forgetLeft();
 
     const clock &m_time;
     std::map<std::string, upstream> m_upstreams;
     std::map<std::string, time_point> m_left; ///< upstreams that drained, and when they were removed
+    std::map<std::string, time_point> m_waits; ///< ends of the waits of upstreams that are not listed now
     std::vector<std::function<void(const upstream_record &)>> m_unavailableObservers;
 };
 
