The table of limits compares the policies it names; usage counts nodes that were told

Two faults of the test: the policies beside the ledger were chosen after the relay had taken its permits, so all rows were the ledger's; and nodes that no upstream had told yet made the used share more than 1. All nodes are told at once now; bounds as before.

--- a/libraries/fleet/tests/stated_limit_test.cpp
+++ b/libraries/fleet/tests/stated_limit_test.cpp
@@ -265,11 +265,6 @@
             , channel(owner.network.open(owner.time, fleet::tests::addressOf(index + 1)))
             , transport(owner.servers.transportOf(index))
         {
-            if (owner.chosenPolicy != policy::ledger)
-                ownBucket.emplace(owner.time,
-                                  owner.chosenPolicy == policy::own_bucket
-                                      ? 1.0
-                                      : 1.0 / static_cast<double>(owner.members.size()));
             for (const std::uint16_t port : owner.ports)
                 upstreams.put({"u" + std::to_string(port), "s", {"10.0.0.1", port}, "hall", 64});
             relay.setTable(owner.table);
@@ -288,12 +283,15 @@
         relay::unit_quota quota{fleet.time, randomness};
         relay::run_counter runs{5000};
         relay::work_meter work{fleet.time};
-        std::optional<own_bucket_permits> ownBucket;
+        own_bucket_permits ownBucket{
+            fleet.time,
+            fleet.chosenPolicy == policy::own_bucket ? 1.0 : 1.0 / static_cast<double>(fleet.members.size())};
         fleet::permit_exchange permits{fleet.time, randomness,        *channel, fleet::tests::fleetKey(),
                                        view,       fleet::tests::port};
+        relay::call_permits &usedPermits
+            = fleet.chosenPolicy == policy::ledger ? static_cast<relay::call_permits &>(permits) : ownBucket;
         relay::relay_service relay{{fleet.time, randomness, metrics, *transport, protocol, upstreams,
-                                    selector, retries, quota, runs, work,
-                                    ownBucket ? static_cast<relay::call_permits &>(*ownBucket) : permits,
+                                    selector, retries, quota, runs, work, usedPermits,
                                     [this] { return fleet.time.wallMilliseconds(); },
                                     [](const relay::service &) { return std::size_t{64}; }}};
     };
@@ -315,6 +313,17 @@
             each->permits.start();
     }
 
+    /// Has all nodes know the limits, as if each had got an answer that names them.
+    void tellAll()
+    {
+        for (const auto &[port, limit] : servers.limits) {
+            for (std::size_t index = 0; index < nodes.size(); ++index) {
+                nodes[index]->usedPermits.recordAnswer("u" + std::to_string(port), limit);
+                servers.toldAt.try_emplace({port, index}, time.now());
+            }
+        }
+    }
+
     static membership::member memberOf(membership::incarnation id)
     {
         membership::member result;
@@ -468,6 +477,7 @@
     INFO(nodes << " nodes, " << limit << " calls a second");
     relaying_fleet fleet(nodes, 3, 31);
     setLimits(fleet, limit);
+    fleet.tellAll();
     const double demand = 3 * std::max(2.0 * limit, 30.0);
     fleet.run(8s, demand);
     const time_point since = fleet.time.now();
@@ -482,6 +492,7 @@
     INFO(limit << " calls a second");
     relaying_fleet fleet(1600, 3, 32);
     setLimits(fleet, limit);
+    fleet.tellAll();
     const double demand = 3 * std::max(2.0 * limit, 30.0);
     fleet.run(20s, demand);
     const time_point since = fleet.time.now();
@@ -501,6 +512,7 @@
                                                {"equal share", policy::equal_share}}) {
                 relaying_fleet fleet(nodes, 3, 31, chosen);
                 setLimits(fleet, limit);
+                fleet.tellAll();
                 const double demand = 3 * std::max(2.0 * limit, 30.0);
                 fleet.run(10s, demand);
                 const time_point since = fleet.time.now();
