--- a/libraries/fleet/tests/stated_limit_test.cpp
+++ b/libraries/fleet/tests/stated_limit_test.cpp
@@ -75,6 +75,8 @@
 
     std::size_t arrivalsSince(std::uint16_t port, time_point since) const
     {
+        if (!arrivals.contains(port))
+            return 0;
         return static_cast<std::size_t>(std::count_if(arrivals.at(port).begin(), arrivals.at(port).end(),
                                                       [&](const arrival &each) { return each.at >= since; }));
     }
