--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -65,8 +65,7 @@
 /// - A node that is cut off admits its equal share of the rate. A share that is smaller than a call admits it
 ///   with the probability of the ratio, so the shares of all cut off nodes add up to their part of the limit.
 /// - The share of nodes that stopped reporting is withheld from the bucket, because they may be serving on
-/// the
-///   other side of a cut.
+///   the other side of a cut.
 /// So the nodes together stay within the limit whichever of them are cut off, and for how long.
 class unit_quota
 {
