--- a/libraries/fleet/permit_exchange.h
+++ b/libraries/fleet/permit_exchange.h
@@ -60,7 +60,7 @@
         time_point statedAt{};
         time_point answerToldAt{}; ///< when the keeper was last told of an answer
         time_point refusedUntil{}; ///< no permit is to be had before
-        duration returnSpread{}; ///< spread of the returns of refused callers
+        duration returnSpread{}; ///< refused callers return within this time after a permit
     };
     struct pending_request
     {
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -17,7 +17,7 @@
 constexpr duration min_time_for_retry = std::chrono::milliseconds(40);
 /// Lower bound of Retry-After when no upstream accepted the call.
 constexpr duration retry_after_base = std::chrono::milliseconds(250);
-/// Refused callers return within this time after an upstream that asked to wait may take calls again.
+/// Callers refused because of a wait are told to return at a random time up to this long after its end.
 constexpr duration return_spread = std::chrono::milliseconds(500);
 /// Bytes buffered for a slow caller above which reading from the upstream is paused.
 constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -44,7 +44,7 @@
     upstream_statement stated; ///< in its last answer
     time_point waitUntil{}; ///< it wants no calls from this node before
     std::uint32_t resumeLimit = 0; ///< calls that may await their answers after a wait; 0: any number
-    std::uint32_t awaitingAnswer = 0; ///< calls sent since the wait that were not answered yet
+    std::uint32_t awaitingAnswer = 0; ///< calls sent after the last wait and not yet answered
 
     /// Returns the load that this node's calls put on the upstream, in calls.
     double load() const
