--- a/libraries/relay/call.h
+++ b/libraries/relay/call.h
@@ -42,6 +42,7 @@
     std::string body;
     std::optional<duration> callerTimeout; ///< how long the caller waits, counted from `receivedAt`
     std::optional<std::uint64_t> lastEvent; ///< the stream resumes after this event
+    std::string resumedCall; ///< id of the call that returned the stream's first event; empty if not named
     std::optional<prompt_size> size;
     time_point receivedAt{};
 
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -222,6 +222,15 @@
         details.priority = m_account && m_account->priority ? *m_account->priority : m_route->priority;
     if (m_scanner && m_scanner->lastEvent())
         details.lastEvent = m_scanner->lastEvent();
+    if (details.lastEvent)
+        log_event(log_level::info, "stream.continued")
+            .with("request", m_call.id)
+            .with("resumes", m_call.resumedCall)
+            .with("in_one_answer", m_scanner && m_scanner->lastEvent() ? "yes" : "no")
+            .with("after_event", static_cast<std::int64_t>(*details.lastEvent))
+            .with("upstream", m_upstream)
+            .with("software", chosen.record.softwareVersion)
+            .write();
     m_environment.upstreams.recordCallStart(m_upstream, m_pendingPrefillTokens);
     http::exchange_options options;
     if (m_service)
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -50,6 +50,7 @@
         .with("service", record.service)
         .with("address", record.address.text())
         .with("failure_domain", record.failureDomain)
+        .with("software", record.softwareVersion)
         .write();
     for (const auto &observer : m_unavailableObservers) {
         if (startsDraining)
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -25,6 +25,7 @@
     bool draining = false; ///< about to shut down; accepts no new calls
     bool reclaimable = false; ///< the VM may be reclaimed, together with its whole failure domain
     duration remainingWarmUp{}; ///< warm-up time left after a start, when the record was written
+    std::string softwareVersion; ///< compared only for equality; empty if the upstream states none
 
     auto operator<=>(const upstream_record &) const = default;
 };
