A lost record of a stream does not end it where one software version serves

A node can't tell from its list of upstreams that there is one version: the list may be stale, and another node may have begun the stream at a version that this one never saw. Now the versions of a service stand in a row of the platform's table, versions/<service>, and a node adds a version before resumable streams begin at it. A row with one version that was read after the caller came back proves where the stream began. Nodes announce the newest row by gossip; a version without upstreams for 11 minutes is removed, as no call lasts longer than 10. After a restore of the table from an older copy a row proves nothing for as long.

Weighed: the list of upstreams read again (it shows who serves, not who served), the changes of that list since the start of a node (gone with the node), a guess by the only version that is known.

--- a/libraries/fleet/tests/stated_limit_test.cpp
+++ b/libraries/fleet/tests/stated_limit_test.cpp
@@ -241,8 +241,9 @@
         relay::call_permits &usedPermits
             = fleet.chosenPolicy == policy::ledger ? static_cast<relay::call_permits &>(permits) : ownBucket;
         relay::tests::fake_origins origins;
+        relay::tests::fake_versions versions;
         relay::relay_service relay{{fleet.time, randomness, metrics, *transport, protocol, upstreams,
-                                    selector, retries, quota, runs, work, usedPermits, origins,
+                                    selector, retries, quota, runs, work, usedPermits, origins, versions,
                                     [this] { return fleet.time.wallMilliseconds(); },
                                     [](const relay::service &) { return std::size_t{64}; }}};
     };
--- a/libraries/membership/membership_view.h
+++ b/libraries/membership/membership_view.h
@@ -16,7 +16,8 @@
 /// `configuration`; one that must last longer has to be published again with a greater version. Keys in use:
 /// `configuration` (the newest head), `leaving/<upstream address>`, `witness/<incarnation>` (its successor),
 /// `epoch/<incarnation>` (the version is the epoch of its tickets), `share/<account>/<node>` (limit shares),
-/// `domain/<region>/<failure domain>` (a domain_summary).
+/// `domain/<region>/<failure domain>` (a domain_summary), `versions/<service>` (the row of its software
+/// versions, by the version of the row).
 struct fact
 {
     std::string key;
--- a/libraries/relay/call_environment.h
+++ b/libraries/relay/call_environment.h
@@ -7,6 +7,7 @@
 #include "relay/call_permits.h"
 #include "relay/retry_budget.h"
 #include "relay/run_counter.h"
+#include "relay/service_versions.h"
 #include "relay/stream_origins.h"
 #include "relay/unit_quota.h"
 #include "relay/upstream_directory.h"
@@ -34,6 +35,7 @@
     work_meter &work;
     call_permits &permits;
     stream_origins &origins;
+    service_versions &versions;
     /// Returns the wall-clock time in milliseconds since 1970, by which the run windows are numbered.
     std::function<std::int64_t()> wallMilliseconds;
     /// Returns the maximum number of connections that this node may open to one upstream of the service.
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -84,48 +84,79 @@
 void relayed_call::findOrigin()
 {
     if (m_call.resumedCall.empty()) {
-        refuseResumption("resumed_call_not_named", {.isComplete = true});
+        applyOrigin({.isComplete = true});
         return;
     }
     m_environment.origins.find(stream_key::of(accountName(), m_call.resumedCall),
                                [weak = weak_from_this()](const origin_lookup &found) {
                                    const auto self = weak.lock();
                                    if (self && !self->m_completed)
-                                       self->resumeAt(found);
+                                       self->applyOrigin(found);
                                });
 }
 
-void relayed_call::resumeAt(const origin_lookup &found)
+void relayed_call::applyOrigin(const origin_lookup &found)
 {
-    if (!found.origin) {
-        refuseResumption("stream_origin_unknown", found);
+    if (found.origin) {
+        resume(*found.origin, "record", found.age);
         return;
     }
+    // Of several services it is not known which one began the stream.
+    if (found.isConflicting || m_route->targets.size() != 1) {
+        refuseResumption("stream_origin_unknown", found, {});
+        return;
+    }
+    m_environment.versions.findOnlyVersion(m_serviceName,
+                                           [weak = weak_from_this(), found](const version_lookup &versions) {
+                                               const auto self = weak.lock();
+                                               if (self && !self->m_completed)
+                                                   self->applyVersions(found, versions);
+                                           });
+}
+
+void relayed_call::applyVersions(const origin_lookup &found, const version_lookup &versions)
+{
+    if (versions.onlyVersion)
+        resume({m_serviceName, *versions.onlyVersion, {}}, "only_version", duration::zero());
+    else
+        refuseResumption("stream_origin_unknown", found, versions);
+}
+
+void relayed_call::resume(stream_origin origin, const char *source, duration age)
+{
     const bool isTarget
         = std::any_of(m_route->targets.begin(), m_route->targets.end(),
-                      [&](const route_target &each) { return each.service == found.origin->service; });
+                      [&](const route_target &each) { return each.service == origin.service; });
     if (!isTarget) {
-        refuseResumption("stream_of_another_service", found);
+        refuseResumption("stream_of_another_service", {.isComplete = true}, {.versionCount = 1});
         return;
     }
-    m_origin = found.origin;
-    m_serviceName = m_origin->service;
+    m_serviceName = origin.service;
     m_service = m_table->content().findService(m_serviceName);
+    m_origin = std::move(origin);
+    m_originSource = source;
+    m_originAge = age;
     startAttempt();
 }
 
-void relayed_call::refuseResumption(const char *reason, const origin_lookup &found)
+void relayed_call::refuseResumption(const char *reason, const origin_lookup &found,
+                                    const version_lookup &versions)
 {
+#ifdef IVYPIER_MUTANT_STREAM_GUESS
+    startAttempt();
+    return;
+#endif
     log_event(log_level::info, "stream.refused")
         .with("request", m_call.id)
         .with("resumes", m_call.resumedCall)
         .with("reason", reason)
         .with("all_replied", found.isComplete ? "yes" : "no")
         .with("conflicting", found.isConflicting ? "yes" : "no")
+        .with("versions", static_cast<std::int64_t>(versions.versionCount))
         .write();
-    // Once all nodes have replied, a later call would get the same response.
-    refuse(status_service_unavailable, reason,
-           found.isComplete ? duration::zero() : spread(retry_after_base));
+    // A later call gets the same response once all nodes have replied and the versions are known.
+    const bool isFinal = found.isConflicting || (found.isComplete && versions.versionCount > 0);
+    refuse(status_service_unavailable, reason, isFinal ? duration::zero() : spread(retry_after_base));
 }
 
 void relayed_call::recordOrigin()
@@ -239,10 +270,17 @@
     });
 }
 
+bool relayed_call::canServe(const upstream_record &candidate) const
+{
+    if (m_origin)
+        return m_origin->canContinueAt(candidate);
+    return m_route->kind != call_kind::resumable_stream || m_environment.versions.mayBeginAt(candidate);
+}
+
 void relayed_call::excludeUpstreams()
 {
     for (const upstream *each : m_environment.upstreams.ready(m_serviceName)) {
-        if (m_origin && !m_origin->canContinueAt(each->record)) {
+        if (!canServe(each->record)) {
             m_triedUpstreams.insert(each->record.id);
             continue;
         }
@@ -315,6 +353,8 @@
             .with("software", m_softwareVersion)
             .with("began_at", m_origin ? m_origin->upstream : std::string())
             .with("began_software", m_origin ? m_origin->softwareVersion : std::string())
+            .with("known_by", m_originSource)
+            .with("age_ms", milliseconds(m_originAge))
             .write();
     m_environment.upstreams.recordCallStart(m_upstream, m_pendingPrefillTokens);
     http::exchange_options options;
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -38,8 +38,11 @@
     void logOverLimit(double units, duration wait) const;
     bool isResumption() const;
     void findOrigin();
-    void resumeAt(const origin_lookup &found);
-    void refuseResumption(const char *reason, const origin_lookup &found);
+    void applyOrigin(const origin_lookup &found);
+    void applyVersions(const origin_lookup &found, const version_lookup &versions);
+    void resume(stream_origin origin, const char *source, duration age);
+    void refuseResumption(const char *reason, const origin_lookup &found, const version_lookup &versions);
+    bool canServe(const upstream_record &candidate) const;
     void recordOrigin();
     std::string accountName() const;
     void startAttempt();
@@ -88,6 +91,8 @@
     std::string m_upstream; ///< the upstream of the current or last attempt
     std::string m_softwareVersion; ///< of that upstream
     std::optional<stream_origin> m_origin; ///< set once the caller has events of the stream
+    const char *m_originSource = "this_answer"; ///< how the origin is known, for the log
+    duration m_originAge{}; ///< of the record from which the origin is known
     std::uint64_t m_pendingPrefillTokens = 0; ///< prompt tokens that the upstream has yet to process
     std::optional<event_scanner> m_scanner; ///< set for event streams only
     std::optional<http::response_head> m_head; ///< head of an answer that is buffered until it is complete
--- /dev/null
+++ b/libraries/relay/service_versions.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "relay/upstream_directory.h"
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace ivypier::relay {
+
+/// The response to the question at which software version a stream without a record can have begun.
+struct version_lookup
+{
+    std::optional<std::string> onlyVersion; ///< set if every stream that may be resumed began at it
+    std::size_t versionCount = 0; ///< versions at which streams can have begun; 0: not known
+
+    auto operator<=>(const version_lookup &) const = default;
+};
+
+/// The software versions of each service at which streams may have begun, on any node.
+class service_versions
+{
+public:
+    using completion = std::function<void(const version_lookup &)>;
+
+    virtual ~service_versions() = default;
+
+    /// Returns whether a stream may begin at this upstream: all nodes can find out that streams begin at its
+    /// version.
+    virtual bool mayBeginAt(const upstream_record &upstream) const = 0;
+
+    /// Finds the versions at which streams of a service can have begun until now. Calls `done` once, possibly
+    /// before it returns, at the latest after max_version_lookup_time.
+    virtual void findOnlyVersion(const std::string &service, completion done) = 0;
+};
+
+/// Longest time that a lookup takes when the platform does not respond.
+inline constexpr duration max_version_lookup_time = std::chrono::milliseconds(500);
+
+} // namespace ivypier::relay
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -105,6 +105,25 @@
     completion pending;
 };
 
+/// Lets streams begin at all versions but those in `unlisted`.
+class fake_versions final : public service_versions
+{
+public:
+    bool mayBeginAt(const upstream_record &upstream) const override
+    {
+        return !unlisted.contains(upstream.softwareVersion);
+    }
+    void findOnlyVersion(const std::string &, completion done) override
+    {
+        ++lookups;
+        done(response);
+    }
+
+    std::set<std::string> unlisted;
+    version_lookup response{std::nullopt, 2};
+    int lookups = 0;
+};
+
 /// Holds a relay with two upstreams `a` and `b` of the service `s`, in virtual time.
 struct relay_fixture
 {
@@ -187,10 +206,11 @@
     work_meter work{time};
     fake_permits permits;
     fake_origins origins;
+    fake_versions versions;
     route defaultRoute;
     client_account account;
     relay_service relay{{time, randomness, metrics, transport, protocol, upstreams, selector, retries, quota,
-                         runs, work, permits, origins, [this] { return time.wallMilliseconds(); },
+                         runs, work, permits, origins, versions, [this] { return time.wallMilliseconds(); },
                          [](const service &) { return std::size_t{8}; }}};
     int callCount = 0;
 };
--- a/libraries/relay/tests/stream_versions_test.cpp
+++ b/libraries/relay/tests/stream_versions_test.cpp
@@ -12,7 +12,8 @@
 /// The version of an incarnation never changes, so each list of upstreams has incarnations of its own.
 upstream_record recordOf(const std::string &name, const std::string &version)
 {
-    return {version + name, "s", {"10.0.0.1", static_cast<std::uint16_t>(name.front())}, "hall", 4, false,
+    return {version + name, "s", {"10.0.0.1", static_cast<std::uint16_t>(name.front())},
+            "hall",         4,   false,
             false,          {},  version};
 }
 
@@ -117,6 +118,17 @@
         answer = fixture.resume("first", 3);
         CHECK(answer->fields.count("Retry-After") == 0);
     }
+    SECTION("no record, and the versions are not known at present")
+    {
+        fixture.versions.response = {};
+        answer = fixture.resume("first", 3);
+        CHECK(answer->fields.count("Retry-After") == 1);
+    }
+    SECTION("no record, and the version that began it has no upstream")
+    {
+        fixture.versions.response = {"v3", 1};
+        answer = fixture.resume("first", 3);
+    }
     SECTION("keepers of records do not reply")
     {
         fixture.origins.isComplete = false;
@@ -156,6 +168,52 @@
     CHECK(fixture.relay.running() == 0);
 }
 
+TEST_CASE("a stream without a record goes on where the service is proved to have had one version only")
+{
+    relay_fixture fixture(call_kind::resumable_stream, 3);
+    listTwoVersions(fixture);
+    fixture.versions.response = {"v2", 1};
+    SECTION("the stream is named")
+    {
+        fixture.resume("first", 3);
+    }
+    SECTION("the stream is not named")
+    {
+        fixture.resume("", 3);
+    }
+    REQUIRE(fixture.startedExchanges() == 1);
+    CHECK(versionAt(fixture, fixture.last().to) == "v2");
+    CHECK(fixture.versions.lookups == 1);
+}
+
+TEST_CASE("a stream with a record goes on without a lookup of the versions")
+{
+    relay_fixture fixture(call_kind::resumable_stream, 3);
+    listTwoVersions(fixture);
+    fixture.origins.records[stream_key::of("one", "first")] = {"s", "v2", "gone"};
+    fixture.resume("first", 3);
+    CHECK(fixture.startedExchanges() == 1);
+    CHECK(fixture.versions.lookups == 0);
+}
+
+TEST_CASE("a resumable stream begins only at a version that is listed, other calls also elsewhere")
+{
+    for (const call_kind kind : {call_kind::resumable_stream, call_kind::stream, call_kind::idempotent}) {
+        std::set<std::string> versions;
+        for (int round = 0; round < 20; ++round) {
+            relay_fixture fixture(kind, 3);
+            fixture.randomness = seeded_random(static_cast<std::uint64_t>(round));
+            listTwoVersions(fixture);
+            fixture.versions.unlisted = {"v1"};
+            fixture.startCall();
+            REQUIRE(fixture.startedExchanges() == 1);
+            versions.insert(versionAt(fixture, fixture.last().to));
+        }
+        CHECK(versions.contains("v1") == (kind != call_kind::resumable_stream));
+        CHECK(versions.contains("v2"));
+    }
+}
+
 TEST_CASE("a stream of an upstream without a stated version goes on at that incarnation only")
 {
     relay_fixture fixture(call_kind::resumable_stream, 3);
--- /dev/null
+++ b/libraries/relay/version_register.cpp
@@ -0,0 +1,277 @@
+#include "relay/version_register.h"
+
+#include "base/log_event.h"
+
+#include <algorithm>
+
+namespace ivypier::relay {
+
+namespace {
+
+constexpr std::string_view row_prefix = "versions/";
+
+std::string joined(const std::set<std::string> &texts)
+{
+    std::string result;
+    for (const std::string &each : texts)
+        result.append(result.empty() ? "" : ",").append(each.empty() ? "?" : each);
+    return result;
+}
+
+} // namespace
+
+version_register::version_register(scheduler &tasks, random_source &randomness, cloud::table_service &table,
+                                   const upstream_directory &upstreams,
+                                   std::function<std::int64_t()> wallMilliseconds)
+    : m_tasks(tasks)
+    , m_random(randomness)
+    , m_table(table)
+    , m_upstreams(upstreams)
+    , m_wallMilliseconds(std::move(wallMilliseconds))
+{
+}
+
+std::string version_register::keyOf(const std::string &service)
+{
+    return std::string(row_prefix) + service;
+}
+
+void version_register::start()
+{
+    m_table.list(std::string(row_prefix), [this](const outcome<std::vector<cloud::table_row>> &rows) {
+        if (!rows) {
+            log_event(log_level::info, "versions.read_failed").with("reason", rows.error().message).write();
+            return;
+        }
+        for (const cloud::table_row &each : rows.value())
+            applyRow(each.key.substr(row_prefix.size()), each);
+    });
+}
+
+void version_register::setServices(std::set<std::string> services)
+{
+    m_services = std::move(services);
+}
+
+void version_register::onRowRead(row_handler handler)
+{
+    m_onRowRead = std::move(handler);
+}
+
+void version_register::applyRow(const std::string &service, const cloud::table_row &row)
+{
+    service_state &state = m_states[service];
+    if (row.version <= state.rowVersion)
+        return;
+    const outcome<version_row> decoded = version_row::decode(row.value);
+    if (!decoded) {
+        log_event(log_level::error, "versions.unreadable")
+            .with("service", service)
+            .with("reason", decoded.error().message)
+            .write();
+        return;
+    }
+    state.row = decoded.value();
+    state.rowVersion = row.version;
+    log_event(log_level::info, "versions.listed")
+        .with("service", service)
+        .with("versions", joined(state.row.versions))
+        .with("row_version", static_cast<std::int64_t>(row.version))
+        .with("era", static_cast<std::int64_t>(state.row.era))
+        .write();
+    if (m_onRowRead)
+        m_onRowRead(service, row.version, row.value);
+}
+
+void version_register::applyAnnouncement(const std::string &service, std::uint64_t rowVersion,
+                                         const std::string &text)
+{
+    applyRow(service, {keyOf(service), rowVersion, text});
+}
+
+bool version_register::mayBeginAt(const upstream_record &upstream) const
+{
+#ifdef IVYPIER_MUTANT_VERSION_LISTING
+    return true;
+#endif
+    const auto found = m_states.find(upstream.service);
+    return found != m_states.end() && found->second.row.versions.contains(upstream.softwareVersion);
+}
+
+std::map<std::string, std::set<std::string>> version_register::listed() const
+{
+    std::map<std::string, std::set<std::string>> result;
+    for (const auto &[service, state] : m_states)
+        result[service] = state.row.versions;
+    return result;
+}
+
+void version_register::noteUpstreams(service_state &state, const std::string &service) const
+{
+    for (const upstream *each : m_upstreams.all()) {
+        if (each->record.service == service)
+            state.seenAt[each->record.softwareVersion] = m_tasks.now();
+    }
+    std::erase_if(state.seenAt, [&](const auto &each) {
+        return m_tasks.now() - each.second > version_retention && !state.row.versions.contains(each.first);
+    });
+    // A listed version counts as seen when this node learns of it.
+    for (const std::string &each : state.row.versions)
+        state.seenAt.try_emplace(each, m_tasks.now());
+}
+
+std::set<std::string> version_register::expiredVersions(const service_state &state) const
+{
+    std::set<std::string> result;
+    for (const std::string &each : state.row.versions) {
+        const auto seen = state.seenAt.find(each);
+        if (seen != state.seenAt.end() && m_tasks.now() - seen->second > version_retention)
+            result.insert(each);
+    }
+    return result;
+}
+
+bool version_register::needsUpdate(const service_state &state, bool holdsDuties) const
+{
+    for (const auto &[version, seenAt] : state.seenAt) {
+        if (m_tasks.now() - seenAt <= version_retention && !state.row.versions.contains(version))
+            return true;
+    }
+    if (state.rowVersion == 0)
+        return false;
+    if (state.row.era != m_table.era())
+        return true;
+    const bool isOld = m_wallMilliseconds() - state.row.writtenAt > milliseconds(rewrite_interval);
+    return holdsDuties && (isOld || !expiredVersions(state).empty());
+}
+
+void version_register::poll(bool holdsDuties, std::size_t nodes)
+{
+    for (const std::string &service : m_services) {
+        service_state &state = m_states[service];
+        noteUpstreams(state, service);
+        if (!needsUpdate(state, holdsDuties)) {
+            state.nextUpdate.reset();
+            continue;
+        }
+        if (!state.nextUpdate)
+            state.nextUpdate = m_tasks.now()
+                + fromSeconds(seconds(read_spread_per_node) * static_cast<double>(nodes)
+                              * m_random.uniform());
+        if (state.isWriting || m_tasks.now() < *state.nextUpdate)
+            continue;
+        update(service, holdsDuties);
+    }
+}
+
+void version_register::update(const std::string &service, bool holdsDuties)
+{
+    service_state &state = m_states[service];
+    state.isWriting = true;
+    state.nextUpdate = m_tasks.now() + retry_interval;
+    m_table.read(keyOf(service),
+                 [this, service, holdsDuties](const outcome<std::optional<cloud::table_row>> &read) {
+                     service_state &updated = m_states[service];
+                     updated.isWriting = false;
+                     if (!read) {
+                         log_event(log_level::info, "versions.read_failed")
+                             .with("service", service)
+                             .with("reason", read.error().message)
+                             .write();
+                         return;
+                     }
+                     if (read.value())
+                         applyRow(service, *read.value());
+                     if (needsUpdate(updated, holdsDuties))
+                         write(service, read.value(), holdsDuties);
+                 });
+}
+
+void version_register::write(const std::string &service, const std::optional<cloud::table_row> &current,
+                             bool holdsDuties)
+{
+    service_state &state = m_states[service];
+    version_row row = state.row;
+    const std::int64_t now = m_wallMilliseconds();
+    for (const auto &[version, seenAt] : state.seenAt) {
+        if (m_tasks.now() - seenAt <= version_retention)
+            row.versions.insert(version);
+    }
+    if (holdsDuties) {
+        for (const std::string &each : expiredVersions(state))
+            row.versions.erase(each);
+    }
+    // After a restore of the table from an older copy, versions of streams that are in progress may be
+    // missing, as they may when a row is missing in a later era than the first.
+    if (row.era != m_table.era() || (!current && m_table.era() > 0))
+        row.completeFrom = now + milliseconds(version_retention);
+    row.era = m_table.era();
+    row.writtenAt = now;
+    state.isWriting = true;
+    m_table.write(keyOf(service), current ? current->version : 0, row.encode(),
+                  [this, service](const outcome<cloud::table_row> &written) {
+                      m_states[service].isWriting = false;
+                      if (written)
+                          applyRow(service, written.value());
+                      else
+                          log_event(log_level::info, "versions.write_failed")
+                              .with("service", service)
+                              .with("reason", written.error().message)
+                              .write();
+                  });
+}
+
+void version_register::findOnlyVersion(const std::string &service, completion done)
+{
+    auto request = std::make_shared<lookup_request>(lookup_request{std::move(done)});
+    service_state &state = m_states[service];
+    state.nextLookups.push_back(request);
+    m_tasks.after(max_version_lookup_time, [this, request] { completeLookups({request}, {}); });
+    if (!state.isReading)
+        startLookup(service);
+}
+
+void version_register::startLookup(const std::string &service)
+{
+    service_state &state = m_states[service];
+    state.isReading = true;
+    // A read proves something only about streams that began before it, so later requests need another one.
+    m_table.read(keyOf(service),
+                 [this, service, requests = std::exchange(state.nextLookups, {})](
+                     const outcome<std::optional<cloud::table_row>> &read) {
+                     service_state &current = m_states[service];
+                     current.isReading = false;
+                     if (read && read.value())
+                         applyRow(service, *read.value());
+                     completeLookups(requests, read ? responseFor(read.value()) : version_lookup{});
+                     if (!current.nextLookups.empty())
+                         startLookup(service);
+                 });
+}
+
+void version_register::completeLookups(const lookup_requests &requests, const version_lookup &response) const
+{
+    for (const auto &each : requests) {
+        if (const completion done = std::exchange(each->done, nullptr))
+            done(response);
+    }
+}
+
+version_lookup version_register::responseFor(const std::optional<cloud::table_row> &row) const
+{
+    const outcome<version_row> decoded
+        = row ? version_row::decode(row->value) : outcome<version_row>(version_row{});
+    if (!decoded)
+        return {};
+#ifndef IVYPIER_MUTANT_VERSION_ERA
+    if (decoded.value().era != m_table.era() || m_wallMilliseconds() < decoded.value().completeFrom)
+        return {};
+#endif
+    const std::set<std::string> &versions = decoded.value().versions;
+    version_lookup result{std::nullopt, versions.size()};
+    if (versions.size() == 1 && !versions.begin()->empty())
+        result.onlyVersion = *versions.begin();
+    return result;
+}
+
+} // namespace ivypier::relay
--- /dev/null
+++ b/libraries/relay/version_register.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "base/scheduler.h"
+#include "cloud/table_service.h"
+#include "relay/service_versions.h"
+#include "relay/version_row.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace ivypier::relay {
+
+/// Lists the software versions of each service in a row of the platform's table, `versions/<service>`, before
+/// streams begin at them. A row with one version that was read after a caller came back proves that its
+/// stream began at that version. Docs: docs/design/stream-versions.md.
+class version_register final : public service_versions
+{
+public:
+    /// Called with the text of a row that this node wrote or read and did not know before.
+    using row_handler
+        = std::function<void(const std::string &service, std::uint64_t rowVersion, const std::string &text)>;
+
+    /// A version without upstreams for this long is removed from its row. No call lasts longer than ten
+    /// minutes, so no stream that began at the version can be resumed any more, also not one of a node that
+    /// learned a little later that the upstreams are gone.
+    static constexpr duration version_retention = std::chrono::minutes(11);
+    /// A row is written again at the latest after this time, so that what nodes tell each other about it does
+    /// not expire.
+    static constexpr duration rewrite_interval = std::chrono::minutes(30);
+    /// Time for each node of the fleet over which reads of a row are spread when a version appears.
+    static constexpr duration read_spread_per_node = std::chrono::milliseconds(1);
+    static constexpr duration retry_interval = std::chrono::milliseconds(400);
+
+    /// `wallMilliseconds` returns the wall-clock time in milliseconds since 1970.
+    version_register(scheduler &tasks, random_source &randomness, cloud::table_service &table,
+                     const upstream_directory &upstreams, std::function<std::int64_t()> wallMilliseconds);
+
+    /// Reads all rows.
+    void start();
+
+    /// Sets the services to which routes of resumable streams lead.
+    void setServices(std::set<std::string> services);
+
+    /// Adds versions that appeared to their rows. The node that holds the duties also removes versions that
+    /// are gone. `nodes` is the number of nodes of the fleet.
+    void poll(bool holdsDuties, std::size_t nodes);
+
+    /// Takes over a row that another node announced, if it is newer than the known one.
+    void applyAnnouncement(const std::string &service, std::uint64_t rowVersion, const std::string &text);
+
+    void onRowRead(row_handler handler);
+
+    bool mayBeginAt(const upstream_record &upstream) const override;
+    void findOnlyVersion(const std::string &service, completion done) override;
+
+    /// Returns the versions that the newest known rows list, by service.
+    std::map<std::string, std::set<std::string>> listed() const;
+
+private:
+    struct lookup_request
+    {
+        completion done; ///< null once the request is completed
+    };
+    using lookup_requests = std::vector<std::shared_ptr<lookup_request>>;
+
+    struct service_state
+    {
+        version_row row;
+        std::uint64_t rowVersion = 0; ///< 0: no row is known
+        bool isWriting = false;
+        bool isReading = false; ///< a read for lookup requests is in progress
+        std::optional<time_point> nextUpdate; ///< when the row is to be updated; not set: no need is known
+        std::map<std::string, time_point> seenAt; ///< versions with upstreams, and when they were last seen
+        lookup_requests nextLookups; ///< requests for the next read
+    };
+
+    static std::string keyOf(const std::string &service);
+    void noteUpstreams(service_state &state, const std::string &service) const;
+    bool needsUpdate(const service_state &state, bool holdsDuties) const;
+    std::set<std::string> expiredVersions(const service_state &state) const;
+    void update(const std::string &service, bool holdsDuties);
+    void write(const std::string &service, const std::optional<cloud::table_row> &current, bool holdsDuties);
+    void applyRow(const std::string &service, const cloud::table_row &row);
+    void startLookup(const std::string &service);
+    void completeLookups(const lookup_requests &requests, const version_lookup &response) const;
+    version_lookup responseFor(const std::optional<cloud::table_row> &row) const;
+
+    scheduler &m_tasks;
+    random_source &m_random;
+    cloud::table_service &m_table;
+    const upstream_directory &m_upstreams;
+    std::function<std::int64_t()> m_wallMilliseconds;
+    std::set<std::string> m_services;
+    std::map<std::string, service_state> m_states;
+    row_handler m_onRowRead;
+};
+
+} // namespace ivypier::relay
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -29,6 +29,7 @@
 #include "platform/store_client.h"
 #include "relay/prefix_affinity_selector.h"
 #include "relay/relay_service.h"
+#include "relay/version_register.h"
 
 namespace ivypier::edge {
 
@@ -57,6 +58,8 @@
 constexpr std::size_t min_connections_per_upstream = 4;
 /// File descriptors reserved for upstreams, the store and files; the others are for caller connections.
 constexpr std::size_t reserved_descriptors = 900;
+/// Key prefix of the gossip facts that announce the software versions of a service.
+const std::string version_fact_prefix = "versions/";
 /// All duties share one lease: they make few requests, and a single lease keeps renewals few, too.
 constexpr const char *duties_lease_name = "duties";
 
@@ -105,10 +108,12 @@
     fleet::fleet_exchange fleetExchange;
     fleet::permit_exchange permits;
     fleet::origin_exchange origins;
+    relay::version_register versions{tasks, randomness, store, upstreams,
+                                     [this] { return wallClock.milliseconds(); }};
     fleet::fleet_census census{tasks, members};
     relay::relay_service relayService{{tasks, randomness, metrics, upstreamConnections, protocol, upstreams,
                                        upstreamSelector, retryBudget, quota, runCounter, workMeter, permits,
-                                       origins, [this] { return wallClock.milliseconds(); },
+                                       origins, versions, [this] { return wallClock.milliseconds(); },
                                        [this](const relay::service &of) { return connectionsFor(of); }}};
 
     platform_tables tables{
@@ -147,6 +152,7 @@
     void handleLookup(const http::incoming_request &incoming, http::reply &to) const;
     void handleControl(const http::incoming_request &incoming, const std::shared_ptr<http::reply> &to);
     void handleMetrics(const http::incoming_request &incoming, http::reply &to);
+    void startVersions();
     void applyConfiguration(std::shared_ptr<const relay::route_table> table);
     void update();
     void readFleetSize();
@@ -250,6 +256,7 @@
     fleetExchange.start();
     permits.start();
     origins.start();
+    startVersions();
     lease.setEligible(false);
     lease.start();
     readFleetSize();
@@ -262,6 +269,19 @@
         .write();
 }
 
+void edge_node::edge_components::startVersions()
+{
+    versions.onRowRead([this](const std::string &service, std::uint64_t rowVersion, const std::string &text) {
+        members.publish({version_fact_prefix + service, rowVersion, text});
+    });
+    members.onFact([this](const membership::fact &update) {
+        if (update.key.starts_with(version_fact_prefix))
+            versions.applyAnnouncement(update.key.substr(version_fact_prefix.size()), update.version,
+                                       update.value);
+    });
+    versions.start();
+}
+
 void edge_node::edge_components::handleCall(http::incoming_request incoming,
                                             const std::shared_ptr<http::reply> &to)
 {
@@ -334,6 +354,8 @@
     metrics.set("ivypier_permits_refused", {}, static_cast<double>(permits.refusals()));
     metrics.set("ivypier_stream_origins", {}, static_cast<double>(origins.recordCount()));
     metrics.set("ivypier_stream_origin_datagrams", {}, static_cast<double>(origins.datagramsSent()));
+    for (const auto &[service, listed] : versions.listed())
+        metrics.set("ivypier_software_versions", {{"service", service}}, static_cast<double>(listed.size()));
     for (const relay::upstream *each : upstreams.all())
         metrics.set("ivypier_upstream_calls_running", {{"upstream", each->record.id}}, each->running);
     to.send(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.exposition());
@@ -351,6 +373,14 @@
         ? settings.maxDescriptors - reserved_descriptors
         : settings.maxDescriptors / 2;
     callListener->setLimits(connectionLimits);
+    std::set<std::string> resumableServices;
+    for (const relay::route &each : table->content().routes) {
+        for (const relay::route_target &target : each.targets) {
+            if (each.kind == relay::call_kind::resumable_stream)
+                resumableServices.insert(target.service);
+        }
+    }
+    versions.setServices(std::move(resumableServices));
     relayService.setTable(std::move(table));
 }
 
@@ -389,6 +419,7 @@
     quota.setRemoteReporting(fleetExchange.hasRemoteCollector(), fleetExchange.reportAge());
     quota.setSilentFraction(fleetExchange.silentFraction(nodeCount()), fleet::silent_node_age);
     retryBudget.setSlack(node_retry_share * settings.retrySlack / static_cast<double>(nodeCount()));
+    versions.poll(lease.held().has_value(), nodeCount());
     const std::int64_t now = wallClock.milliseconds();
     const std::int64_t window = runCounter.windowAt(now);
     runCounter.dropWindowsBefore(window - 60);
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -124,9 +124,18 @@
             [this, key]() -> outcome<std::optional<cloud::table_row>> { return m_table.find(key); }, done);
     }
 
-    void list(const std::string &, list_completion done) override
+    void list(const std::string &prefix, list_completion done) override
     {
-        done(error{error_code::unavailable, "fake_table doesn't support list()"});
+        call<std::vector<cloud::table_row>>(
+            [this, prefix]() -> outcome<std::vector<cloud::table_row>> {
+                std::vector<cloud::table_row> result;
+                for (const auto &[key, row] : m_table.rows) {
+                    if (key.starts_with(prefix))
+                        result.push_back(m_table.inThisEra(row));
+                }
+                return result;
+            },
+            done);
     }
 
     void write(const std::string &key, std::uint64_t expected, const std::string &value,
