Streams that go on come before new calls where their software version is scarce

A stream can go on only at upstreams of its version. With two of them left, new calls that could go anywhere filled them, and a stream that came back was refused by a full upstream.

Weighed: refusing new calls there even if no other upstream is left (their callers get nothing for streams that may not come back), a fixed number of connections.

--- a/libraries/relay/call.h
+++ b/libraries/relay/call.h
@@ -57,6 +57,7 @@
     duration timeLeft{};
     std::optional<std::uint32_t> priority;
     std::optional<std::uint64_t> lastEvent;
+    bool isResumption = false; ///< the call continues a stream that only some upstreams can continue
 
     auto operator<=>(const attempt &) const = default;
 };
--- a/libraries/relay/prefix_affinity_selector.cpp
+++ b/libraries/relay/prefix_affinity_selector.cpp
@@ -49,12 +49,18 @@
 std::vector<const upstream *> prefix_affinity_selector::candidates(const selection_request &selection) const
 {
     std::vector<const upstream *> usable;
+    std::vector<const upstream *> avoided;
     std::vector<const upstream *> ejected;
     for (const upstream *each : m_upstreams.ready(selection.service)) {
         if (selection.excluded.contains(each->record.id))
             continue;
-        (each->isEjected(m_time.now()) ? ejected : usable).push_back(each);
+        if (each->isEjected(m_time.now()))
+            ejected.push_back(each);
+        else
+            (selection.avoided.contains(each->record.id) ? avoided : usable).push_back(each);
     }
+    if (usable.empty())
+        usable = std::move(avoided);
     // If all upstreams are ejected, sending to one of them may still succeed; sending to none cannot.
     return usable.empty() ? ejected : usable;
 }
--- a/libraries/relay/prefix_affinity_selector.h
+++ b/libraries/relay/prefix_affinity_selector.h
@@ -34,12 +34,12 @@
                              remote_load remoteLoad, prefix_affinity_options options = {});
 
     std::optional<std::string> select(const selection_request &selection) override;
+    double loadOf(const upstream &each) const override;
 
 private:
     std::vector<const upstream *> candidates(const selection_request &selection) const;
     const upstream *selectByPrefix(const std::vector<const upstream *> &from, std::uint64_t prefix) const;
     const upstream *selectByTwoChoices(const std::vector<const upstream *> &from);
-    double loadOf(const upstream &each) const;
 
     const clock &m_time;
     random_source &m_random;
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log_event.h"
 #include "base/status_codes.h"
+#include "relay/version_reserve.h"
 
 #include <algorithm>
 #include <array>
@@ -206,7 +207,7 @@
     double units = 1.0;
     if (m_account->countsTokens)
         units = m_call.size
-            ? static_cast<double>(selection_request{m_route, &m_call, m_serviceName, {}}.work())
+            ? static_cast<double>(selection_request{m_route, &m_call, m_serviceName, {}, {}}.work())
             : m_account->unitsWithoutUsage;
     const duration wait = m_environment.quota.take(m_account->name, units);
     if (wait > duration::zero()) {
@@ -252,7 +253,7 @@
 void relayed_call::startAttempt()
 {
     excludeUpstreams();
-    const selection_request selection{m_route, &m_call, m_serviceName, m_triedUpstreams};
+    const selection_request selection{m_route, &m_call, m_serviceName, m_triedUpstreams, reservedUpstreams()};
     const std::optional<std::string> id = m_environment.selector.select(selection);
     const upstream *chosen = id ? m_environment.upstreams.find(*id) : nullptr;
     if (!chosen) {
@@ -295,6 +296,16 @@
     }
 }
 
+std::set<std::string> relayed_call::reservedUpstreams() const
+{
+    if (m_origin)
+        return {};
+    return reservedForResumption(m_environment.upstreams.ready(m_serviceName), [this](const upstream &each) {
+        return upstream_occupancy{m_environment.selector.loadOf(each),
+                                  m_environment.permits.isNeeded(each.record.id)};
+    });
+}
+
 void relayed_call::addReturnTime(duration returnAfter)
 {
     m_returnAfter = std::min(m_returnAfter.value_or(returnAfter), returnAfter);
@@ -343,6 +354,7 @@
         details.priority = m_account && m_account->priority ? *m_account->priority : m_route->priority;
     if (m_scanner && m_scanner->lastEvent())
         details.lastEvent = m_scanner->lastEvent();
+    details.isResumption = m_origin.has_value();
     if (details.lastEvent)
         log_event(log_level::info, "stream.continued")
             .with("request", m_call.id)
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -47,6 +47,7 @@
     std::string accountName() const;
     void startAttempt();
     void excludeUpstreams();
+    std::set<std::string> reservedUpstreams() const;
     void onPermit(const std::string &id, const permit_decision &decision);
     void endWithoutUpstream();
     void startAttemptOn(const upstream &chosen);
--- a/libraries/relay/upstream_selector.h
+++ b/libraries/relay/upstream_selector.h
@@ -17,6 +17,7 @@
     const call *request = nullptr;
     std::string service;
     std::set<std::string> excluded; ///< upstreams already tried for this call
+    std::set<std::string> avoided; ///< selected only if no other upstream is left
 
     /// Returns the tokens of the prompt and the longest answer together; 1 for a call to a plain service.
     std::uint64_t work() const;
@@ -30,6 +31,9 @@
 
     /// Returns the id of the selected upstream, or nothing if no upstream is available.
     virtual std::optional<std::string> select(const selection_request &selection) = 0;
+
+    /// Returns the load of an upstream in calls, as far as this node knows the calls of other nodes.
+    virtual double loadOf(const upstream &each) const = 0;
 };
 
 } // namespace ivypier::relay
