--- a/libraries/fleet/tests/stated_limit_test.cpp
+++ b/libraries/fleet/tests/stated_limit_test.cpp
@@ -242,9 +242,10 @@
             = fleet.chosenPolicy == policy::ledger ? static_cast<relay::call_permits &>(permits) : ownBucket;
         relay::tests::fake_origins origins;
         relay::tests::fake_versions versions;
+        relay::answer_buffers buffers{std::size_t{8} * 1024 * 1024};
         relay::relay_service relay{{fleet.time, randomness, metrics, *transport, protocol, upstreams,
                                     selector, retries, quota, runs, work, usedPermits, origins, versions,
-                                    [this] { return fleet.time.wallMilliseconds(); },
+                                    buffers, [this] { return fleet.time.wallMilliseconds(); },
                                     [](const relay::service &) { return std::size_t{64}; }}};
     };
 
