Bytes of an upstream that are no answer and do not end cost a bounded time and memory

What was found: an event without end was never ended (the check stood behind a return; 16 MiB were taken in the test, without limit) and scanned anew with each piece; chunk extensions and trailers without end were kept and parsed again without limit, also those of callers; interim heads had no count; the skipped body of an answer to another call could have 1 GiB; the buffers of plain answers had no bound on their sum.

Change: the event scanner searches each byte once; an event above 1 MiB makes a resumable stream go on elsewhere and ends others; message_parser bounds a chunk header or block of trailers (8 KiB) and all framing in proportion to the body, for upstreams and callers; at most 8 interim heads; at most 256 KiB of skipped bodies; relay::answer_buffers bounds what all calls of a node buffer (8 MiB, answer_buffer_bytes) and drops the largest first, whose caller gets 502, as the call may have run.

Weighed: pausing the reading above the budget (endless answers would hold it until their deadline, and others with them), a share of the budget for each account (a hundred accounts leave too little for one answer).

Also: a service that a new configuration leads to is listed at once.

--- a/libraries/http/message_parser.cpp
+++ b/libraries/http/message_parser.cpp
@@ -1,5 +1,6 @@
 #include "http/message_parser.h"
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 
 namespace ivypier::http {
@@ -18,14 +19,28 @@
 outcome<std::size_t> message_parser<IsRequest>::feed(std::string_view bytes)
 {
     failure_code failure;
+    const bool hadHead = hasHead();
+    const std::size_t bodyBytesBefore = m_bodyBytes;
     const std::size_t consumed = base::put(boost::asio::const_buffer(bytes.data(), bytes.size()), failure);
-    if (!failure || failure == beast::error::need_more)
+    if (!failure || failure == beast::error::need_more) {
+        if (hadHead && isFramingTooLarge(bytes.size(), consumed, m_bodyBytes - bodyBytesBefore))
+            return error{error_code::too_large, "the chunk headers or trailers are too long"};
         return consumed;
+    }
     m_bodyTooLarge = failure == beast::error::body_limit;
     const bool tooLarge = failure == beast::error::header_limit || m_bodyTooLarge;
     return error{tooLarge ? error_code::too_large : error_code::invalid_argument, failure.message()};
 }
 
+template <bool IsRequest>
+bool message_parser<IsRequest>::isFramingTooLarge(std::size_t offered, std::size_t consumed,
+                                                  std::size_t bodyBytes)
+{
+    m_framingBytes += consumed - std::min(bodyBytes, consumed);
+    return (consumed == 0 && offered > max_chunk_header_bytes)
+        || m_framingBytes > max_framing_bytes + framing_bytes_per_body_byte * m_bodyBytes;
+}
+
 template <bool IsRequest>
 bool message_parser<IsRequest>::end()
 {
@@ -84,6 +99,7 @@
 std::size_t message_parser<IsRequest>::on_body_impl(text data, failure_code &)
 {
     m_body.append(data.data(), data.size());
+    m_bodyBytes += data.size();
     return data.size();
 }
 
@@ -96,6 +112,7 @@
 std::size_t message_parser<IsRequest>::on_chunk_body_impl(std::uint64_t, text data, failure_code &)
 {
     m_body.append(data.data(), data.size());
+    m_bodyBytes += data.size();
     return data.size();
 }
 
--- a/libraries/http/message_parser.h
+++ b/libraries/http/message_parser.h
@@ -12,6 +12,14 @@
 
 namespace ivypier::http {
 
+/// Longest chunk header or block of trailers in bytes.
+inline constexpr std::size_t max_chunk_header_bytes = std::size_t{8} * 1024;
+
+/// Bytes of chunk headers and trailers that a body may have, besides `framing_bytes_per_body_byte` for each
+/// of its bytes. The framing of a chunk with one byte takes five bytes.
+inline constexpr std::size_t max_framing_bytes = std::size_t{64} * 1024;
+inline constexpr std::size_t framing_bytes_per_body_byte = 16;
+
 /// Incremental parser of one HTTP message. Rejects ambiguous framing: a Content-Length together with a
 /// Transfer-Encoding, two Content-Length fields, and any transfer coding other than `chunked`.
 template <bool IsRequest>
@@ -30,8 +38,8 @@
     explicit message_parser(limits maxSizes);
 
     /// Parses bytes and returns how many were consumed; the caller passes the rest again, together with the
-    /// bytes that follow. Fails with `too_large` if the header or the body exceeds its limit, else
-    /// `invalid_argument`.
+    /// bytes that follow. Fails with `too_large` if the header, the body or its chunk headers exceed their
+    /// limits, else `invalid_argument`.
     outcome<std::size_t> feed(std::string_view bytes);
 
     /// Signals that the peer closed the connection. Returns false if the message is incomplete.
@@ -106,8 +114,12 @@
     std::size_t on_chunk_body_impl(std::uint64_t, text data, failure_code &) override;
     void on_finish_impl(failure_code &) override;
 
+    bool isFramingTooLarge(std::size_t offered, std::size_t consumed, std::size_t bodyBytes);
+
     head_type m_head;
     std::string m_body;
+    std::size_t m_bodyBytes = 0; ///< total number of bytes of the body
+    std::size_t m_framingBytes = 0; ///< total number of bytes of chunk headers and trailers
     bool m_bodyTooLarge = false;
 };
 
--- a/libraries/http/pooled_connection.cpp
+++ b/libraries/http/pooled_connection.cpp
@@ -13,6 +13,10 @@
 constexpr std::uint64_t max_body_bytes = std::uint64_t{1} << 30;
 /// Maximum number of skipped responses to other requests; one more fails the exchange.
 constexpr int max_unmatched_responses = 2;
+/// Maximum number of interim responses (1xx) before the final one.
+constexpr int max_interim_responses = 8;
+/// Maximum number of bytes in the bodies of skipped responses.
+constexpr std::size_t max_skipped_body_bytes = std::size_t{256} * 1024;
 /// How long an idle connection is kept if its peer announces no timeout.
 constexpr duration default_keep_alive_time = std::chrono::seconds(4);
 /// Fraction of the peer's announced timeout for which an idle connection is kept, so that the pool closes it
@@ -52,7 +56,8 @@
     m_options = std::move(options);
     m_observer = &observer;
     m_stage = exchange_stage::not_sent;
-    m_unmatchedResponses = 0;
+    m_unmatchedResponses = m_interimResponses = 0;
+    m_skippedBodyBytes = 0;
     m_skippingResponse = m_headDelivered = m_paused = m_hasTrailingBytes = false;
     m_unparsed.clear();
     m_parser.emplace(response_parser::limits{max_header_bytes, max_body_bytes});
@@ -152,9 +157,8 @@
     const auto alive = shared_from_this();
     // The parser doesn't keep an incomplete head: it must be passed again, together with the bytes that
     // follow it.
-    std::string buffered;
-    if (!m_unparsed.empty()) {
-        buffered = std::exchange(m_unparsed, {});
+    std::string buffered = std::exchange(m_unparsed, {});
+    if (!buffered.empty()) {
         buffered.append(bytes);
         bytes = buffered;
     }
@@ -170,11 +174,15 @@
         const std::string body = m_parser->takeBody();
         if (!body.empty() && m_headDelivered && m_observer)
             m_observer->onBody(body);
+        if (m_skippingResponse && isSkippedTooMuch(body.size()))
+            return;
         if (!m_open || !m_observer)
             return;
         if (!m_parser->isDone()) {
             if (consumed.value() == 0) {
-                m_unparsed = bytes;
+                // What was buffered before is kept without a copy, as bytes may arrive one at a time.
+                const bool isUnchanged = !buffered.empty() && bytes.size() == buffered.size();
+                m_unparsed = isUnchanged ? std::move(buffered) : std::string(bytes);
                 return;
             }
             continue;
@@ -191,11 +199,24 @@
     }
 }
 
+bool pooled_connection::isSkippedTooMuch(std::size_t bodyBytes)
+{
+    m_skippedBodyBytes += bodyBytes;
+    if (m_skippedBodyBytes <= max_skipped_body_bytes)
+        return false;
+    fail("the answer to another request is too long");
+    return true;
+}
+
 bool pooled_connection::handleHead()
 {
     constexpr int firstFinalStatus = 200;
     const response_head &head = m_parser->head();
     if (head.status < firstFinalStatus) { // skip interim responses (1xx)
+        if (++m_interimResponses > max_interim_responses) {
+            fail("too many interim responses");
+            return false;
+        }
         m_skippingResponse = true;
         return true;
     }
--- a/libraries/http/pooled_connection.h
+++ b/libraries/http/pooled_connection.h
@@ -52,6 +52,7 @@
     void waitForInput();
     void onReadable(const boost::system::error_code &failure);
     void parseInput(std::string_view bytes);
+    bool isSkippedTooMuch(std::size_t bodyBytes);
     bool handleHead();
     void finish();
     void fail(const std::string &reason);
@@ -71,6 +72,8 @@
     exchange_stage m_stage = exchange_stage::not_sent;
     std::uint64_t m_exchangeId = 0; ///< of the current or last exchange
     int m_unmatchedResponses = 0;
+    int m_interimResponses = 0;
+    std::size_t m_skippedBodyBytes = 0; ///< in bodies of skipped responses
     bool m_skippingResponse = false;
     bool m_headDelivered = false;
     bool m_connected = false;
--- /dev/null
+++ b/libraries/relay/answer_buffers.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace ivypier::relay {
+
+/// Bounds the bytes of upstreams' answers that a node buffers, over all calls. When the limit is exceeded,
+/// the largest buffer is dropped, so that endless answers don't take the memory of ordinary ones.
+class answer_buffers
+{
+public:
+    /// Called once, when the buffer must be dropped. It must not use the answer_buffers.
+    using drop_handler = std::function<void()>;
+
+    /// The bytes that one call buffers. They are released with this object.
+    class buffer
+    {
+    public:
+        buffer(answer_buffers &owner, drop_handler onDropped);
+        ~buffer();
+        buffer(const buffer &) = delete;
+        buffer &operator=(const buffer &) = delete;
+
+        /// Sets the number of buffered bytes. May drop the largest buffer, possibly this one.
+        void resize(std::size_t bytes);
+
+    private:
+        answer_buffers &m_owner;
+        std::uint64_t m_id;
+    };
+
+    explicit answer_buffers(std::size_t limitBytes);
+
+    std::size_t totalBytes() const
+    {
+        return m_totalBytes;
+    }
+
+    /// Returns how many buffers were dropped since the start.
+    std::uint64_t dropped() const
+    {
+        return m_dropped;
+    }
+
+private:
+    struct entry
+    {
+        std::size_t bytes = 0;
+        drop_handler onDropped;
+    };
+
+    void resize(std::uint64_t id, std::size_t bytes);
+    void dropLargest();
+
+    std::size_t m_limitBytes;
+    std::size_t m_totalBytes = 0;
+    std::map<std::uint64_t, entry> m_entries;
+    std::set<std::pair<std::size_t, std::uint64_t>> m_bySize;
+    std::uint64_t m_lastId = 0;
+    std::uint64_t m_dropped = 0;
+};
+
+} // namespace ivypier::relay
--- a/libraries/relay/call_environment.h
+++ b/libraries/relay/call_environment.h
@@ -4,6 +4,7 @@
 #include "base/random_source.h"
 #include "base/scheduler.h"
 #include "http/exchange_transport.h"
+#include "relay/answer_buffers.h"
 #include "relay/call_permits.h"
 #include "relay/retry_budget.h"
 #include "relay/run_counter.h"
@@ -36,6 +37,7 @@
     call_permits &permits;
     stream_origins &origins;
     service_versions &versions;
+    answer_buffers &buffers;
     /// Returns the wall-clock time in milliseconds since 1970, by which the run windows are numbered.
     std::function<std::int64_t()> wallMilliseconds;
     /// Returns the maximum number of connections that this node may open to one upstream of the service.
--- a/libraries/relay/event_scanner.cpp
+++ b/libraries/relay/event_scanner.cpp
@@ -6,21 +6,6 @@
 
 namespace {
 
-/// Returns the offset behind the empty line that ends the first event, or 0 if the event is incomplete.
-std::size_t eventEnd(std::string_view text)
-{
-    std::size_t lineStart = 0;
-    while (true) {
-        const std::size_t lineEnd = text.find('\n', lineStart);
-        if (lineEnd == std::string_view::npos)
-            return 0;
-        const std::string_view line = text.substr(lineStart, lineEnd - lineStart);
-        if (line.empty() || line == "\r")
-            return lineEnd + 1;
-        lineStart = lineEnd + 1;
-    }
-}
-
 /// Returns the number in the first numeric `id:` field, if any.
 std::optional<std::uint64_t> eventNumber(std::string_view event)
 {
@@ -50,14 +35,29 @@
 {
 }
 
+std::size_t event_scanner::nextEventEnd()
+{
+    while (true) {
+        const std::size_t lineEnd = m_partial.find('\n', m_searchedTo);
+        if (lineEnd == std::string::npos) {
+            m_searchedTo = m_partial.size();
+            return 0;
+        }
+        const std::string_view line = std::string_view(m_partial).substr(m_lineStart, lineEnd - m_lineStart);
+        m_lineStart = m_searchedTo = lineEnd + 1;
+        if (line.empty() || line == "\r")
+            return m_lineStart;
+    }
+}
+
 std::string event_scanner::feed(std::string_view bytes)
 {
     m_partial.append(bytes);
     std::string whole;
-    std::string_view rest = m_partial;
-    while (const std::size_t end = eventEnd(rest)) {
-        const std::string_view event = rest.substr(0, end);
-        rest.remove_prefix(end);
+    std::size_t eventStart = 0;
+    while (const std::size_t end = nextEventEnd()) {
+        const std::string_view event = std::string_view(m_partial).substr(eventStart, end - eventStart);
+        eventStart = end;
         const std::optional<std::uint64_t> number = eventNumber(event);
         if (number && m_last && *number <= *m_last)
             continue;
@@ -67,13 +67,16 @@
             m_last = number;
         whole.append(event);
     }
-    m_partial.erase(0, m_partial.size() - rest.size());
+    m_partial.erase(0, eventStart);
+    m_lineStart -= eventStart;
+    m_searchedTo -= eventStart;
     return whole;
 }
 
 void event_scanner::restart()
 {
     m_partial.clear();
+    m_lineStart = m_searchedTo = 0;
 }
 
 } // namespace ivypier::relay
--- a/libraries/relay/event_scanner.h
+++ b/libraries/relay/event_scanner.h
@@ -47,8 +47,18 @@
         return m_partial.size() > max_partial_event_bytes;
     }
 
+    /// Returns the size of the incomplete event in bytes.
+    std::size_t partialEventBytes() const
+    {
+        return m_partial.size();
+    }
+
 private:
+    std::size_t nextEventEnd();
+
     std::string m_partial;
+    std::size_t m_lineStart = 0; ///< start of the last line in m_partial, which is incomplete
+    std::size_t m_searchedTo = 0; ///< there is no end of a line between m_lineStart and here
     std::optional<std::uint64_t> m_last;
     bool m_gap = false;
 };
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -46,6 +46,7 @@
     , m_call(std::move(request))
     , m_caller(std::move(caller))
     , m_onCompleted(std::move(onCompleted))
+    , m_buffer(environment.buffers, [this] { onBufferDropped(); })
 {
 }
 
@@ -513,25 +514,37 @@
         return;
     }
     m_body.append(data);
-    if (m_body.size() <= max_buffered_answer_bytes)
+    if (m_body.size() > max_buffered_answer_bytes) {
+        m_environment.upstreams.recordFailure(m_upstream);
+        endAttempt(false);
+        fail(status_bad_gateway, "answer_too_large");
         return;
+    }
+    m_buffer.resize(m_body.size());
+}
+
+void relayed_call::onBufferDropped()
+{
+    const auto alive = shared_from_this();
+    m_body.clear();
     endAttempt(false);
-    fail(status_bad_gateway, "answer_too_large");
+    fail(status_bad_gateway, "answer_buffers_full");
 }
 
 void relayed_call::forwardEvents(std::string_view bytes)
 {
     const std::string events = m_scanner->feed(bytes);
-    if (events.empty())
-        return;
-    recordPrefillDone();
-    countRun();
+    if (!events.empty()) {
+        recordPrefillDone();
+        countRun();
+    }
     if (m_scanner->hasGap() || m_scanner->isBroken()) {
-        m_environment.upstreams.recordFailure(m_upstream);
-        endAttempt(false);
-        fail(status_bad_gateway, "broken_stream");
+        endBrokenStream(m_scanner->hasGap() ? "missing_event" : "event_too_long");
         return;
     }
+    m_buffer.resize(m_scanner->partialEventBytes());
+    if (m_completed || events.empty())
+        return;
     if (!m_origin && m_scanner->lastEvent())
         recordOrigin();
     m_caller->write(events);
@@ -539,6 +552,15 @@
         m_exchange->pause();
 }
 
+void relayed_call::endBrokenStream(const char *reason)
+{
+    m_environment.upstreams.recordFailure(m_upstream);
+    endAttempt(false);
+    // Events that are missing can't be had from another upstream: the caller has those after the gap.
+    if (m_scanner->hasGap() || !retryAfterFailure(reason))
+        fail(status_bad_gateway, reason);
+}
+
 void relayed_call::onEnd()
 {
     const auto alive = shared_from_this();
@@ -579,6 +601,7 @@
         .write();
     m_head.reset();
     m_body.clear();
+    m_buffer.resize(0);
     endAttempt(false);
     if (retryAfterFailure("sending_failed"))
         return;
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -66,6 +66,8 @@
     void recordPrefillDone();
     std::uint64_t uncachedTokens() const;
     void forwardEvents(std::string_view bytes);
+    void onBufferDropped();
+    void endBrokenStream(const char *reason);
     duration timeLeft() const;
 
     void onHead(http::response_head head) override;
@@ -98,6 +100,7 @@
     std::optional<event_scanner> m_scanner; ///< set for event streams only
     std::optional<http::response_head> m_head; ///< head of an answer that is buffered until it is complete
     std::string m_body;
+    answer_buffers::buffer m_buffer; ///< of m_body, or of the incomplete event in m_scanner
     std::optional<timer_id> m_timer;
     time_point m_deadline{};
     time_point m_sentAt{};
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -207,10 +207,12 @@
     fake_permits permits;
     fake_origins origins;
     fake_versions versions;
+    answer_buffers buffers{std::size_t{8} * 1024 * 1024};
     route defaultRoute;
     client_account account;
     relay_service relay{{time, randomness, metrics, transport, protocol, upstreams, selector, retries, quota,
-                         runs, work, permits, origins, versions, [this] { return time.wallMilliseconds(); },
+                         runs, work, permits, origins, versions, buffers,
+                         [this] { return time.wallMilliseconds(); },
                          [](const service &) { return std::size_t{8}; }}};
     int callCount = 0;
 };
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -111,9 +111,11 @@
     relay::version_register versions{tasks, randomness, store, upstreams,
                                      [this] { return wallClock.milliseconds(); }};
     fleet::fleet_census census{tasks, members};
+    relay::answer_buffers answerBuffers{settings.answerBufferBytes};
     relay::relay_service relayService{{tasks, randomness, metrics, upstreamConnections, protocol, upstreams,
                                        upstreamSelector, retryBudget, quota, runCounter, workMeter, permits,
-                                       origins, versions, [this] { return wallClock.milliseconds(); },
+                                       origins, versions, answerBuffers,
+                                       [this] { return wallClock.milliseconds(); },
                                        [this](const relay::service &of) { return connectionsFor(of); }}};
 
     platform_tables tables{
@@ -354,6 +356,8 @@
     metrics.set("ivypier_permits_refused", {}, static_cast<double>(permits.refusals()));
     metrics.set("ivypier_stream_origins", {}, static_cast<double>(origins.recordCount()));
     metrics.set("ivypier_stream_origin_datagrams", {}, static_cast<double>(origins.datagramsSent()));
+    metrics.set("ivypier_answer_buffer_bytes", {}, static_cast<double>(answerBuffers.totalBytes()));
+    metrics.set("ivypier_answer_buffers_dropped", {}, static_cast<double>(answerBuffers.dropped()));
     for (const auto &[service, listed] : versions.listed())
         metrics.set("ivypier_software_versions", {{"service", service}}, static_cast<double>(listed.size()));
     for (const relay::upstream *each : upstreams.all())
@@ -381,6 +385,7 @@
         }
     }
     versions.setServices(std::move(resumableServices));
+    versions.poll(lease.held().has_value(), nodeCount());
     relayService.setTable(std::move(table));
 }
 
--- a/services/edge/edge_settings.h
+++ b/services/edge/edge_settings.h
@@ -30,6 +30,7 @@
     std::string fleetKey; ///< secret
     endpoint store;
     endpoint cloud;
+    std::size_t answerBufferBytes = 0; ///< of upstreams' answers that are buffered, over all calls
     std::size_t maxDescriptors = 0; ///< file descriptors that the process may have open
     duration stopTimeout{}; ///< time between the stop signal and the kill
     duration lookupCacheDuration{}; ///< how long a caller may cache a look-up response
--- a/tests/support/raw_peer.h
+++ b/tests/support/raw_peer.h
@@ -72,6 +72,20 @@
         }
     }
 
+    /// Sends `piece` again and again until the peer closes the connection or about `total` bytes were sent.
+    /// Returns the number of bytes sent.
+    std::size_t sendUntilClosed(std::string_view piece, std::size_t total)
+    {
+        std::size_t count = 0;
+        while (count < total) {
+            const ssize_t sent = ::send(m_socket, piece.data(), piece.size(), MSG_NOSIGNAL);
+            if (sent <= 0)
+                return count;
+            count += static_cast<std::size_t>(sent);
+        }
+        return count;
+    }
+
     /// Reads until the received text ends with `terminator`, the peer closes the connection or the read times
     /// out. Returns what was received.
     std::string readUntil(std::string_view terminator)
