--- a/libraries/fleet/tests/stream_versions_at_scale_test.cpp
+++ b/libraries/fleet/tests/stream_versions_at_scale_test.cpp
@@ -357,6 +357,7 @@
             kill({index});
             run(500ms, streamsPerSecond);
         }
+        run(1s, streamsPerSecond);
         kill(every(1));
         run(4s, streamsPerSecond);
     }
