--- a/libraries/fleet/fleet_message.cpp
+++ b/libraries/fleet/fleet_message.cpp
@@ -99,12 +99,8 @@
 
 outcome<fleet_message> fleet_message_codec::decode(std::string_view datagram) const
 {
-    const outcome<std::string_view> body
-        = membership::verifyDatagram(m_fleetKey, authenticated_context, datagram);
-    if (!body)
-        return body.error();
-    outcome<wire_message> wire
-        = membership::unpackMessage<wire_message>(body.value(), protocol_version, max_entries);
+    outcome<wire_message> wire = membership::unpackDatagram<wire_message>(
+        m_fleetKey, authenticated_context, datagram, protocol_version, max_entries);
     if (!wire)
         return wire.error();
     return fromWire(std::move(wire.value()));
--- a/libraries/fleet/origin_message.cpp
+++ b/libraries/fleet/origin_message.cpp
@@ -14,7 +14,7 @@
 /// Largest encoded size of the numbers of an entry and the headers of its texts.
 constexpr std::size_t entry_overhead_bytes = 60;
 /// Longest time for which a record is kept. A call lasts at most ten minutes.
-constexpr std::int64_t max_lifetime_milliseconds = 11 * 60 * 1000;
+constexpr std::int64_t max_lifetime_milliseconds = 660'000;
 
 struct wire_entry
 {
@@ -65,12 +65,8 @@
 
 outcome<origin_message> decodeOriginMessage(const secret_key &fleetKey, std::string_view datagram)
 {
-    const outcome<std::string_view> body
-        = membership::verifyDatagram(fleetKey, authenticated_context, datagram);
-    if (!body)
-        return body.error();
-    outcome<wire_message> wire
-        = membership::unpackMessage<wire_message>(body.value(), protocol_version, max_entries);
+    outcome<wire_message> wire = membership::unpackDatagram<wire_message>(
+        fleetKey, authenticated_context, datagram, protocol_version, max_entries);
     if (!wire)
         return wire.error();
     wire_message &read = wire.value();
--- a/libraries/fleet/permit_message.cpp
+++ b/libraries/fleet/permit_message.cpp
@@ -48,12 +48,8 @@
 
 outcome<permit_message> decodePermitMessage(const secret_key &fleetKey, std::string_view datagram)
 {
-    const outcome<std::string_view> body
-        = membership::verifyDatagram(fleetKey, authenticated_context, datagram);
-    if (!body)
-        return body.error();
-    outcome<wire_message> wire
-        = membership::unpackMessage<wire_message>(body.value(), protocol_version, max_entries);
+    outcome<wire_message> wire = membership::unpackDatagram<wire_message>(
+        fleetKey, authenticated_context, datagram, protocol_version, max_entries);
     if (!wire)
         return wire.error();
     wire_message &read = wire.value();
--- a/libraries/membership/packed_message.h
+++ b/libraries/membership/packed_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/outcome.h"
+#include "membership/authenticated_datagram.h"
 
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
@@ -33,4 +34,16 @@
     }
 }
 
+/// Decodes a datagram that authenticateDatagram() made of a msgpack array, as unpackMessage() does. Fails
+/// with `unauthenticated` if it was made with another key or for another context.
+template <typename Message>
+outcome<Message> unpackDatagram(const secret_key &fleetKey, std::string_view context,
+                                std::string_view datagram, std::uint64_t version, std::size_t maxEntries)
+{
+    const outcome<std::string_view> body = verifyDatagram(fleetKey, context, datagram);
+    if (!body)
+        return body.error();
+    return unpackMessage<Message>(body.value(), version, maxEntries);
+}
+
 } // namespace ivypier::membership
--- a/services/edge/edge_settings.cpp
+++ b/services/edge/edge_settings.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 /// A twentieth of the memory of the smallest VM.
-constexpr std::int64_t default_answer_buffer_bytes = 8 * 1024 * 1024;
+constexpr std::int64_t default_answer_buffer_bytes = std::int64_t{8} * 1024 * 1024;
+constexpr std::int64_t min_answer_buffer_bytes = std::int64_t{64} * 1024;
+constexpr std::int64_t max_answer_buffer_bytes = std::int64_t{1} << 40;
 
 duration requiredMilliseconds(settings_reader &reader, std::string_view key, std::int64_t minimum,
                               std::int64_t maximum)
@@ -42,8 +44,9 @@
         root.fault("fleet_key", "is too short; expected at least 16 bytes");
     result.store = requiredEndpoint(root, "store");
     result.cloud = requiredEndpoint(root, "cloud");
-    result.answerBufferBytes = static_cast<std::size_t>(
-        root.optionalInteger("answer_buffer_bytes", default_answer_buffer_bytes, 64 * 1024, 1LL << 40));
+    result.answerBufferBytes
+        = static_cast<std::size_t>(root.optionalInteger("answer_buffer_bytes", default_answer_buffer_bytes,
+                                                        min_answer_buffer_bytes, max_answer_buffer_bytes));
     result.maxDescriptors = static_cast<std::size_t>(root.requiredInteger("descriptors", 64, 10'000'000));
     result.stopTimeout = requiredMilliseconds(root, "stop_within_ms", 100, 600'000);
     result.lookupCacheDuration = requiredMilliseconds(root, "lookup_lifetime_ms", 100, 60'000);
