The decision where a resumed stream may go on is code of its own

It stood in the call, among its input and output. relay::decideResumption decides from the records found, the versions of the service and the targets of the route, without a network; the call looks up and carries out. No behaviour changes.

--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -99,66 +99,52 @@
 
 void relayed_call::applyOrigin(const origin_lookup &found)
 {
-    if (found.origin) {
-        resume(*found.origin, "record", found.age);
-        return;
-    }
-    // Of several services it is not known which one began the stream.
-    if (found.isConflicting || m_route->targets.size() != 1) {
-        refuseResumption("stream_origin_unknown", found, {});
+    if (!needsVersionLookup(found, m_route->targets)) {
+        applyLookups(found, {});
         return;
     }
     m_environment.versions.findOnlyVersion(m_serviceName,
                                            [weak = weak_from_this(), found](const version_lookup &versions) {
                                                const auto self = weak.lock();
                                                if (self && !self->m_completed)
-                                                   self->applyVersions(found, versions);
+                                                   self->applyLookups(found, versions);
                                            });
 }
 
-void relayed_call::applyVersions(const origin_lookup &found, const version_lookup &versions)
-{
-    if (versions.onlyVersion)
-        resume({m_serviceName, *versions.onlyVersion, {}}, "only_version", duration::zero());
-    else
-        refuseResumption("stream_origin_unknown", found, versions);
-}
-
-void relayed_call::resume(stream_origin origin, const char *source, duration age)
+void relayed_call::applyLookups(const origin_lookup &found, const version_lookup &versions)
 {
-    const bool isTarget
-        = std::any_of(m_route->targets.begin(), m_route->targets.end(),
-                      [&](const route_target &each) { return each.service == origin.service; });
-    if (!isTarget) {
-        refuseResumption("stream_of_another_service", {.isComplete = true}, {.versionCount = 1});
+    const resumption_decision decision = decideResumption(found, versions, m_route->targets);
+#ifdef IVYPIER_MUTANT_STREAM_GUESS
+    if (!decision.origin) {
+        startAttempt();
         return;
     }
-    m_serviceName = origin.service;
+#endif
+    if (!decision.origin) {
+        logRefusedResumption(decision, found, versions);
+        refuse(status_service_unavailable, decision.reason.c_str(),
+               decision.isFinal ? duration::zero() : spread(retry_after_base));
+        return;
+    }
+    m_origin = decision.origin;
+    m_originSource = decision.knownBy;
+    m_originAge = found.age;
+    m_serviceName = m_origin->service;
     m_service = m_table->content().findService(m_serviceName);
-    m_origin = std::move(origin);
-    m_originSource = source;
-    m_originAge = age;
     startAttempt();
 }
 
-void relayed_call::refuseResumption(const char *reason, const origin_lookup &found,
-                                    const version_lookup &versions)
+void relayed_call::logRefusedResumption(const resumption_decision &decision, const origin_lookup &found,
+                                        const version_lookup &versions) const
 {
-#ifdef IVYPIER_MUTANT_STREAM_GUESS
-    startAttempt();
-    return;
-#endif
     log_event(log_level::info, "stream.refused")
         .with("request", m_call.id)
         .with("resumes", m_call.resumedCall)
-        .with("reason", reason)
+        .with("reason", decision.reason)
         .with("all_replied", found.isComplete ? "yes" : "no")
         .with("conflicting", found.isConflicting ? "yes" : "no")
         .with("versions", static_cast<std::int64_t>(versions.versionCount))
         .write();
-    // A later call gets the same response once all nodes have replied and the versions are known.
-    const bool isFinal = found.isConflicting || (found.isComplete && versions.versionCount > 0);
-    refuse(status_service_unavailable, reason, isFinal ? duration::zero() : spread(retry_after_base));
 }
 
 void relayed_call::recordOrigin()
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -3,6 +3,7 @@
 #include "http/reply.h"
 #include "relay/call_environment.h"
 #include "relay/event_scanner.h"
+#include "relay/resumption_decision.h"
 #include "relay/route_table.h"
 
 #include <memory>
@@ -39,9 +40,9 @@
     bool isResumption() const;
     void findOrigin();
     void applyOrigin(const origin_lookup &found);
-    void applyVersions(const origin_lookup &found, const version_lookup &versions);
-    void resume(stream_origin origin, const char *source, duration age);
-    void refuseResumption(const char *reason, const origin_lookup &found, const version_lookup &versions);
+    void applyLookups(const origin_lookup &found, const version_lookup &versions);
+    void logRefusedResumption(const resumption_decision &decision, const origin_lookup &found,
+                              const version_lookup &versions) const;
     bool canServe(const upstream_record &candidate) const;
     void recordOrigin();
     std::string accountName() const;
@@ -94,7 +95,7 @@
     std::string m_upstream; ///< the upstream of the current or last attempt
     std::string m_softwareVersion; ///< of that upstream
     std::optional<stream_origin> m_origin; ///< set once the caller has events of the stream
-    const char *m_originSource = "this_answer"; ///< how the origin is known, for the log
+    std::string m_originSource = "this_answer"; ///< how the origin is known, for the log
     duration m_originAge{}; ///< of the record from which the origin is known
     std::uint64_t m_pendingPrefillTokens = 0; ///< prompt tokens that the upstream has yet to process
     std::optional<event_scanner> m_scanner; ///< set for event streams only
