--- a/libraries/fleet/keeper_ranking.cpp
+++ b/libraries/fleet/keeper_ranking.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Returns the weight of a candidate for a key (finalizer of MurmurHash3 over the sum of both hashes).
+/// Returns the weight of a candidate for a key (finalizer of MurmurHash3, over both hashes combined by XOR).
 std::uint64_t weightOf(std::uint64_t key, std::uint64_t nameHash)
 {
     std::uint64_t value = key ^ nameHash;
@@ -54,7 +54,7 @@
                       });
     if (count == 0)
         return {};
-    // The first candidate of another failure domain than the best one is moved behind the best by rank.
+    // The best candidate of another failure domain is added unless it is among the best of all.
     const candidate *other = nullptr;
     for (const candidate *each : all) {
         const bool isOther = each->domainHash != all.front()->domainHash;
--- a/libraries/relay/answer_buffers.h
+++ b/libraries/relay/answer_buffers.h
@@ -14,7 +14,8 @@
 class answer_buffers
 {
 public:
-    /// Called once, when the buffer must be dropped. It must not use the answer_buffers.
+    /// Called once, when the buffer must be dropped. It may destroy that buffer, unless it is the one whose
+    /// resize() is running.
     using drop_handler = std::function<void()>;
 
     /// The bytes that one call buffers. They are released with this object.
