Work of other threads no longer posts to a scheduler that is gone

Cause: http_peer_client's completion runs on the background loop's thread and posted to the scheduler by reference; the example destroys its members and then its loop while calls are in flight, so the post went to a destroyed event_loop. The earlier fix (weak pointer to the client) stopped the completion, not the post.

Ruled out: a crash in the destructors of the servers (they wait for the background loop) and in the log writer (never destroyed).

The same pattern was in http_platform, http_plain_service, http_model_engine, http_forwarder, caller_api and demand_poller: all of them now use base/task_poster, which posts nothing once its owner is gone.

--- a/libraries/cloud/http_platform.cpp
+++ b/libraries/cloud/http_platform.cpp
@@ -96,7 +96,7 @@
 } // namespace
 
 http_platform::http_platform(scheduler &tasks, std::shared_ptr<http::client> transport, endpoint address)
-    : m_tasks(tasks)
+    : m_poster(tasks)
     , m_transport(std::move(transport))
     , m_address(std::move(address))
 {
@@ -104,10 +104,11 @@
 
 void http_platform::send(http::request message, http::repeatability callRepeatability, reply done)
 {
-    m_transport->send(m_address, std::move(message), {call_timeout, callRepeatability},
-                      [this, done = std::move(done)](outcome<http::response> httpResult) {
-                          m_tasks.post([done, httpResult = std::move(httpResult)] { done(httpResult); });
-                      });
+    m_transport->send(
+        m_address, std::move(message), {call_timeout, callRepeatability},
+        [poster = m_poster.newHandle(), done = std::move(done)](outcome<http::response> httpResult) {
+            poster.post([done, httpResult = std::move(httpResult)] { done(httpResult); });
+        });
 }
 
 void http_platform::read(const std::string &key, read_completion done)
--- a/libraries/cloud/http_platform.h
+++ b/libraries/cloud/http_platform.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/scheduler.h"
+#include "base/task_poster.h"
 #include "cloud/cloud_service.h"
 #include "cloud/object_store.h"
 #include "cloud/table_service.h"
@@ -46,7 +46,7 @@
 
     void send(http::request message, http::repeatability callRepeatability, reply done);
 
-    scheduler &m_tasks;
+    task_poster m_poster;
     std::shared_ptr<http::client> m_transport;
     endpoint m_address;
 };
--- a/libraries/gateway/caller_api.cpp
+++ b/libraries/gateway/caller_api.cpp
@@ -99,6 +99,7 @@
 
 caller_api::caller_api(caller_api_dependencies dependencies)
     : m_dependencies(dependencies)
+    , m_poster(dependencies.tasks)
 {
 }
 
@@ -262,9 +263,8 @@
 void caller_api::detachOnDisconnect(const std::string &key, const std::shared_ptr<answer_writer> &writer,
                                     const caller_pointer &caller)
 {
-    caller->onClosed([this, key, listener = std::weak_ptr(writer)] {
-        m_dependencies.tasks.post(
-            [this, key, listener] { m_dependencies.requests.detach(key, listener.lock().get()); });
+    caller->onClosed([this, poster = m_poster.newHandle(), key, listener = std::weak_ptr(writer)] {
+        poster.post([this, key, listener] { m_dependencies.requests.detach(key, listener.lock().get()); });
     });
 }
 
--- a/libraries/gateway/caller_api.h
+++ b/libraries/gateway/caller_api.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/metrics_registry.h"
-#include "base/scheduler.h"
+#include "base/task_poster.h"
 #include "configuration/configuration_source.h"
 #include "entry/entry_directory.h"
 #include "gateway/answer_writer.h"
@@ -80,6 +80,7 @@
     std::vector<std::string> alternatives() const;
 
     caller_api_dependencies m_dependencies;
+    task_poster m_poster;
 };
 
 } // namespace ivypier::gateway
--- a/libraries/gateway/http_forwarder.cpp
+++ b/libraries/gateway/http_forwarder.cpp
@@ -23,9 +23,9 @@
 class http_forwarder::forwarded_response final : public http::stream_observer
 {
 public:
-    forwarded_response(scheduler &tasks, endpoint node, http::request incoming,
+    forwarded_response(task_poster::handle poster, endpoint node, http::request incoming,
                        std::shared_ptr<http::responder> caller, no_response_handler onNoResponse)
-        : m_tasks(tasks)
+        : m_poster(std::move(poster))
         , m_node(std::move(node))
         , m_incoming(std::move(incoming))
         , m_onNoResponse(std::move(onNoResponse))
@@ -78,7 +78,7 @@
         // that it received for the complete response.
         m_caller.reset();
         if (!headSent)
-            m_tasks.post([onNoResponse = m_onNoResponse, incoming = m_incoming, failure] {
+            m_poster.post([onNoResponse = m_onNoResponse, incoming = m_incoming, failure] {
                 onNoResponse(incoming, failure);
             });
     }
@@ -116,7 +116,7 @@
         m_caller.reset();
     }
 
-    scheduler &m_tasks;
+    task_poster::handle m_poster;
     endpoint m_node;
     http::request m_incoming;
     no_response_handler m_onNoResponse;
@@ -129,7 +129,7 @@
 };
 
 http_forwarder::http_forwarder(scheduler &tasks, std::shared_ptr<http::client> transport)
-    : m_tasks(tasks)
+    : m_poster(tasks)
     , m_transport(std::move(transport))
 {
 }
@@ -138,8 +138,8 @@
                              std::shared_ptr<http::responder> caller, duration idleTimeout,
                              no_response_handler onNoResponse)
 {
-    const auto answer = std::make_shared<forwarded_response>(m_tasks, node, incoming, std::move(caller),
-                                                             std::move(onNoResponse));
+    const auto answer = std::make_shared<forwarded_response>(m_poster.newHandle(), node, incoming,
+                                                             std::move(caller), std::move(onNoResponse));
     removeFinished();
     m_responses.push_back(answer);
     m_transport->stream(node, incoming, {idleTimeout, http::repeatability::repeatable}, answer);
--- a/libraries/gateway/http_forwarder.h
+++ b/libraries/gateway/http_forwarder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/scheduler.h"
+#include "base/task_poster.h"
 #include "gateway/forwarder.h"
 #include "http/client.h"
 
@@ -25,7 +25,7 @@
 
     void removeFinished();
 
-    scheduler &m_tasks;
+    task_poster m_poster;
     std::shared_ptr<http::client> m_transport;
     std::vector<std::weak_ptr<forwarded_response>> m_responses;
 };
--- a/libraries/rpc/peer_client.cpp
+++ b/libraries/rpc/peer_client.cpp
@@ -24,7 +24,7 @@
 
 http_peer_client::http_peer_client(scheduler &tasks, std::shared_ptr<http::client> transport,
                                    secret_key fleetKey)
-    : m_tasks(tasks)
+    : m_poster(tasks)
     , m_transport(std::move(transport))
     , m_fleetKey(fleetKey)
 {
@@ -38,16 +38,12 @@
     message.path = rpc_path;
     message.body = encodeCall(method, parameters);
     message.headers[rpc_authenticator_header] = bytesToHex(m_fleetKey.authenticate(message.body));
-    m_transport->send(to, std::move(message), {timeout, http::repeatability::repeatable},
-                      // Runs on the background loop's thread, possibly after this client is gone: only the
-                      // task on the scheduler may tell whether it is.
-                      [&tasks = m_tasks, alive = std::weak_ptr<const bool>(m_alive),
-                       done = std::move(done)](const outcome<http::response> &httpResponse) {
-                          tasks.post([alive, done, result = decode(httpResponse)] {
-                              if (!alive.expired())
-                                  done(result);
-                          });
-                      });
+    m_transport->send(
+        to, std::move(message), {timeout, http::repeatability::repeatable},
+        // Runs on the background loop's thread, possibly after this client is gone.
+        [poster = m_poster.newHandle(), done = std::move(done)](const outcome<http::response> &httpResponse) {
+            poster.post([done, result = decode(httpResponse)] { done(result); });
+        });
 }
 
 } // namespace ivypier::rpc
--- a/libraries/rpc/peer_client.h
+++ b/libraries/rpc/peer_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "base/scheduler.h"
 #include "base/secret.h"
+#include "base/task_poster.h"
 #include "http/client.h"
 
 #include <json/value.h>
@@ -28,7 +28,7 @@
 };
 
 /// Sends calls as JSON-RPC over HTTP. Each request carries an authenticator of its body, made with the fleet
-/// key. It must be destroyed on the scheduler's thread, and the scheduler must outlive the calls in flight.
+/// key. It must be destroyed on the scheduler's thread, also with calls in flight.
 class http_peer_client final : public peer_client
 {
 public:
@@ -38,10 +38,9 @@
               completion done) override;
 
 private:
-    scheduler &m_tasks;
+    task_poster m_poster;
     std::shared_ptr<http::client> m_transport;
     secret_key m_fleetKey;
-    std::shared_ptr<const bool> m_alive = std::make_shared<bool>(true); ///< expires with this client
 };
 
 /// Path of calls between nodes, and the header that carries the authenticator in hexadecimal digits.
--- a/libraries/rpc/tests/peer_client_test.cpp
+++ b/libraries/rpc/tests/peer_client_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <mutex>
 #include <optional>
 
@@ -68,6 +69,43 @@
     std::unique_ptr<http::server> server;
 };
 
+/// Counts the tasks that are posted to another scheduler.
+class counting_scheduler final : public scheduler
+{
+public:
+    explicit counting_scheduler(scheduler &tasks)
+        : m_tasks(tasks)
+    {
+    }
+
+    time_point now() const override
+    {
+        return m_tasks.now();
+    }
+    std::int64_t wallMilliseconds() const override
+    {
+        return m_tasks.wallMilliseconds();
+    }
+    void post(task work) override
+    {
+        ++posted;
+        m_tasks.post(std::move(work));
+    }
+    timer_id after(duration delay, task work) override
+    {
+        return m_tasks.after(delay, std::move(work));
+    }
+    void cancel(timer_id timer) override
+    {
+        m_tasks.cancel(timer);
+    }
+
+    std::atomic<int> posted = 0;
+
+private:
+    scheduler &m_tasks;
+};
+
 /// Runs the loop until a condition holds; fails the test after `call_timeout`.
 void runUntil(event_loop &loop, const std::function<bool()> &condition)
 {
@@ -113,6 +151,31 @@
     CHECK_FALSE(wasFirstCompleted);
 }
 
+TEST_CASE("a peer client that is destroyed with a call in flight no longer uses its scheduler")
+{
+    event_loop loop;
+    counting_scheduler tasks(loop);
+    const endpoint address = loopbackAddress(153, port);
+    slow_peer peer(loop, address);
+    const auto transport = std::make_shared<http::client>();
+    auto first = std::make_unique<http_peer_client>(tasks, transport, fleetKey());
+    first->call(address, "ping", Json::Value(Json::objectValue), call_timeout,
+                [](const outcome<Json::Value> &) {});
+    runUntil(loop, [&] { return peer.isHolding(); });
+    first.reset();
+
+    // The response of the first call arrives before the one of a call that is sent after it.
+    peer.release();
+    int completed = 0;
+    http_peer_client second(loop, transport, fleetKey());
+    for (int round = 1; round <= 5; ++round) {
+        second.call(address, "ping", Json::Value(Json::objectValue), call_timeout,
+                    [&](const outcome<Json::Value> &) { ++completed; });
+        runUntil(loop, [&] { return completed == round; });
+    }
+    CHECK(tasks.posted == 0);
+}
+
 TEST_CASE("a peer client completes its calls as tasks of its scheduler")
 {
     event_loop loop;
--- a/libraries/upstream/http_model_engine.cpp
+++ b/libraries/upstream/http_model_engine.cpp
@@ -27,9 +27,9 @@
                                 public std::enable_shared_from_this<generation_stream>
 {
 public:
-    generation_stream(scheduler &tasks, std::shared_ptr<http::client> transport, endpoint engine,
+    generation_stream(task_poster::handle poster, std::shared_ptr<http::client> transport, endpoint engine,
                       std::string attempt, std::shared_ptr<generation_observer> observer)
-        : m_tasks(tasks)
+        : m_poster(std::move(poster))
         , m_transport(std::move(transport))
         , m_engine(std::move(engine))
         , m_attempt(std::move(attempt))
@@ -99,7 +99,7 @@
     template <typename Work>
     void deliver(Work work)
     {
-        m_tasks.post([self = shared_from_this(), work = std::move(work)] {
+        m_poster.post([self = shared_from_this(), work = std::move(work)] {
             if (self->m_observer)
                 work(*self);
         });
@@ -141,7 +141,7 @@
             [failure = std::move(failure)](generation_stream &self) { self.release()->onFailed(failure); });
     }
 
-    scheduler &m_tasks;
+    task_poster::handle m_poster;
     std::shared_ptr<http::client> m_transport;
     endpoint m_engine;
     std::string m_attempt;
@@ -156,7 +156,7 @@
 } // namespace
 
 http_model_engine::http_model_engine(scheduler &tasks, std::shared_ptr<http::client> transport)
-    : m_tasks(tasks)
+    : m_poster(tasks)
     , m_transport(std::move(transport))
 {
 }
@@ -165,8 +165,8 @@
                                                     const std::string &attempt,
                                                     std::shared_ptr<generation_observer> observer)
 {
-    auto stream
-        = std::make_shared<generation_stream>(m_tasks, m_transport, engine, attempt, std::move(observer));
+    auto stream = std::make_shared<generation_stream>(m_poster.newHandle(), m_transport, engine, attempt,
+                                                      std::move(observer));
     stream->open(std::move(message));
     return stream;
 }
@@ -205,21 +205,21 @@
 void http_model_engine::call(const endpoint &engine, http::request message,
                              std::function<void(outcome<Json::Value>)> done)
 {
-    m_transport->send(engine, std::move(message), {call_timeout, http::repeatability::repeatable},
-                      [this, done = std::move(done)](const outcome<http::response> &httpResult) {
-                          outcome<Json::Value> result = error{error_code::internal, ""};
-                          if (!httpResult)
-                              result = httpResult.error();
-                          else if (httpResult.value().status == status_service_unavailable)
-                              result = error{error_code::unavailable, "the engine answered 503"};
-                          else if (httpResult.value().status != status_ok)
-                              result
-                                  = error{error_code::refused,
-                                          "the engine answered " + std::to_string(httpResult.value().status)};
-                          else
-                              result = parseJson(httpResult.value().body);
-                          m_tasks.post([done, result = std::move(result)] { done(result); });
-                      });
+    m_transport->send(
+        engine, std::move(message), {call_timeout, http::repeatability::repeatable},
+        [poster = m_poster.newHandle(), done = std::move(done)](const outcome<http::response> &httpResult) {
+            outcome<Json::Value> result = error{error_code::internal, ""};
+            if (!httpResult)
+                result = httpResult.error();
+            else if (httpResult.value().status == status_service_unavailable)
+                result = error{error_code::unavailable, "the engine answered 503"};
+            else if (httpResult.value().status != status_ok)
+                result = error{error_code::refused,
+                               "the engine answered " + std::to_string(httpResult.value().status)};
+            else
+                result = parseJson(httpResult.value().body);
+            poster.post([done, result = std::move(result)] { done(result); });
+        });
 }
 
 void http_model_engine::exportCache(const endpoint &engine, const std::string &stream,
--- a/libraries/upstream/http_model_engine.h
+++ b/libraries/upstream/http_model_engine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/scheduler.h"
+#include "base/task_poster.h"
 #include "http/client.h"
 #include "upstream/model_engine.h"
 
@@ -33,7 +33,7 @@
                                      std::shared_ptr<generation_observer> observer);
     void call(const endpoint &engine, http::request message, std::function<void(outcome<Json::Value>)> done);
 
-    scheduler &m_tasks;
+    task_poster m_poster;
     std::shared_ptr<http::client> m_transport;
 };
 
--- a/libraries/upstream/http_plain_service.cpp
+++ b/libraries/upstream/http_plain_service.cpp
@@ -3,7 +3,7 @@
 namespace ivypier::upstream {
 
 http_plain_service::http_plain_service(scheduler &tasks, std::shared_ptr<http::client> transport)
-    : m_tasks(tasks)
+    : m_poster(tasks)
     , m_transport(std::move(transport))
 {
 }
@@ -17,10 +17,11 @@
     if (!request.contentType.empty())
         message.headers["Content-Type"] = request.contentType;
     message.body = request.body;
-    m_transport->send(service, std::move(message), {request.timeout, request.callRepeatability},
-                      [this, done = std::move(done)](outcome<http::response> httpResult) {
-                          m_tasks.post([done, httpResult = std::move(httpResult)] { done(httpResult); });
-                      });
+    m_transport->send(
+        service, std::move(message), {request.timeout, request.callRepeatability},
+        [poster = m_poster.newHandle(), done = std::move(done)](outcome<http::response> httpResult) {
+            poster.post([done, httpResult = std::move(httpResult)] { done(httpResult); });
+        });
 }
 
 } // namespace ivypier::upstream
--- a/libraries/upstream/http_plain_service.h
+++ b/libraries/upstream/http_plain_service.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/scheduler.h"
+#include "base/task_poster.h"
 #include "upstream/plain_service.h"
 
 #include <memory>
@@ -17,7 +17,7 @@
               std::function<void(outcome<http::response>)> done) override;
 
 private:
-    scheduler &m_tasks;
+    task_poster m_poster;
     std::shared_ptr<http::client> m_transport;
 };
 
--- a/services/planner/demand_poller.cpp
+++ b/services/planner/demand_poller.cpp
@@ -29,6 +29,7 @@
 demand_poller::demand_poller(scheduler &tasks, random_source &randomness,
                              std::shared_ptr<http::client> transport, duration interval)
     : m_tasks(tasks)
+    , m_poster(tasks)
     , m_random(randomness)
     , m_transport(std::move(transport))
     , m_interval(interval)
@@ -76,13 +77,13 @@
 {
     m_transport->send(node, {.method = "GET", .path = "/status", .query = "part=services"},
                       {call_timeout, http::repeatability::repeatable},
-                      [this, node](const outcome<http::response> &httpResult) {
+                      [this, node, poster = m_poster.newHandle()](const outcome<http::response> &httpResult) {
                           if (!httpResult || httpResult.value().status != status_ok)
                               return;
                           const outcome<Json::Value> json = parseJson(httpResult.value().body);
                           if (!json || !json.value().isObject())
                               return;
-                          m_tasks.post([this, node, counters = parseCounters(json.value())] {
+                          poster.post([this, node, counters = parseCounters(json.value())] {
                               m_sampler.addCounters(node.text(), counters);
                           });
                       });
--- a/services/planner/demand_poller.h
+++ b/services/planner/demand_poller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/random_source.h"
-#include "base/scheduler.h"
+#include "base/task_poster.h"
 #include "http/client.h"
 #include "placement/demand_sampler.h"
 
@@ -34,6 +34,7 @@
     void requestCounters(const endpoint &node);
 
     scheduler &m_tasks;
+    task_poster m_poster;
     random_source &m_random;
     std::shared_ptr<http::client> m_transport;
     duration m_interval;
