--- a/libraries/fleet/report_topology.cpp
+++ b/libraries/fleet/report_topology.cpp
@@ -10,14 +10,16 @@
 
 namespace {
 
+/// Members are compared and grouped by pointer: copies of all members cost more than everything else here.
+using member_group = std::vector<const membership::member *>;
+
 /// Returns the members of a group with the highest weights, in this order.
-std::vector<membership::member> selectCollectors(const std::vector<membership::member> &group,
-                                                 const std::string &duty)
+std::vector<membership::member> selectCollectors(const member_group &group, const std::string &duty)
 {
     std::vector<std::pair<std::uint64_t, const membership::member *>> ranked;
     ranked.reserve(group.size());
-    for (const membership::member &each : group)
-        ranked.emplace_back(rendezvousWeight(duty, each.name), &each);
+    for (const membership::member *each : group)
+        ranked.emplace_back(rendezvousWeight(duty, each->name), each);
     const auto count = static_cast<std::ptrdiff_t>(std::min(collector_count, ranked.size()));
     std::partial_sort(
         ranked.begin(), ranked.begin() + count, ranked.end(), [](const auto &left, const auto &right) {
@@ -40,15 +42,15 @@
 report_topology computeTopology(const membership::membership_view &members, const std::string &duty,
                                 membership::incarnation holder, std::size_t maxSingleLevelNodes)
 {
-    std::vector<membership::member> all;
-    std::map<std::string, std::vector<membership::member>> domains;
+    member_group all;
+    std::map<std::string, member_group> domains;
     const membership::member *holderMember = nullptr;
     const std::vector<membership::member> known = members.members();
     for (const membership::member &each : known) {
         if (!each.acceptsWork())
             continue;
-        all.push_back(each);
-        domains[each.failureDomain].push_back(each);
+        all.push_back(&each);
+        domains[each.failureDomain].push_back(&each);
         if (each.id == holder)
             holderMember = &each;
     }
@@ -62,7 +64,7 @@
             result.collectors.push_back(*holderMember);
         return result;
     }
-    const std::vector<membership::member> &ownDomain = domains[self.failureDomain];
+    const member_group &ownDomain = domains[self.failureDomain];
     result.groupSize = std::max<std::size_t>(ownDomain.size(), 1);
     result.collectors = selectCollectors(ownDomain, duty);
     result.isLeadCollector = !result.collectors.empty() && result.collectors.front().id == self.id;
--- a/libraries/membership/gossip_membership.cpp
+++ b/libraries/membership/gossip_membership.cpp
@@ -86,6 +86,7 @@
 std::vector<member> gossip_membership::members() const
 {
     std::vector<member> result;
+    result.reserve(m_members.records().size());
     for (const auto &[id, record] : m_members.records()) {
         if (!record.dead())
             result.push_back(record.entry);
--- a/tests/support/fake_membership.h
+++ b/tests/support/fake_membership.h
@@ -81,6 +81,7 @@
     std::vector<membership::member> members() const override
     {
         std::vector<membership::member> result;
+        result.reserve(m_members.size());
         for (const auto &[id, each] : m_members) {
             if (each.state != membership::member_state::dead)
                 result.push_back(each);
