Scarce versions keep room for streams that go on also when all else is full

Cause: reservedForResumption() only made new calls prefer other upstreams. When those are full, refuse or wait, new calls fall back to the one or two upstreams of the scarce version and fill their queues or use up their permits; a stream that goes on has nowhere else to go and is refused. Ruled out: the decision itself (all these streams had records).

Change: from 1.5 times its slots on an upstream of a scarce version takes no new call, and none at all while it limits its calls and another upstream does not.

--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -240,10 +240,15 @@
 void relayed_call::startAttempt()
 {
     excludeUpstreams();
-    const selection_request selection{m_route, &m_call, m_serviceName, m_triedUpstreams, reservedUpstreams()};
+    version_reserve reserved = reservedUpstreams();
+    const bool isReserved = !reserved.closed.empty();
+    reserved.closed.insert(m_triedUpstreams.begin(), m_triedUpstreams.end());
+    const selection_request selection{m_route, &m_call, m_serviceName, reserved.closed, reserved.avoided};
     const std::optional<std::string> id = m_environment.selector.select(selection);
     const upstream *chosen = id ? m_environment.upstreams.find(*id) : nullptr;
     if (!chosen) {
+        if (isReserved)
+            addReturnTime(spread(retry_after_base));
         endWithoutUpstream();
         return;
     }
@@ -283,7 +288,7 @@
     }
 }
 
-std::set<std::string> relayed_call::reservedUpstreams() const
+version_reserve relayed_call::reservedUpstreams() const
 {
     if (m_origin)
         return {};
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -5,6 +5,7 @@
 #include "relay/event_scanner.h"
 #include "relay/resumption_decision.h"
 #include "relay/route_table.h"
+#include "relay/version_reserve.h"
 
 #include <memory>
 #include <optional>
@@ -48,7 +49,7 @@
     std::string accountName() const;
     void startAttempt();
     void excludeUpstreams();
-    std::set<std::string> reservedUpstreams() const;
+    version_reserve reservedUpstreams() const;
     void onPermit(const std::string &id, const permit_decision &decision);
     void endWithoutUpstream();
     void startAttemptOn(const upstream &chosen);
--- a/libraries/relay/tests/version_reserve_test.cpp
+++ b/libraries/relay/tests/version_reserve_test.cpp
@@ -20,8 +20,8 @@
 }
 
 /// Returns the reserved ones among three upstreams of v1 and two of v2, all with the same occupancy.
-std::set<std::string> reservedWith(const upstream_occupancy &occupancy,
-                                   const std::vector<std::string> &versions = {"v1", "v1", "v1", "v2", "v2"})
+version_reserve reservedWith(const upstream_occupancy &occupancy,
+                             const std::vector<std::string> &versions = {"v1", "v1", "v1", "v2", "v2"})
 {
     std::vector<upstream> all;
     for (std::size_t index = 0; index < versions.size(); ++index)
@@ -36,12 +36,34 @@
 
 TEST_CASE("upstreams of a version with two of them are reserved once they are busy or limit their calls")
 {
-    CHECK(reservedWith({.load = 6.9}).empty());
-    CHECK(reservedWith({.load = 7.0}) == std::set<std::string>{"u3", "u4"});
-    CHECK(reservedWith({.load = 0.0, .isLimited = true}) == std::set<std::string>{"u3", "u4"});
-    CHECK(reservedWith({.load = 20.0}, {"v1", "v1"}).empty());
-    CHECK(reservedWith({.load = 20.0}, {"v1", "v1", "v1", "v2", "v2", "v2"}).empty());
-    CHECK(reservedWith({.load = 20.0}, {}).empty());
+    const std::set<std::string> scarce{"u3", "u4"};
+    CHECK(reservedWith({.load = 6.9}) == version_reserve{});
+    CHECK(reservedWith({.load = 7.0}) == version_reserve{.avoided = scarce, .closed = {}});
+    CHECK(reservedWith({.load = 0.0, .isLimited = true}).avoided == scarce);
+    CHECK(reservedWith({.load = 20.0}, {"v1", "v1"}) == version_reserve{});
+    CHECK(reservedWith({.load = 20.0}, {"v1", "v1", "v1", "v2", "v2", "v2"}) == version_reserve{});
+    CHECK(reservedWith({.load = 20.0}, {}) == version_reserve{});
+}
+
+TEST_CASE("upstreams of a scarce version are closed to new calls once a part of their queues is taken")
+{
+    CHECK(reservedWith({.load = 14.9}).closed.empty());
+    CHECK(reservedWith({.load = 15.0}).closed == std::set<std::string>{"u3", "u4"});
+}
+
+TEST_CASE("limited upstreams of a scarce version are closed to new calls unless all upstreams are limited")
+{
+    const upstream_occupancy limited{.load = 0.0, .isLimited = true};
+    CHECK(reservedWith(limited).closed.empty());
+    std::vector<upstream> all{upstreamOf("a", "v1"), upstreamOf("b", "v1"), upstreamOf("c", "v1"),
+                              upstreamOf("d", "v2")};
+    std::vector<const upstream *> ready;
+    for (const upstream &each : all)
+        ready.push_back(&each);
+    const version_reserve reserved = reservedForResumption(ready, [](const upstream &each) {
+        return upstream_occupancy{.load = 0.0, .isLimited = each.record.id == "d"};
+    });
+    CHECK(reserved == version_reserve{.avoided = {"d"}, .closed = {"d"}});
 }
 
 TEST_CASE("new calls leave busy upstreams of a scarce version to streams that go on, unless no other is left")
--- a/libraries/relay/version_reserve.cpp
+++ b/libraries/relay/version_reserve.cpp
@@ -17,22 +17,27 @@
 
 } // namespace
 
-std::set<std::string>
-reservedForResumption(const std::vector<const upstream *> &ready,
-                      const std::function<upstream_occupancy(const upstream &)> &occupancyOf)
+version_reserve reservedForResumption(const std::vector<const upstream *> &ready,
+                                      const std::function<upstream_occupancy(const upstream &)> &occupancyOf)
 {
     if (hasOneVersion(ready))
         return {};
     std::map<std::string_view, std::size_t> counts;
-    for (const upstream *each : ready)
+    bool isEachLimited = true;
+    for (const upstream *each : ready) {
         ++counts[each->record.softwareVersion];
-    std::set<std::string> result;
+        isEachLimited = isEachLimited && occupancyOf(*each).isLimited;
+    }
+    version_reserve result;
     for (const upstream *each : ready) {
         if (counts[each->record.softwareVersion] > scarce_version_upstreams)
             continue;
         const upstream_occupancy occupancy = occupancyOf(*each);
-        if (occupancy.isLimited || occupancy.load >= scarce_version_load * each->record.slots)
-            result.insert(each->record.id);
+        if (occupancy.isLimited || occupancy.load >= avoided_scarce_load * each->record.slots)
+            result.avoided.insert(each->record.id);
+        const bool isFull = occupancy.load >= closed_scarce_load * each->record.slots;
+        if (isFull || (occupancy.isLimited && !isEachLimited))
+            result.closed.insert(each->record.id);
     }
     return result;
 }
