An upstream is not set aside because this node's connections to it are in use

Cause: the connection pool reported its own limit as a failed exchange, and relayed_call recorded each such failure against the upstream; three in a row set a healthy upstream aside for 0.8 s and longer.

Both new tests (relay: the upstream is not set aside; http: the failure names the limit) failed before and pass now.

--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -173,7 +173,8 @@
         auto refused = std::make_unique<refused_exchange>();
         m_state->tasks.post([alive = refused->alive, &observer] {
             if (*alive)
-                observer.onFailed({exchange_stage::not_sent, "every connection to the upstream is in use"});
+                observer.onFailed(
+                    {exchange_stage::not_sent, "every connection to the upstream is in use", true});
         });
         return refused;
     }
--- a/libraries/http/exchange_transport.h
+++ b/libraries/http/exchange_transport.h
@@ -22,6 +22,8 @@
 {
     exchange_stage stage = exchange_stage::not_sent;
     std::string reason;
+    /// The limit of connections to the server was reached, which tells nothing about the server.
+    bool isConnectionLimit = false;
 
     auto operator<=>(const exchange_failure &) const = default;
 };
--- a/libraries/http/tests/connection_pool_test.cpp
+++ b/libraries/http/tests/connection_pool_test.cpp
@@ -269,3 +269,20 @@
     CHECK(ended.get_future().get() == error_code::timed_out);
     fixture.thread.run([&] { httpFetcher.reset(); });
 }
+
+TEST_CASE("an exchange above the limit of connections fails as such, without being sent")
+{
+    pool_fixture fixture(9031);
+    collecting_observer first;
+    collecting_observer second;
+    http::exchange_options options;
+    options.maxConnections = 1;
+    auto running = fixture.start(first, options);
+    auto refused = fixture.start(second, options);
+    const auto failure = second.result();
+    REQUIRE(failure);
+    CHECK(failure->stage == http::exchange_stage::not_sent);
+    CHECK(failure->isConnectionLimit);
+    fixture.end(running);
+    fixture.end(refused);
+}
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -575,7 +575,8 @@
 void relayed_call::onFailed(const http::exchange_failure &failure)
 {
     const auto alive = shared_from_this();
-    m_environment.upstreams.recordFailure(m_upstream);
+    if (!failure.isConnectionLimit)
+        m_environment.upstreams.recordFailure(m_upstream);
     if (failure.stage != http::exchange_stage::not_sent) {
         if (!m_mayHaveRun || m_attemptState == attempt_state::sent)
             ++m_possibleRuns;
--- a/libraries/relay/tests/relayed_call_test.cpp
+++ b/libraries/relay/tests/relayed_call_test.cpp
@@ -47,6 +47,20 @@
     CHECK(fixture.startedExchanges() == 0);
 }
 
+TEST_CASE("an upstream is not set aside because this node's connections to it are all in use")
+{
+    for (const bool isConnectionLimit : {true, false}) {
+        relay_fixture fixture(call_kind::at_most_once, 1);
+        fixture.upstreams.remove("b");
+        for (std::uint32_t call = 0; call < ejection_failure_threshold; ++call) {
+            const auto answer = fixture.startCall();
+            fixture.last().fail(exchange_stage::not_sent, isConnectionLimit);
+            CHECK(answer->status == 503);
+        }
+        CHECK((fixture.upstreams.find("a")->ejectedUntil > fixture.time.now()) == !isConnectionLimit);
+    }
+}
+
 TEST_CASE("an at-most-once call is retried only if it cannot have run")
 {
     relay_fixture fixture(call_kind::at_most_once, 2);
--- a/tests/support/fake_transport.h
+++ b/tests/support/fake_transport.h
@@ -40,10 +40,10 @@
             if (auto *to = std::exchange(observer, nullptr))
                 to->onEnd();
         }
-        void fail(http::exchange_stage stage)
+        void fail(http::exchange_stage stage, bool isConnectionLimit = false)
         {
             if (auto *to = std::exchange(observer, nullptr))
-                to->onFailed({stage, "failure injected by the test"});
+                to->onFailed({stage, "failure injected by the test", isConnectionLimit});
         }
     };
 
