Bytes that wait for slow callers are bounded over all calls

Each stream read up to 256 KiB ahead of a caller that does not read, without a bound on the sum: 100 such calls held 27.9 MB in the new test (bound: the 8 MiB of answer_buffer_bytes and one piece of 16 KiB a call). Now a call reads ahead an equal part of that limit for each call in progress, 16 to 256 KiB. Test failed before (27,852,800 bytes of 10,027,008), passes now. Left: plain answers of up to 4 MiB that were handed to the connection whole.

--- a/libraries/relay/answer_buffers.cpp
+++ b/libraries/relay/answer_buffers.cpp
@@ -1,5 +1,7 @@
 #include "relay/answer_buffers.h"
 
+#include <algorithm>
+
 namespace ivypier::relay {
 
 answer_buffers::answer_buffers(std::size_t limitBytes)
@@ -27,6 +29,12 @@
         m_owner.dropLargest();
 }
 
+std::size_t answer_buffers::readAheadLimit() const
+{
+    const std::size_t share = m_limitBytes / std::max<std::size_t>(m_entries.size(), 1);
+    return std::clamp(share, min_read_ahead_bytes, max_read_ahead_bytes);
+}
+
 void answer_buffers::resize(std::uint64_t id, std::size_t bytes)
 {
     const auto found = m_entries.find(id);
--- a/libraries/relay/answer_buffers.h
+++ b/libraries/relay/answer_buffers.h
@@ -35,8 +35,16 @@
         std::uint64_t m_id;
     };
 
+    /// Bytes that are read ahead of a caller that reads slowly: at most, and at least.
+    static constexpr std::size_t max_read_ahead_bytes = std::size_t{256} * 1024;
+    static constexpr std::size_t min_read_ahead_bytes = std::size_t{16} * 1024;
+
     explicit answer_buffers(std::size_t limitBytes);
 
+    /// Returns how many bytes may wait for the caller of one call before reading from its upstream is paused:
+    /// an equal part of the limit for each call in progress.
+    std::size_t readAheadLimit() const;
+
     std::size_t totalBytes() const
     {
         return m_totalBytes;
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -20,8 +20,6 @@
 constexpr duration retry_after_base = std::chrono::milliseconds(250);
 /// Callers refused because of a wait are told to return at a random time up to this long after its end.
 constexpr duration return_spread = std::chrono::milliseconds(500);
-/// Bytes buffered for a slow caller above which reading from the upstream is paused.
-constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
 /// Maximum size in bytes of an answer that is buffered until it is complete.
 constexpr std::size_t max_buffered_answer_bytes = std::size_t{4} * 1024 * 1024;
 
@@ -539,7 +537,7 @@
     if (!m_origin && m_scanner->lastEvent())
         recordOrigin();
     m_caller->write(events);
-    if (m_caller->unsentBytes() > max_unsent_bytes)
+    if (m_caller->unsentBytes() > m_environment.buffers.readAheadLimit())
         m_exchange->pause();
 }
 
--- a/libraries/relay/tests/endless_answer_test.cpp
+++ b/libraries/relay/tests/endless_answer_test.cpp
@@ -81,6 +81,36 @@
     CHECK(fixture.buffers.totalBytes() == 0);
 }
 
+TEST_CASE("what is read ahead for callers that do not read stays within the limit of all buffers")
+{
+    constexpr std::size_t budget = std::size_t{8} * 1024 * 1024;
+    constexpr std::size_t callerCount = 100;
+    constexpr std::size_t pieceBytes = std::size_t{16} * 1024;
+    relay_fixture fixture(call_kind::stream);
+    std::vector<std::shared_ptr<received_response>> callers;
+    for (std::size_t number = 0; number < callerCount; ++number) {
+        callers.push_back(fixture.startCall());
+        fixture.last().head(200, {});
+    }
+    const std::string piece = "data: " + std::string(pieceBytes - 8, 'x') + "\n\n";
+    for (std::size_t round = 0; round < 64; ++round) {
+        for (std::size_t number = 0; number < callerCount; ++number) {
+            auto &exchange = *fixture.transport.startedExchanges[number];
+            if (exchange.isPaused)
+                continue;
+            callers[number]->unsentByteCount += piece.size();
+            exchange.body(piece);
+        }
+    }
+    std::size_t unsent = 0;
+    for (const auto &each : callers) {
+        CHECK(each->unsentByteCount > 0);
+        unsent += each->unsentByteCount;
+    }
+    // Reading stops after the piece that exceeds the limit.
+    CHECK(unsent <= budget + callerCount * pieceBytes);
+}
+
 TEST_CASE("the largest buffer is dropped when the limit is exceeded")
 {
     answer_buffers buffers(100);
--- a/tests/support/fake_transport.h
+++ b/tests/support/fake_transport.h
@@ -20,6 +20,7 @@
         std::string bytes;
         http::exchange_options options;
         http::exchange_observer *observer = nullptr; ///< null once the exchange has ended or was dropped
+        bool isPaused = false;
 
         bool isRunning() const
         {
@@ -72,9 +73,11 @@
         }
         void pause() override
         {
+            m_exchange->isPaused = true;
         }
         void resume() override
         {
+            m_exchange->isPaused = false;
         }
 
     private:
