A resumption is refused at once while the platform is known to be silent

Cause: each lookup of a service's versions waited its 500 ms, also while an earlier read had already had no response for that long. Such a resumption is refused in any case, so it was held for nothing. While a read has been open for max_version_lookup_time, further lookups end at once. The new test failed before (500 ms for the second and the third lookup) and passes.

--- a/libraries/relay/tests/version_register_test.cpp
+++ b/libraries/relay/tests/version_register_test.cpp
@@ -187,6 +187,30 @@
     CHECK(fleet.mayBegin(1, "v1"));
 }
 
+TEST_CASE("lookups end at once while the platform has not responded to an earlier one in time")
+{
+    register_fleet fleet(2);
+    fleet.serve("v1");
+    fleet.time.advance(4s);
+    fleet.table.faults.lostRequest = 1.0;
+    const auto durationOfLookup = [&] {
+        const time_point askedAt = fleet.time.now();
+        std::optional<version_lookup> found;
+        fleet.nodes[1]->versions.findOnlyVersion("s", [&](const version_lookup &each) { found = each; });
+        while (!found)
+            fleet.time.advance(10ms);
+        CHECK(*found == version_lookup{});
+        return fleet.time.now() - askedAt;
+    };
+    CHECK(durationOfLookup() >= max_version_lookup_time);
+    CHECK(durationOfLookup() == 0ms);
+    CHECK(durationOfLookup() == 0ms);
+    // As soon as the platform responds again, lookups wait for it again.
+    fleet.table.faults.lostRequest = 0.0;
+    fleet.time.advance(10s);
+    CHECK(fleet.find(1).onlyVersion == "v1");
+}
+
 TEST_CASE("nothing is proved of a service whose upstreams state no version")
 {
     register_fleet fleet(2);
@@ -253,7 +277,7 @@
 {
     std::size_t proofs = 0;
     std::size_t lookups = 0;
-    for (const std::uint64_t seed : promiseSeeds(200)) {
+    for (const std::uint64_t seed : promiseSeeds()) {
         INFO("seed " << seed);
         register_fleet fleet(4, seed);
         fleet.table.startCopies(2s);
--- a/libraries/relay/version_register.cpp
+++ b/libraries/relay/version_register.cpp
@@ -223,8 +223,13 @@
 
 void version_register::findOnlyVersion(const std::string &service, completion done)
 {
-    auto request = std::make_shared<lookup_request>(lookup_request{std::move(done)});
     service_state &state = m_states[service];
+    // The platform does not respond at present, so waiting would only delay the same response.
+    if (state.isReading && m_tasks.now() - state.readStartedAt >= max_version_lookup_time) {
+        done({});
+        return;
+    }
+    auto request = std::make_shared<lookup_request>(lookup_request{std::move(done)});
     state.nextLookups.push_back(request);
     m_tasks.after(max_version_lookup_time, [this, request] { completeLookups({request}, {}); });
     if (!state.isReading)
@@ -235,6 +240,7 @@
 {
     service_state &state = m_states[service];
     state.isReading = true;
+    state.readStartedAt = m_tasks.now();
     // A read proves something only about streams that began before it, so later requests need another one.
     m_table.read(keyOf(service),
                  [this, service, requests = std::exchange(state.nextLookups, {})](
--- a/libraries/relay/version_register.h
+++ b/libraries/relay/version_register.h
@@ -74,6 +74,7 @@
         std::uint64_t rowVersion = 0; ///< 0: no row is known
         bool isWriting = false;
         bool isReading = false; ///< a read for lookup requests is in progress
+        time_point readStartedAt{};
         std::optional<time_point> nextUpdate; ///< when the row is to be updated; not set: no need is known
         std::map<std::string, time_point> seenAt; ///< versions with upstreams, and when they were last seen
         lookup_requests nextLookups; ///< requests for the next read
