--- a/services/ctl/commands.h
+++ b/services/ctl/commands.h
@@ -58,6 +58,15 @@
     int run(const command_options &options, const std::string &argument) const override;
 };
 
+/// Prints what an ivypier-edge node knows of its upstreams, by service and software version.
+class upstreams_command final : public command
+{
+public:
+    std::string_view name() const override;
+    std::string_view argumentName() const override;
+    int run(const command_options &options, const std::string &argument) const override;
+};
+
 /// Prints the status of one node, or of every node that the platform lists.
 class status_command final : public command
 {
--- a/services/ctl/main.cpp
+++ b/services/ctl/main.cpp
@@ -26,7 +26,8 @@
     static const entries_command entries;
     static const drain_command drain;
     static const status_command status;
-    return {&check, &submit, &show, &diff, &entries, &drain, &status};
+    static const upstreams_command upstreams;
+    return {&check, &submit, &show, &diff, &entries, &drain, &status, &upstreams};
 }
 
 namespace {
@@ -40,6 +41,8 @@
   ivypierctl status             every node's state, or that of --node
   ivypierctl entries SERVICE    the addresses that --node tells callers to use
   ivypierctl drain              ask --node to stop gracefully
+  ivypierctl upstreams          what --node (metrics address of an ivypier-edge)
+                                knows of its upstreams and their versions
 
 DOCUMENT is a TOML file (docs/CONFIGURATION.md), or - for standard input.
 A first try:  ivypierctl --platform=10.0.0.9:9000 submit configuration.toml
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -3,8 +3,10 @@
 #include "caller_lookup.h"
 #include "peer_feed_codec.h"
 #include "platform_tables.h"
+#include "upstream_report.h"
 
 #include "base/hash.h"
+#include "base/json.h"
 #include "base/log_event.h"
 #include "base/random_source.h"
 #include "base/status_codes.h"
@@ -335,6 +337,12 @@
 
 void edge_node::edge_components::handleMetrics(const http::incoming_request &incoming, http::reply &to)
 {
+    if (incoming.head.path() == "/upstreams") {
+        const upstream_knowledge known{upstreams, upstreamSelector, permits.limits(), versions.listed(),
+                                       tasks.now()};
+        to.send(status_ok, {{"Content-Type", "application/json"}}, writeJson(reportUpstreams(known)));
+        return;
+    }
     if (incoming.head.path() != "/metrics") {
         to.send(status_not_found, {}, {});
         return;
