Records of streams survive nodes that start again in turn

Stream call16 was refused for good (stream_origin_unknown, all replied): it began at node 1, whose record was at one other node only; node 1 was stopped, the other one killed.

Causes, one chain: (1) the keepers were chosen among all members, so a recorder that ranks among them had one other copy instead of two; (2) at SIGTERM a node handed over only the records that it kept for others, as if the keepers of its own could not have started again; (3) a resumption did not bring the lost copies back.

Now keepers are chosen without the recorder, all records are handed over, and a resumption by a record makes the record again, for the longer of the two times. Lookups also ask those who keep a record if one of the two keepers recorded it.

--- a/libraries/fleet/keeper_ranking.cpp
+++ b/libraries/fleet/keeper_ranking.cpp
@@ -52,45 +52,63 @@
                       [key](const candidate *left, const candidate *right) {
                           return weightOf(key, left->nameHash) > weightOf(key, right->nameHash);
                       });
-    if (count == 0)
-        return {};
-    // The best candidate of another failure domain is added unless it is among the best of all.
-    const candidate *other = nullptr;
-    for (const candidate *each : all) {
-        const bool isOther = each->domainHash != all.front()->domainHash;
-        if (isOther && (!other || weightOf(key, each->nameHash) > weightOf(key, other->nameHash)))
-            other = each;
-    }
     all.resize(count);
-    if (other && std::find(all.begin(), all.end(), other) == all.end())
-        all.push_back(other);
     return all;
 }
 
-std::vector<keeper_ranking::candidate> keeper_ranking::keepersOf(std::uint64_t key)
+std::vector<const keeper_ranking::candidate *> keeper_ranking::choose(std::uint64_t key,
+                                                                      membership::incarnation recorder) const
+{
+    const auto isBetter = [key](const candidate *left, const candidate *right) {
+        return !right || weightOf(key, left->nameHash) > weightOf(key, right->nameHash);
+    };
+    const candidate *best = nullptr;
+    for (const candidate &each : m_candidates) {
+        if (each.id != recorder && isBetter(&each, best))
+            best = &each;
+    }
+    if (!best)
+        return {};
+    const candidate *second = nullptr;
+    const candidate *other = nullptr; // the best of another failure domain
+    for (const candidate &each : m_candidates) {
+        if (each.id == recorder || &each == best)
+            continue;
+        if (isBetter(&each, second))
+            second = &each;
+        if (each.domainHash != best->domainHash && isBetter(&each, other))
+            other = &each;
+    }
+    if (other || second)
+        return {best, other ? other : second};
+    return {best};
+}
+
+std::vector<keeper_ranking::candidate> keeper_ranking::keepersOf(std::uint64_t key,
+                                                                 membership::incarnation recorder)
 {
     refresh();
-    const std::vector<const candidate *> best = ranked(key);
     std::vector<candidate> result;
-    if (best.empty())
-        return result;
-    result.push_back(*best.front());
-    for (const candidate *each : best) {
-        if (each->domainHash != best.front()->domainHash) {
-            result.push_back(*each);
-            return result;
-        }
-    }
-    if (best.size() > 1)
-        result.push_back(*best[1]);
+    for (const candidate *each : choose(key, recorder))
+        result.push_back(*each);
     return result;
 }
 
 std::vector<keeper_ranking::candidate> keeper_ranking::possibleKeepersOf(std::uint64_t key)
 {
     refresh();
+    // Which node recorded is unknown: it may be one of the keepers that are chosen from all.
+    constexpr membership::incarnation nobody = 0;
+    std::vector<const candidate *> possible = ranked(key);
+    for (const candidate *each : choose(key, nobody)) {
+        const std::vector<const candidate *> others = choose(key, each->id);
+        possible.push_back(each);
+        possible.insert(possible.end(), others.begin(), others.end());
+    }
+    std::sort(possible.begin(), possible.end());
+    possible.erase(std::unique(possible.begin(), possible.end()), possible.end());
     std::vector<candidate> result;
-    for (const candidate *each : ranked(key))
+    for (const candidate *each : possible)
         result.push_back(*each);
     return result;
 }
--- a/libraries/fleet/keeper_ranking.h
+++ b/libraries/fleet/keeper_ranking.h
@@ -29,9 +29,9 @@
 
     keeper_ranking(const clock &time, membership::membership_view &members);
 
-    /// Returns the two members that keep the records of a key, in different failure domains if there are
-    /// several.
-    std::vector<candidate> keepersOf(std::uint64_t key);
+    /// Returns the two members besides `recorder` that keep the records of a key, in different failure
+    /// domains if there are several.
+    std::vector<candidate> keepersOf(std::uint64_t key, membership::incarnation recorder);
 
     /// Returns the members that may keep records of a key: its keepers, and those that were or become keepers
     /// when one of them joins or leaves.
@@ -41,7 +41,10 @@
     static constexpr std::size_t possible_keepers_by_rank = 4;
 
     void refresh();
+    /// Returns the members with the highest weights.
     std::vector<const candidate *> ranked(std::uint64_t key) const;
+    /// Returns the keepers of a key besides `recorder`.
+    std::vector<const candidate *> choose(std::uint64_t key, membership::incarnation recorder) const;
 
     const clock &m_time;
     membership::membership_view &m_members;
--- a/libraries/fleet/origin_exchange.cpp
+++ b/libraries/fleet/origin_exchange.cpp
@@ -39,17 +39,14 @@
                              duration lifetime)
 {
     const origin_entry entry{stream, origin, {}, lifetime, false};
-    m_ledger.add(entry, false);
+    m_ledger.add(entry);
     if (encodedSize(entry) > max_record_bytes) {
         log_event(log_level::warning, "stream.origin_too_large").with("upstream", origin.upstream).write();
         return;
     }
-    const membership::incarnation self = m_members.self().id;
-    for (const keeper_ranking::candidate &each : m_ranking.keepersOf(stream.low)) {
-        if (each.id != self)
-            send({each.address.host, m_port},
-                 {.kind = origin_message_kind::record, .stream = stream, .entries = {entry}});
-    }
+    for (const keeper_ranking::candidate &each : m_ranking.keepersOf(stream.low, m_members.self().id))
+        send({each.address.host, m_port},
+             {.kind = origin_message_kind::record, .stream = stream, .entries = {entry}});
 }
 
 relay::origin_lookup origin_exchange::lookupOf(const origin_entry &entry)
@@ -120,7 +117,7 @@
     switch (message.value().kind) {
     case origin_message_kind::record:
         for (const origin_entry &each : message.value().entries)
-            m_ledger.add(each, true);
+            m_ledger.add(each);
         break;
     case origin_message_kind::question:
         answerQuestion(from, message.value());
@@ -160,15 +157,13 @@
 
 void origin_exchange::handOver()
 {
-    const std::vector<origin_entry> kept = m_ledger.takeKept();
+    const std::vector<origin_entry> records = m_ledger.takeNotHandedOver();
     const membership::incarnation self = m_members.self().id;
     std::map<endpoint, origin_message> messages;
     std::map<endpoint, std::size_t> bytes;
-    for (const origin_entry &each : kept) {
-        for (const keeper_ranking::candidate &keeper : m_ranking.keepersOf(each.stream.low)) {
+    for (const origin_entry &each : records) {
+        for (const keeper_ranking::candidate &keeper : m_ranking.keepersOf(each.stream.low, self)) {
             const endpoint to{keeper.address.host, m_port};
-            if (keeper.id == self)
-                continue;
             if (bytes[to] + encodedSize(each) > max_record_bytes) {
                 send(to, messages[to]);
                 messages[to].entries.clear();
@@ -180,9 +175,9 @@
     }
     for (const auto &[to, message] : messages)
         send(to, message);
-    if (!kept.empty())
+    if (!records.empty())
         log_event(log_level::info, "stream.origins_handed_over")
-            .with("records", static_cast<std::int64_t>(kept.size()))
+            .with("records", static_cast<std::int64_t>(records.size()))
             .with("nodes", static_cast<std::int64_t>(messages.size()))
             .write();
 }
--- a/libraries/fleet/origin_exchange.h
+++ b/libraries/fleet/origin_exchange.h
@@ -32,8 +32,8 @@
                 duration lifetime) override;
     void find(const relay::stream_key &stream, completion done) override;
 
-    /// Sends the records that this node keeps for others to the nodes that keep them once it has left.
-    /// Records that it sent before are left out.
+    /// Sends the records that this node holds to the nodes that keep them once it has left. Its own are among
+    /// them, because their keepers may have started again. Records that it handed over before are left out.
     void handOver();
 
     /// Returns the number of records that this node holds.
--- a/libraries/fleet/origin_ledger.cpp
+++ b/libraries/fleet/origin_ledger.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-void origin_ledger::add(const origin_entry &entry, bool isKept)
+void origin_ledger::add(const origin_entry &entry)
 {
     dropExpired();
     const time_point now = m_time.now();
@@ -17,9 +17,12 @@
     stored_record &stored = found->second;
     if (!isNew) {
         stored.isConflicting = stored.isConflicting || entry.isConflicting || stored.origin != entry.origin;
+        m_expiries.erase({stored.expiresAt, entry.stream});
+        stored.expiresAt = std::max(stored.expiresAt, now + entry.lifetime);
+        m_expiries.emplace(stored.expiresAt, entry.stream);
         return;
     }
-    stored = {entry.origin, now - entry.age, now + entry.lifetime, isKept, entry.isConflicting};
+    stored = {entry.origin, now - entry.age, now + entry.lifetime, false, entry.isConflicting};
     m_expiries.emplace(stored.expiresAt, entry.stream);
     while (m_records.size() > max_records)
         remove(m_expiries.begin()->second);
@@ -32,12 +35,12 @@
     return found == m_records.end() ? std::nullopt : std::optional(entryOf(stream, found->second));
 }
 
-std::vector<origin_entry> origin_ledger::takeKept()
+std::vector<origin_entry> origin_ledger::takeNotHandedOver()
 {
     dropExpired();
     std::vector<origin_entry> result;
     for (auto &[stream, stored] : m_records) {
-        if (std::exchange(stored.isKept, false))
+        if (!std::exchange(stored.isHandedOver, true))
             result.push_back(entryOf(stream, stored));
     }
     return result;
--- a/libraries/fleet/origin_ledger.h
+++ b/libraries/fleet/origin_ledger.h
@@ -21,14 +21,14 @@
 
     explicit origin_ledger(const clock &time);
 
-    /// Adds a record. `isKept` is false for a stream of this node, which its keepers know as well.
-    void add(const origin_entry &entry, bool isKept);
+    /// Adds a record. One that is known already is kept for the longer of the two times.
+    void add(const origin_entry &entry);
 
     /// Returns the record of a stream, with its present age.
     std::optional<origin_entry> find(const relay::stream_key &stream);
 
-    /// Returns the records that are kept for other nodes and were not returned by an earlier call.
-    std::vector<origin_entry> takeKept();
+    /// Returns the records that were not returned by an earlier call.
+    std::vector<origin_entry> takeNotHandedOver();
 
     std::size_t size() const
     {
@@ -41,7 +41,7 @@
         relay::stream_origin origin;
         time_point madeAt{};
         time_point expiresAt{};
-        bool isKept = false;
+        bool isHandedOver = false;
         bool isConflicting = false;
     };
 
--- a/libraries/fleet/tests/stream_origin_test.cpp
+++ b/libraries/fleet/tests/stream_origin_test.cpp
@@ -133,14 +133,45 @@
         one.nodes[0]->origins.record(streamOf(number), first_version, 20s);
         one.time.advance(10ms);
         const std::set<std::size_t> keepers = one.keepersBeside(0);
-        const bool recorderIsKeeper = keepers.size() == 1;
-        CHECK((recorderIsKeeper || keepers.size() == 2));
-        if (!recorderIsKeeper)
-            CHECK(one.members[*keepers.begin()].failureDomain
-                  != one.members[*keepers.rbegin()].failureDomain);
+        CHECK(keepers.size() == 2);
+        CHECK(one.members[*keepers.begin()].failureDomain != one.members[*keepers.rbegin()].failureDomain);
     }
 }
 
+TEST_CASE("a record survives when its node starts again and another node is killed, also in a small fleet")
+{
+    for (int number = 0; number < 30; ++number) {
+        for (const std::size_t killed : {1U, 2U}) {
+            origin_fleet fleet(3);
+            fleet.nodes[0]->origins.record(streamOf(number), first_version, 20s);
+            fleet.time.advance(10ms);
+            fleet.members[0].state = membership::member_state::leaving;
+            fleet.time.advance(1100ms);
+            fleet.nodes[0]->origins.handOver();
+            fleet.time.advance(100ms);
+            fleet.start(0);
+            fleet.members[0].state = membership::member_state::alive;
+            fleet.start(killed);
+            fleet.time.advance(1100ms);
+            CHECK(fleet.find(killed, streamOf(number)).first.origin == first_version);
+        }
+    }
+}
+
+TEST_CASE("a record that is made again is kept for longer")
+{
+    origin_fleet fleet(3);
+    fleet.nodes[0]->origins.record(streamOf(1), first_version, 5s);
+    fleet.time.advance(4s);
+    fleet.nodes[1]->origins.record(streamOf(1), first_version, 5s);
+    fleet.time.advance(3s);
+    for (std::size_t index = 0; index < 3; ++index)
+        CHECK(fleet.find(index, streamOf(1)).first.origin == first_version);
+    fleet.time.advance(3s);
+    for (std::size_t index = 0; index < 3; ++index)
+        CHECK_FALSE(fleet.find(index, streamOf(1)).first.origin);
+}
+
 TEST_CASE("the origin of a stream is found when the node that forwarded it and one keeper are gone")
 {
     for (int number = 0; number < 30; ++number) {
@@ -220,17 +251,18 @@
 {
     virtual_scheduler time;
     origin_ledger ledger(time);
-    ledger.add({streamOf(0), first_version, 0ms, 5s, false}, true);
-    ledger.add({streamOf(1), first_version, 0ms, 9s, false}, false);
+    ledger.add({streamOf(0), first_version, 0ms, 5s, false});
+    ledger.add({streamOf(1), first_version, 0ms, 9s, false});
     time.advance(4s);
     CHECK(ledger.find(streamOf(0))->age == 4s);
     CHECK(ledger.find(streamOf(0))->lifetime == 1s);
-    CHECK(ledger.takeKept().size() == 1);
+    CHECK(ledger.takeNotHandedOver().size() == 2);
+    CHECK(ledger.takeNotHandedOver().empty());
     time.advance(2s);
     CHECK_FALSE(ledger.find(streamOf(0)));
     CHECK(ledger.find(streamOf(1)));
     for (int number = 2; number < 20'000; ++number)
-        ledger.add({streamOf(number), first_version, 0ms, 60s, false}, true);
+        ledger.add({streamOf(number), first_version, 0ms, 60s, false});
     CHECK(ledger.size() == origin_ledger::max_records);
     CHECK_FALSE(ledger.find(streamOf(1))); // it would have ended first
 }
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -127,6 +127,8 @@
     m_origin = decision.origin;
     m_originSource = decision.knownBy;
     m_originAge = found.age;
+    if (found.origin)
+        renewRecord();
     m_serviceName = m_origin->service;
     m_service = m_table->content().findService(m_serviceName);
     startAttempt();
@@ -148,13 +150,23 @@
 void relayed_call::recordOrigin()
 {
     m_origin = stream_origin{m_serviceName, m_softwareVersion, m_upstream};
-    if (m_route->kind != call_kind::resumable_stream)
-        return;
+    if (m_route->kind == call_kind::resumable_stream)
+        m_environment.origins.record(stream_key::of(accountName(), m_call.id), *m_origin, resumptionTime());
+}
+
+void relayed_call::renewRecord() const
+{
+    // The nodes that held the record may have started again since, and the caller may come back once more.
+    m_environment.origins.record(stream_key::of(accountName(), m_call.resumedCall), *m_origin,
+                                 resumptionTime());
+}
+
+duration relayed_call::resumptionTime() const
+{
     const duration resumableFor = m_call.callerTimeout
         ? m_call.receivedAt + *m_call.callerTimeout - m_environment.tasks.now()
         : default_resumption_time;
-    m_environment.origins.record(stream_key::of(accountName(), m_call.id), *m_origin,
-                                 std::max<duration>(resumableFor, duration::zero()) + resumption_margin);
+    return std::max<duration>(resumableFor, duration::zero()) + resumption_margin;
 }
 
 bool relayed_call::admit()
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -46,6 +46,8 @@
                               const version_lookup &versions) const;
     bool canServe(const upstream_record &candidate) const;
     void recordOrigin();
+    void renewRecord() const;
+    duration resumptionTime() const;
     std::string accountName() const;
     void startAttempt();
     void excludeUpstreams();
--- a/libraries/relay/tests/stream_versions_test.cpp
+++ b/libraries/relay/tests/stream_versions_test.cpp
@@ -107,6 +107,19 @@
     }
 }
 
+TEST_CASE("a resumption renews the record of its stream for the time in which the caller may come back again")
+{
+    relay_fixture fixture(call_kind::resumable_stream, 3);
+    const stream_key stream = stream_key::of("one", "first");
+    const stream_origin origin{"s", "v1", "gone"};
+    fixture.origins.records[stream] = origin;
+    fixture.resume("first", 3);
+    REQUIRE(fixture.origins.lifetimes.contains(stream));
+    CHECK(fixture.origins.lifetimes[stream] >= 2s); // the caller's time
+    CHECK(fixture.origins.records[stream] == origin);
+    CHECK(fixture.origins.records.size() == 1);
+}
+
 TEST_CASE("a resumption is refused at once when nothing proves where its stream may go on")
 {
     relay_fixture fixture(call_kind::resumable_stream, 3);
