A frozen planner that does not wake tells what its threads wait for

scenario.planner_frozen_holder failed once more, in the first of 61 runs beside a build and tests (load 8): the planner that had held the duty wrote no line after SIGCONT, in the second half, as the time before. Ruled out by reading: a blocked log line, a call that never completes, EINTR in the loop. The scenario now checks that SIGCONT was sent and names the state of each thread, so that the next failure tells a stopped from a blocked one.

--- a/tests/scenario_runner/connection_functions.cpp
+++ b/tests/scenario_runner/connection_functions.cpp
@@ -3,7 +3,9 @@
 #include "certificate.h"
 #include "raw_connection.h"
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <new>
 #include <unistd.h>
 
@@ -99,6 +101,29 @@
     return 1;
 }
 
+std::string readFile(const std::filesystem::path &path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+/// threads_of(process) -> the state of each of its threads and the kernel function in which it waits, as text
+int luaThreadsOf(lua_State *lua)
+{
+    const std::filesystem::path tasks = "/proc/" + std::to_string(luaL_checkinteger(lua, 1)) + "/task";
+    std::string text;
+    std::error_code failure;
+    for (const auto &each : std::filesystem::directory_iterator(tasks, failure)) {
+        const std::string status = readFile(each.path() / "status");
+        const std::size_t state = status.find("State:");
+        text += each.path().filename().string() + ' '
+            + (state == std::string::npos ? "gone" : status.substr(state, status.find('\n', state) - state))
+            + " waits in " + readFile(each.path() / "wchan") + "; ";
+    }
+    lua_pushlstring(lua, text.data(), text.size());
+    return 1;
+}
+
 } // namespace
 
 void registerConnectionFunctions(lua_State *lua, scenario_context &context)
@@ -113,8 +138,10 @@
     lua_pushvalue(lua, -1);
     lua_setfield(lua, -2, "__index");
     lua_pop(lua, 1);
-    const luaL_Reg functions[]
-        = {{"connect", luaConnect}, {"make_certificate", luaMakeCertificate}, {"memory_of", luaMemoryOf}};
+    const luaL_Reg functions[] = {{"connect", luaConnect},
+                                  {"make_certificate", luaMakeCertificate},
+                                  {"memory_of", luaMemoryOf},
+                                  {"threads_of", luaThreadsOf}};
     for (const luaL_Reg &each : functions) {
         lua_pushlightuserdata(lua, &context);
         lua_pushcclosure(lua, each.func, 1);
--- a/tests/scenarios/planner_frozen_holder.lua
+++ b/tests/scenarios/planner_frozen_holder.lua
@@ -24,11 +24,16 @@
     assert(new_token > old_token, "fencing tokens only grow")
     fleet:submit(planning.document("2", fencing))
     planning.await_version(fleet, "2")
-    signal(planners[first].process, "CONT")
-    deployment.eventually("the woken planner follows", 30, function()
-        local status = planning.status(planners[first])
-        return status and status.configuration_version >= 2
+    assert(signal(planners[first].process, "CONT"), "the first holder exists")
+    local answered
+    local follows = pcall(deployment.eventually, "the woken planner follows", 30, function()
+        answered = planning.status(planners[first])
+        return answered and answered.configuration_version >= 2
     end)
+    if not follows then
+        error("not within 30 s: the woken planner follows; it answered " .. json_encode(answered or {})
+            .. "; threads: " .. threads_of(planners[first].process))
+    end
     assert(not planning.held_token(planners[first], "orders/tariff"), "the woken planner does not hold the duty")
 
     -- Simulates a delayed order that the first holder sent before it was suspended.
