--- a/libraries/relay/tests/resumption_under_load_test.cpp
+++ b/libraries/relay/tests/resumption_under_load_test.cpp
@@ -22,7 +22,7 @@
 constexpr duration tick = 5ms;
 /// Fraction of the streams whose callers lose the connection and come back.
 constexpr double broken_streams = 0.3;
-/// They come back within this time.
+/// Longest time until the caller of a broken stream resumes it.
 constexpr duration max_return_time = 10s;
 /// When the state of the scarce version sets in; resumptions are counted from then on.
 constexpr duration change_time = simulated_time / 2;
