Test: streams after the loss of all nodes while two software versions are listed

Cause of the fault LOST that the test shows: the origin of a stream is kept only in the memory of three nodes. When all nodes are killed while the row of versions lists two, nothing proves where a stream began, and it is refused.

--- /dev/null
+++ b/libraries/fleet/tests/released_fleet.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include "fake_table.h"
+#include "fleet/origin_exchange.h"
+#include "membership/virtual_network.h"
+#include "relay/resumption_decision.h"
+#include "relay/version_register.h"
+#include "shared_view.h"
+#include "test_cluster.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivypier::fleet::tests {
+
+/// Nodes before upstreams of one service during a release, two upstreams for each software version. All nodes
+/// can be killed at once; the callers of the streams that broke take them up at the restarted nodes.
+struct released_fleet
+{
+    using table_type = placement::tests::fake_table;
+
+    struct node
+    {
+        node(released_fleet &fleet, std::size_t index)
+            : view(fleet.members, index)
+            , channel(fleet.network.open(fleet.time, fleet.members[index].address))
+            , client(fleet.time, fleet.table)
+            , upstreams(fleet.time)
+            , versions(fleet.time, fleet.randomness, client, upstreams,
+                       [&fleet] { return fleet.time.wallMilliseconds(); })
+            , origins(fleet.time, *channel, fleetKey(), view, port)
+        {
+            versions.setServices({"s"});
+            versions.onRowRead([&fleet](const std::string &, std::uint64_t version, const std::string &text) {
+                fleet.announce(version, text);
+            });
+            versions.start();
+            origins.start();
+            for (const std::string &each : fleet.serving)
+                putUpstreams(each);
+        }
+
+        void putUpstreams(const std::string &version)
+        {
+            for (const char *id : {"a", "b"})
+                upstreams.put({version + id, "s", {"10.0.0.1", 1}, "hall", 64, false, false, {}, version});
+        }
+
+        shared_view view;
+        std::unique_ptr<membership::datagram_channel> channel;
+        placement::tests::fake_table_client client;
+        relay::upstream_directory upstreams;
+        relay::version_register versions;
+        origin_exchange origins;
+    };
+
+    struct stream
+    {
+        relay::stream_key key;
+        std::string version;
+        time_point begunAt{};
+    };
+
+    struct counts
+    {
+        std::size_t begun = 0;
+        std::size_t resumed = 0; ///< whose version serves when they are taken up
+        std::size_t continued = 0;
+        std::size_t joined = 0; ///< went on at another version
+    };
+
+    /// How long the caller of a stream waits.
+    static constexpr duration caller_time = std::chrono::seconds(15);
+    static constexpr duration restart_time = std::chrono::seconds(1);
+
+    explicit released_fleet(std::size_t nodeCount, std::uint64_t seed = 1)
+        : randomness(seed)
+    {
+        configureLog("tests", log_level::error);
+        network.setDelay(std::chrono::milliseconds(1), std::chrono::milliseconds(3));
+        network.setLoss(0.01);
+        serving = {"v1"};
+        members.resize(nodeCount);
+        nodes.resize(nodeCount);
+        startAll();
+        poll();
+        time.advance(std::chrono::seconds(3));
+    }
+
+    void startAll()
+    {
+        for (std::size_t index = 0; index < nodes.size(); ++index) {
+            membership::member &each = members[index];
+            each.id = ++lastIncarnation;
+            each.name = "node-" + std::to_string(index);
+            each.address = addressOf(each.id);
+            each.failureDomain = "domain-" + std::to_string(index % 3);
+        }
+        for (std::size_t index = 0; index < nodes.size(); ++index)
+            nodes[index] = std::make_unique<node>(*this, index);
+    }
+
+    void poll()
+    {
+        for (std::size_t index = 0; index < nodes.size() && areUp; ++index)
+            nodes[index]->versions.poll(index == 0, nodes.size());
+        time.after(std::chrono::milliseconds(400), [this] { poll(); });
+    }
+
+    /// Tells all nodes the newest row of versions within half a second.
+    void announce(std::uint64_t version, const std::string &text)
+    {
+        if (version <= announcedVersion)
+            return;
+        announcedVersion = version;
+        for (const auto &each : nodes) {
+            if (each)
+                later(
+                    std::chrono::milliseconds(500),
+                    [version, text](node &to) { to.versions.applyAnnouncement("s", version, text); }, *each);
+        }
+    }
+
+    /// Runs `work` on a node within `span`, unless the node is killed before.
+    void later(duration span, std::function<void(node &)> work, node &on)
+    {
+        time.after(fromSeconds(seconds(span) * randomness.uniform()),
+                   [this, work = std::move(work), to = &on] {
+                       if (areUp && std::any_of(nodes.begin(), nodes.end(), [to](const auto &each) {
+                               return each.get() == to;
+                           }))
+                           work(*to);
+                   });
+    }
+
+    void setServing(const std::string &version, bool isServing)
+    {
+        if (isServing)
+            serving.insert(version);
+        else
+            serving.erase(version);
+        for (const auto &each : nodes)
+            later(
+                std::chrono::milliseconds(300),
+                [version, isServing](node &to) {
+                    if (isServing)
+                        to.putUpstreams(version);
+                    else
+                        for (const char *id : {"a", "b"})
+                            to.upstreams.remove(version + id);
+                },
+                *each);
+    }
+
+    void begin()
+    {
+        node &at = *nodes[randomness.index(nodes.size())];
+        std::vector<const relay::upstream_record *> possible;
+        for (const relay::upstream *each : at.upstreams.ready("s")) {
+            if (at.versions.mayBeginAt(each->record) && serving.contains(each->record.softwareVersion))
+                possible.push_back(&each->record);
+        }
+        if (possible.empty())
+            return;
+        const relay::upstream_record &chosen = *possible[randomness.index(possible.size())];
+        beginAt(at, "one", std::to_string(++result.begun), chosen.softwareVersion, chosen.id);
+    }
+
+    void beginAt(node &at, const std::string &account, const std::string &id, const std::string &version,
+                 const std::string &upstream)
+    {
+        const relay::stream_key key = relay::stream_key::of(account, id);
+        at.origins.record(key, {"s", version, upstream}, caller_time);
+        streams.push_back({key, version, time.now()});
+    }
+
+    /// Runs for `span` with this many new streams a second, which last a third of the time of their callers.
+    void run(duration span, double streamsPerSecond)
+    {
+        const time_point end = time.now() + span;
+        while (time.now() < end) {
+            time.advance(fromSeconds(-std::log(1.0 - randomness.uniform()) / streamsPerSecond));
+            begin();
+            std::erase_if(streams,
+                          [&](const stream &each) { return time.now() - each.begunAt > caller_time / 3; });
+        }
+    }
+
+    /// Kills all nodes. They start again after `restart_time`, and the callers of the broken streams come
+    /// back within a second after that.
+    void killAll()
+    {
+        areUp = false;
+        network.setDropFilter([](const endpoint &, const endpoint &) { return true; });
+        for (const stream &each : streams)
+            time.after(restart_time + fromSeconds(0.1 + randomness.uniform()),
+                       [this, each] { resume(each); });
+        streams.clear();
+        time.after(restart_time, [this] {
+            // Objects of killed nodes are kept, because tasks of theirs may be left in the scheduler.
+            for (auto &each : nodes)
+                former.push_back(std::move(each));
+            network.setDropFilter({});
+            startAll();
+            areUp = true;
+        });
+    }
+
+    void resume(const stream &broken)
+    {
+        if (!serving.contains(broken.version) || !areUp)
+            return;
+        ++result.resumed;
+        node &at = *nodes[randomness.index(nodes.size())];
+        const std::vector<relay::route_target> targets{{"s", 1}};
+        at.origins.find(broken.key, [this, broken, &at, targets](const relay::origin_lookup &found) {
+            if (!relay::needsVersionLookup(found, targets)) {
+                goOn(broken, relay::decideResumption(found, {}, targets));
+                return;
+            }
+            at.versions.findOnlyVersion("s",
+                                        [this, broken, found, targets](const relay::version_lookup &known) {
+                                            goOn(broken, relay::decideResumption(found, known, targets));
+                                        });
+        });
+    }
+
+    void goOn(const stream &broken, const relay::resumption_decision &decision)
+    {
+        if (!decision.origin)
+            return;
+        ++result.continued;
+        result.joined += decision.origin->softwareVersion == broken.version ? 0 : 1;
+        ++knownBy[decision.knownBy];
+    }
+
+    double continuedShare() const
+    {
+        return static_cast<double>(result.continued)
+            / static_cast<double>(std::max<std::size_t>(result.resumed, 1));
+    }
+
+    virtual_scheduler time;
+    seeded_random randomness;
+    membership::virtual_network network{time, randomness};
+    table_type table{time, randomness};
+    std::vector<membership::member> members;
+    std::set<std::string> serving;
+    membership::incarnation lastIncarnation = 0;
+    std::uint64_t announcedVersion = 0;
+    std::vector<std::unique_ptr<node>> former;
+    std::vector<std::unique_ptr<node>> nodes;
+    bool areUp = true;
+    std::vector<stream> streams;
+    counts result;
+    std::map<std::string, std::size_t> knownBy;
+};
+
+} // namespace ivypier::fleet::tests
