Stream origins are stored in the platform's table while several software versions are listed

Cause: after the loss of all nodes no memory holds the origin of a stream, and with two listed versions nothing proves it, so that the stream was refused (LOST). To refuse what is not known is right; the origin was not known. Ruled out (docs/design/rollouts-room-locality.md): the times at which streams began, versions derived from ids, what upstreams report, a write for each stream.

Change: while a service has several versions, each record also goes, on the port of the origin exchange, to the recorder of its shard. It writes them to rows origins/<shard>/<n> by group commit: a write every 50 ms at most, one in flight, rows within 48 KB, 64 rows a shard, reused after their last record ended. A write whose response was lost is read back; rows of another writer are listed again; after a restore of the table the records of the own rows are written again. Rows are filled to 1/32 of the live bytes, because each write sends its row as a whole. When a second version appears, nodes also send the records of their own streams that can still be resumed, and those of the last 15 s when another node becomes the recorder. A second version counts from when its upstreams appear, not from when the row lists it, so that the records are written at about the same time as the row. Streams keep their shard or move to a new one when the number of shards grows, so that a lookup after a restart reads only the shards that the stream can have had. A lookup that finds no record in memory and no proof of a single version reads the rows once, together with all others that wait, 500 ms at most; records that disagree are of no use. known_by is then stored_record. edge_node wires the recorder; metrics ivypier_stored_*.

A test changed its expectation, because the requirement did: after the loss of all nodes, streams of a service with two versions now have to go on at their version (they had to be refused). It asks instead that a stream without any record is still refused, and that with one version nothing is stored.

--- a/libraries/cloud/table_service.h
+++ b/libraries/cloud/table_service.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ivypier::cloud {
@@ -40,6 +41,13 @@
     /// Reads every row whose key starts with `prefix`, ordered by key.
     virtual void list(const std::string &prefix, list_completion done) = 0;
 
+    /// Reads at most the first `maxRows` rows from `prefix` on, where the table can leave out further ones,
+    /// and returns those whose key starts with it, ordered by key.
+    virtual void listUpTo(const std::string &prefix, std::size_t /*maxRows*/, list_completion done)
+    {
+        list(prefix, std::move(done));
+    }
+
     /// Writes a row if its version is `expected` (0: the row must not exist). Fails with `conflict`
     /// otherwise.
     virtual void write(const std::string &key, std::uint64_t expected, const std::string &value,
--- a/libraries/fleet/origin_exchange.cpp
+++ b/libraries/fleet/origin_exchange.cpp
@@ -1,6 +1,7 @@
 #include "fleet/origin_exchange.h"
 
 #include "base/log_event.h"
+#include "fleet/origin_shard.h"
 
 namespace ivypier::fleet {
 
@@ -8,17 +9,21 @@
 
 /// Bytes of a datagram that are left for records, besides the authenticator and the fields of the message.
 constexpr std::size_t max_record_bytes = 1100;
+/// Records this old were sent to the former recorder of a shard before it was lost: the membership notices a
+/// loss within this time.
+constexpr duration recorder_change_period = std::chrono::seconds(15);
 
 } // namespace
 
 origin_exchange::origin_exchange(scheduler &tasks, membership::datagram_channel &channel,
                                  const secret_key &fleetKey, membership::membership_view &members,
-                                 std::uint16_t port)
+                                 std::uint16_t port, origin_recorder *recorder)
     : m_tasks(tasks)
     , m_channel(channel)
     , m_fleetKey(fleetKey)
     , m_members(members)
     , m_port(port)
+    , m_recorder(recorder)
     , m_ranking(tasks, members)
     , m_ledger(tasks)
 {
@@ -39,7 +44,7 @@
                              duration lifetime)
 {
     const origin_entry entry{stream, origin, {}, lifetime, false};
-    m_ledger.add(entry);
+    m_ledger.add(entry, true);
     if (encodedSize(entry) > max_record_bytes) {
         log_event(log_level::warning, "stream.origin_too_large").with("upstream", origin.upstream).write();
         return;
@@ -47,6 +52,105 @@
     for (const keeper_ranking::candidate &each : m_ranking.keepersOf(stream.low, m_members.self().id))
         send({each.address.host, m_port},
              {.kind = origin_message_kind::record, .stream = stream, .entries = {entry}});
+    if (m_storedServices.contains(origin.service))
+        store({m_ledger.find(stream).value_or(entry)});
+}
+
+std::optional<endpoint> origin_exchange::recorderOf(std::size_t shard)
+{
+    const auto ranked = m_ranking.keepersOf(origin_shards::rankingKey(shard));
+    if (ranked.empty())
+        return std::nullopt;
+    return endpoint{ranked.front().address.host, m_port};
+}
+
+void origin_exchange::store(const std::vector<origin_entry> &entries)
+{
+    if (!m_recorder)
+        return;
+    const endpoint self{m_members.self().address.host, m_port};
+    std::map<std::size_t, origin_message> messages; // by shard
+    std::map<std::size_t, std::size_t> bytes;
+    const auto sendTo = [&](std::size_t shard) {
+        if (const auto recorder = recorderOf(shard)) {
+            ++m_recorder->counters().sent;
+            send(*recorder, messages[shard]);
+        }
+        messages[shard].entries.clear();
+        bytes[shard] = 0;
+    };
+    for (const origin_entry &each : entries) {
+        const std::size_t shard = m_recorder->shardOf(each.stream);
+        if (recorderOf(shard) == self) {
+            m_recorder->add(shard, each);
+            continue;
+        }
+        if (bytes[shard] + encodedSize(each) > max_record_bytes)
+            sendTo(shard);
+        messages[shard].kind = origin_message_kind::stored;
+        messages[shard].number = shard;
+        messages[shard].entries.push_back(each);
+        bytes[shard] += encodedSize(each);
+    }
+    for (const auto &[shard, message] : messages) {
+        if (!message.entries.empty())
+            sendTo(shard);
+    }
+}
+
+void origin_exchange::setStoredServices(std::set<std::string> services)
+{
+    if (!m_recorder)
+        return;
+    std::set<std::string> added;
+    for (const std::string &each : services) {
+        if (!m_storedServices.contains(each))
+            added.insert(each);
+    }
+    m_storedServices = std::move(services);
+    std::set<std::size_t> takenOver;
+    for (std::size_t shard = 0; shard < m_recorder->shardCount() && !m_storedServices.empty(); ++shard) {
+        const auto recorder = recorderOf(shard);
+        if (!recorder)
+            continue;
+        const auto [known, isNew] = m_knownRecorders.try_emplace(shard, *recorder);
+        if (std::exchange(known->second, *recorder) != *recorder && !isNew)
+            takenOver.insert(shard);
+    }
+    storeOwnRecords(m_storedServices, added, takenOver);
+}
+
+/// Sends the records of this node's streams of the services that were added, and of the shards that another
+/// node took over.
+void origin_exchange::storeOwnRecords(const std::set<std::string> &services,
+                                      const std::set<std::string> &added,
+                                      const std::set<std::size_t> &takenOver)
+{
+    for (const std::string &service : services) {
+        if (takenOver.empty() && !added.contains(service))
+            continue;
+        std::vector<origin_entry> sent;
+        for (const origin_entry &each : m_ledger.ownRecords(service)) {
+            const bool isLostWithRecorder
+                = each.age <= recorder_change_period && takenOver.contains(m_recorder->shardOf(each.stream));
+            if (added.contains(service) || isLostWithRecorder)
+                sent.push_back(each);
+        }
+        store(sent);
+        log_event(log_level::info, "stream.origins_sent_to_recorders")
+            .with("service", service)
+            .with("records", static_cast<std::int64_t>(sent.size()))
+            .with("cause", added.contains(service) ? "several_versions" : "recorder_changed")
+            .write();
+    }
+}
+
+void origin_exchange::findStored(const relay::stream_key &stream, completion done)
+{
+    if (m_recorder)
+        m_recorder->find(stream, std::move(done));
+    else
+        done({.isComplete = true});
 }
 
 relay::origin_lookup origin_exchange::lookupOf(const origin_entry &entry)
@@ -119,6 +223,12 @@
         for (const origin_entry &each : message.value().entries)
             m_ledger.add(each);
         break;
+    case origin_message_kind::stored:
+        for (const origin_entry &each : message.value().entries) {
+            if (m_recorder)
+                m_recorder->add(static_cast<std::size_t>(message.value().number), each);
+        }
+        break;
     case origin_message_kind::question:
         answerQuestion(from, message.value());
         break;
--- a/libraries/fleet/origin_exchange.h
+++ b/libraries/fleet/origin_exchange.h
@@ -4,6 +4,7 @@
 #include "fleet/keeper_ranking.h"
 #include "fleet/origin_ledger.h"
 #include "fleet/origin_message.h"
+#include "fleet/origin_recorder.h"
 #include "membership/datagram_channel.h"
 #include "relay/stream_origins.h"
 
@@ -21,9 +22,10 @@
     /// How long the nodes that are asked may take to reply; the question is sent twice.
     static constexpr duration reply_timeout = relay::max_origin_lookup_time / max_tries;
 
-    /// `port` is the port of the exchange on every node.
+    /// `port` is the port of the exchange on every node. Without a recorder, records are kept in memory only.
     origin_exchange(scheduler &tasks, membership::datagram_channel &channel, const secret_key &fleetKey,
-                    membership::membership_view &members, std::uint16_t port);
+                    membership::membership_view &members, std::uint16_t port,
+                    origin_recorder *recorder = nullptr);
 
     /// Starts to listen for messages.
     void start();
@@ -31,6 +33,12 @@
     void record(const relay::stream_key &stream, const relay::stream_origin &origin,
                 duration lifetime) override;
     void find(const relay::stream_key &stream, completion done) override;
+    void findStored(const relay::stream_key &stream, completion done) override;
+
+    /// Sets the services of whose streams records go to the platform's table, because streams may begin at
+    /// several software versions. The records of this node's streams of a service that is new among them are
+    /// sent to their recorders. They are sent again when another node becomes their recorder.
+    void setStoredServices(std::set<std::string> services);
 
     /// Sends the records that this node holds to the nodes that keep them once it has left. Its own are among
     /// them, because their keepers may have started again. Records that it handed over before are left out.
@@ -60,6 +68,10 @@
     void sendQuestion(std::uint64_t number);
     void onTimeout(std::uint64_t number);
     void receive(const endpoint &from, std::string_view datagram);
+    std::optional<endpoint> recorderOf(std::size_t shard);
+    void store(const std::vector<origin_entry> &entries);
+    void storeOwnRecords(const std::set<std::string> &services, const std::set<std::string> &added,
+                         const std::set<std::size_t> &takenOver);
     void answerQuestion(const endpoint &from, const origin_message &question);
     void applyReply(const endpoint &from, const origin_message &reply);
     static relay::origin_lookup lookupOf(const origin_entry &entry);
@@ -69,6 +81,9 @@
     secret_key m_fleetKey;
     membership::membership_view &m_members;
     std::uint16_t m_port;
+    origin_recorder *m_recorder;
+    std::set<std::string> m_storedServices;
+    std::map<std::size_t, endpoint> m_knownRecorders; ///< by shard; to notice that another node took over
     keeper_ranking m_ranking;
     origin_ledger m_ledger;
     std::map<std::uint64_t, pending_question> m_pending;
--- a/libraries/fleet/origin_ledger.cpp
+++ b/libraries/fleet/origin_ledger.cpp
@@ -9,20 +9,21 @@
 {
 }
 
-void origin_ledger::add(const origin_entry &entry)
+void origin_ledger::add(const origin_entry &entry, bool isOwn)
 {
     dropExpired();
     const time_point now = m_time.now();
     const auto [found, isNew] = m_records.try_emplace(entry.stream);
     stored_record &stored = found->second;
     if (!isNew) {
+        stored.isOwn = stored.isOwn || isOwn;
         stored.isConflicting = stored.isConflicting || entry.isConflicting || stored.origin != entry.origin;
         m_expiries.erase({stored.expiresAt, entry.stream});
         stored.expiresAt = std::max(stored.expiresAt, now + entry.lifetime);
         m_expiries.emplace(stored.expiresAt, entry.stream);
         return;
     }
-    stored = {entry.origin, now - entry.age, now + entry.lifetime, false, entry.isConflicting};
+    stored = {entry.origin, now - entry.age, now + entry.lifetime, false, entry.isConflicting, isOwn};
     m_expiries.emplace(stored.expiresAt, entry.stream);
     while (m_records.size() > max_records)
         remove(m_expiries.begin()->second);
@@ -46,6 +47,17 @@
     return result;
 }
 
+std::vector<origin_entry> origin_ledger::ownRecords(const std::string &service)
+{
+    dropExpired();
+    std::vector<origin_entry> result;
+    for (const auto &[stream, stored] : m_records) {
+        if (stored.isOwn && stored.origin.service == service)
+            result.push_back(entryOf(stream, stored));
+    }
+    return result;
+}
+
 void origin_ledger::dropExpired()
 {
     while (!m_expiries.empty() && m_expiries.begin()->first <= m_time.now())
--- a/libraries/fleet/origin_ledger.h
+++ b/libraries/fleet/origin_ledger.h
@@ -21,8 +21,9 @@
 
     explicit origin_ledger(const clock &time);
 
-    /// Adds a record. One that is known already is kept for the longer of the two times.
-    void add(const origin_entry &entry);
+    /// Adds a record. One that is known already is kept for the longer of the two times. `isOwn`: this node
+    /// forwards the stream.
+    void add(const origin_entry &entry, bool isOwn = false);
 
     /// Returns the record of a stream, with its present age.
     std::optional<origin_entry> find(const relay::stream_key &stream);
@@ -30,6 +31,9 @@
     /// Returns the records that were not returned by an earlier call.
     std::vector<origin_entry> takeNotHandedOver();
 
+    /// Returns the records of the streams of a service that this node forwards.
+    std::vector<origin_entry> ownRecords(const std::string &service);
+
     std::size_t size() const
     {
         return m_records.size();
@@ -43,6 +47,7 @@
         time_point expiresAt{};
         bool isHandedOver = false;
         bool isConflicting = false;
+        bool isOwn = false;
     };
 
     void dropExpired();
--- a/libraries/fleet/origin_message.h
+++ b/libraries/fleet/origin_message.h
@@ -16,6 +16,7 @@
     record, ///< records of where streams began, for their keepers
     question, ///< asks for the record of a stream
     reply, ///< the record that was asked for; without an entry if there is none
+    stored, ///< records for the recorder of a shard, which writes them to the platform's table
 };
 
 /// A record of where a stream began.
@@ -34,7 +35,7 @@
 struct origin_message
 {
     origin_message_kind kind = origin_message_kind::record;
-    std::uint64_t number = 0; ///< of the question, repeated in the reply
+    std::uint64_t number = 0; ///< of the question, repeated in the reply; of the shard of stored records
     relay::stream_key stream; ///< of a question
     std::vector<origin_entry> entries;
 
--- a/libraries/fleet/tests/released_fleet.h
+++ b/libraries/fleet/tests/released_fleet.h
@@ -2,7 +2,10 @@
 
 #include "fake_table.h"
 #include "fleet/origin_exchange.h"
+#include "fleet/origin_recorder.h"
+#include "fleet/origin_shard.h"
 #include "membership/virtual_network.h"
+#include "relay/origin_search.h"
 #include "relay/resumption_decision.h"
 #include "relay/version_register.h"
 #include "shared_view.h"
@@ -28,18 +31,31 @@
             , upstreams(fleet.time)
             , versions(fleet.time, fleet.randomness, client, upstreams,
                        [&fleet] { return fleet.time.wallMilliseconds(); })
-            , origins(fleet.time, *channel, fleetKey(), view, port)
+            , nodeCount(fleet.members.size())
+            , recorder(fleet.time, client, fleet.randomness.index(origin_shards::max_rows),
+                       [&fleet] { return fleet.time.wallMilliseconds(); })
+            , origins(fleet.time, *channel, fleetKey(), view, port, &recorder)
         {
             versions.setServices({"s"});
-            versions.onRowRead([&fleet](const std::string &, std::uint64_t version, const std::string &text) {
-                fleet.announce(version, text);
-            });
+            versions.onRowRead(
+                [this, &fleet](const std::string &, std::uint64_t version, const std::string &text) {
+                    fleet.announce(version, text);
+                    origins.setStoredServices(versions.servicesWithSeveral());
+                });
+            recorder.setNodes(fleet.members.size());
             versions.start();
             origins.start();
             for (const std::string &each : fleet.serving)
                 putUpstreams(each);
         }
 
+        void poll(bool holdsDuties)
+        {
+            versions.poll(holdsDuties, nodeCount);
+            origins.setStoredServices(versions.servicesWithSeveral());
+            recorder.poll();
+        }
+
         void putUpstreams(const std::string &version)
         {
             for (const char *id : {"a", "b"})
@@ -51,6 +67,8 @@
         placement::tests::fake_table_client client;
         relay::upstream_directory upstreams;
         relay::version_register versions;
+        std::size_t nodeCount;
+        origin_recorder recorder;
         origin_exchange origins;
     };
 
@@ -103,7 +121,7 @@
     void poll()
     {
         for (std::size_t index = 0; index < nodes.size() && areUp; ++index)
-            nodes[index]->versions.poll(index == 0, nodes.size());
+            nodes[index]->poll(index == 0);
         time.after(std::chrono::milliseconds(400), [this] { poll(); });
     }
 
@@ -213,16 +231,11 @@
         ++result.resumed;
         node &at = *nodes[randomness.index(nodes.size())];
         const std::vector<relay::route_target> targets{{"s", 1}};
-        at.origins.find(broken.key, [this, broken, &at, targets](const relay::origin_lookup &found) {
-            if (!relay::needsVersionLookup(found, targets)) {
-                goOn(broken, relay::decideResumption(found, {}, targets));
-                return;
-            }
-            at.versions.findOnlyVersion("s",
-                                        [this, broken, found, targets](const relay::version_lookup &known) {
-                                            goOn(broken, relay::decideResumption(found, known, targets));
-                                        });
-        });
+        relay::origin_search::start(
+            at.origins, at.versions, broken.key, "s", targets,
+            [this, broken, targets](const relay::origin_lookup &found, const relay::version_lookup &known) {
+                goOn(broken, relay::decideResumption(found, known, targets));
+            });
     }
 
     void goOn(const stream &broken, const relay::resumption_decision &decision)
--- a/libraries/relay/resumption_decision.cpp
+++ b/libraries/relay/resumption_decision.cpp
@@ -17,7 +17,7 @@
             return each.service == found.origin->service;
         });
         if (isTarget)
-            return {.origin = found.origin, .knownBy = "record"};
+            return {.origin = found.origin, .knownBy = found.isStored ? "stored_record" : "record"};
         return {.reason = "stream_of_another_service", .isFinal = true};
     }
     if (needsVersionLookup(found, targets) && versions.onlyVersion)
--- a/libraries/relay/service_versions.h
+++ b/libraries/relay/service_versions.h
@@ -31,6 +31,13 @@
     /// version.
     virtual bool mayBeginAt(const upstream_record &upstream) const = 0;
 
+    /// Returns whether streams of a service may begin at several versions, as far as this node knows; also if
+    /// it does not know.
+    virtual bool mayHaveSeveral(const std::string & /*service*/) const
+    {
+        return true;
+    }
+
     /// Finds the versions at which streams of a service can have begun until now. Calls `done` once, possibly
     /// before it returns, at the latest after max_version_lookup_time.
     virtual void findOnlyVersion(const std::string &service, completion done) = 0;
--- a/libraries/relay/stream_origins.h
+++ b/libraries/relay/stream_origins.h
@@ -17,10 +17,14 @@
     bool isConflicting = false; ///< there are records that disagree
     bool isComplete = false; ///< every node that may keep a record replied
     duration age{}; ///< since the record was made
+    bool isStored = false; ///< the record was read from the platform's table, which doesn't tell its age
 
     auto operator<=>(const origin_lookup &) const = default;
 };
 
+/// Returns what two responses about one stream tell together. Records that disagree are of no use.
+origin_lookup merged(const origin_lookup &left, const origin_lookup &right);
+
 /// Records where streams began, so that any node can continue them.
 class stream_origins
 {
@@ -35,9 +39,19 @@
     /// Finds where a stream began. Calls `done` once, possibly before it returns, at the latest after
     /// max_origin_lookup_time.
     virtual void find(const stream_key &stream, completion done) = 0;
+
+    /// Finds where a stream began in the records that outlive all nodes. Calls `done` once, possibly before
+    /// it returns, at the latest after max_stored_lookup_time. Without such records nothing is found.
+    virtual void findStored(const stream_key &, completion done)
+    {
+        done({.isComplete = true});
+    }
 };
 
 /// Longest time that a lookup takes when a node does not reply.
 inline constexpr duration max_origin_lookup_time = std::chrono::milliseconds(200);
 
+/// Longest time that a lookup of stored records takes when the platform does not respond.
+inline constexpr duration max_stored_lookup_time = std::chrono::milliseconds(500);
+
 } // namespace ivypier::relay
--- a/libraries/relay/stream_resumption.cpp
+++ b/libraries/relay/stream_resumption.cpp
@@ -1,6 +1,7 @@
 #include "relay/stream_resumption.h"
 
 #include "base/log_event.h"
+#include "relay/origin_search.h"
 
 #include <algorithm>
 
@@ -25,31 +26,15 @@
 void stream_resumption::find(const std::weak_ptr<const void> &owner, const std::string &service,
                              const std::vector<route_target> &targets, completion done)
 {
-    if (m_call.resumedCall.empty()) {
-        applyOrigin(owner, service, targets, {.isComplete = true}, done);
-        return;
-    }
-    m_environment.origins.find(
-        stream_key::of(m_account, m_call.resumedCall),
-        [this, owner, service, targets, done = std::move(done)](const origin_lookup &found) {
-            if (const auto alive = owner.lock())
-                applyOrigin(owner, service, targets, found, done);
-        });
-}
-
-void stream_resumption::applyOrigin(const std::weak_ptr<const void> &owner, const std::string &service,
-                                    const std::vector<route_target> &targets, const origin_lookup &found,
-                                    const completion &done)
-{
-    if (!needsVersionLookup(found, targets)) {
-        applyLookups(targets, found, {}, done);
-        return;
-    }
-    m_environment.versions.findOnlyVersion(
-        service, [this, owner, targets, found, done](const version_lookup &versions) {
-            if (const auto alive = owner.lock())
-                applyLookups(targets, found, versions, done);
-        });
+    std::optional<stream_key> stream;
+    if (!m_call.resumedCall.empty())
+        stream = stream_key::of(m_account, m_call.resumedCall);
+    origin_search::start(m_environment.origins, m_environment.versions, stream, service, targets,
+                         [this, owner, targets, done = std::move(done)](const origin_lookup &found,
+                                                                        const version_lookup &versions) {
+                             if (const auto alive = owner.lock())
+                                 applyLookups(targets, found, versions, done);
+                         });
 }
 
 void stream_resumption::applyLookups(const std::vector<route_target> &targets, const origin_lookup &found,
--- a/libraries/relay/stream_resumption.h
+++ b/libraries/relay/stream_resumption.h
@@ -38,9 +38,6 @@
 private:
     using completion = std::function<void(const resumption_decision &)>;
 
-    void applyOrigin(const std::weak_ptr<const void> &owner, const std::string &service,
-                     const std::vector<route_target> &targets, const origin_lookup &found,
-                     const completion &done);
     void applyLookups(const std::vector<route_target> &targets, const origin_lookup &found,
                       const version_lookup &versions, const completion &done);
     void logRefusal(const resumption_decision &decision, const origin_lookup &found,
--- a/libraries/relay/version_register.cpp
+++ b/libraries/relay/version_register.cpp
@@ -106,6 +106,31 @@
     return result;
 }
 
+bool version_register::hasSeveral(const service_state &state)
+{
+    std::set<std::string> versions = state.row.versions;
+    for (const auto &[version, seenAt] : state.seenAt)
+        versions.insert(version);
+    return versions.size() > 1;
+}
+
+bool version_register::mayHaveSeveral(const std::string &service) const
+{
+    const auto found = m_states.find(service);
+    return found == m_states.end() || found->second.rowVersion == 0 || found->second.row.era != m_table.era()
+        || hasSeveral(found->second);
+}
+
+std::set<std::string> version_register::servicesWithSeveral() const
+{
+    std::set<std::string> result;
+    for (const auto &[service, state] : m_states) {
+        if (hasSeveral(state))
+            result.insert(service);
+    }
+    return result;
+}
+
 void version_register::noteUpstreams(service_state &state, const std::string &service) const
 {
     for (const upstream *each : m_upstreams.all()) {
--- a/libraries/relay/version_register.h
+++ b/libraries/relay/version_register.h
@@ -56,8 +56,13 @@
     void onRowRead(row_handler handler);
 
     bool mayBeginAt(const upstream_record &upstream) const override;
+    bool mayHaveSeveral(const std::string &service) const override;
     void findOnlyVersion(const std::string &service, completion done) override;
 
+    /// Returns the services whose row lists more than one version, or will: upstreams of another one
+    /// appeared.
+    std::set<std::string> servicesWithSeveral() const;
+
     /// Returns the versions that the newest known rows list, by service.
     std::map<std::string, std::set<std::string>> listed() const;
 
@@ -80,6 +85,7 @@
         lookup_requests nextLookups; ///< requests for the next read
     };
 
+    static bool hasSeveral(const service_state &state);
     static std::string keyOf(const std::string &service);
     void noteUpstreams(service_state &state, const std::string &service) const;
     bool needsUpdate(const service_state &state, bool holdsDuties) const;
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -1,6 +1,7 @@
 #include "edge_node.h"
 
 #include "caller_lookup.h"
+#include "origin_metrics.h"
 #include "peer_feed_codec.h"
 #include "platform_tables.h"
 #include "quarantine_control.h"
@@ -18,6 +19,8 @@
 #include "fleet/fleet_census.h"
 #include "fleet/fleet_exchange.h"
 #include "fleet/origin_exchange.h"
+#include "fleet/origin_recorder.h"
+#include "fleet/origin_shard.h"
 #include "fleet/permit_exchange.h"
 #include "http/connection_pool.h"
 #include "http/fetcher.h"
@@ -115,6 +118,8 @@
     fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter};
     fleet::fleet_exchange fleetExchange;
     fleet::permit_exchange permits;
+    fleet::origin_recorder originRecorder{tasks, store, randomness.index(fleet::origin_shards::max_rows),
+                                          [this] { return wallClock.milliseconds(); }};
     fleet::origin_exchange origins;
     fleet::crash_exchange quarantine;
     relay::crash_key_deriver crashKeys;
@@ -238,7 +243,7 @@
     , fleetExchange(tasks, *fleetChannel, key, members, settings.fleetPort, duties_lease_name, localMetrics,
                     quota, [this] { return runCounter.windowAt(wallClock.milliseconds()); })
     , permits(tasks, randomness, *permitChannel, key, members, settings.permitPort)
-    , origins(tasks, *originChannel, key, members, settings.originPort)
+    , origins(tasks, *originChannel, key, members, settings.originPort, &originRecorder)
     , quarantine(tasks, *crashChannel, key, members, settings.crashPort)
     , crashKeys(key)
 {
@@ -313,6 +318,7 @@
 {
     versions.onRowRead([this](const std::string &service, std::uint64_t rowVersion, const std::string &text) {
         members.publish({version_fact_prefix + service, rowVersion, text});
+        origins.setStoredServices(versions.servicesWithSeveral());
     });
     members.onFact([this](const membership::fact &update) {
         if (update.key.starts_with(version_fact_prefix))
@@ -404,6 +410,7 @@
     metrics.set("ivypier_permits_refused", {}, static_cast<double>(permits.refusals()));
     metrics.set("ivypier_stream_origins", {}, static_cast<double>(origins.recordCount()));
     metrics.set("ivypier_stream_origin_datagrams", {}, static_cast<double>(origins.datagramsSent()));
+    setOriginMetrics(metrics, originRecorder);
     metrics.set("ivypier_quarantine_entries", {}, static_cast<double>(quarantine.entries().all().size()));
     metrics.set("ivypier_quarantine_datagrams", {}, static_cast<double>(quarantine.datagramsSent()));
     metrics.set("ivypier_answer_buffer_bytes", {}, static_cast<double>(answerBuffers.totalBytes()));
@@ -496,6 +503,9 @@
     quota.setSilentFraction(fleetExchange.silentFraction(nodeCount()), fleet::silent_node_age);
     retryBudget.setSlack(node_retry_share * settings.retrySlack / static_cast<double>(nodeCount()));
     versions.poll(lease.held().has_value(), nodeCount());
+    originRecorder.setNodes(nodeCount());
+    originRecorder.poll();
+    origins.setStoredServices(versions.servicesWithSeveral());
     quarantineRows.poll(lease.held().has_value());
     const std::int64_t now = wallClock.milliseconds();
     const std::int64_t window = runCounter.windowAt(now);
