--- a/libraries/fleet/origin_ledger.cpp
+++ b/libraries/fleet/origin_ledger.cpp
@@ -17,7 +17,8 @@
     stored_record &stored = found->second;
     if (!isNew) {
         stored.isOwn = stored.isOwn || isOwn;
-        stored.isConflicting = stored.isConflicting || entry.isConflicting || stored.origin != entry.origin;
+        stored.isConflicting
+            = stored.isConflicting || entry.isConflicting || !stored.origin.agreesWith(entry.origin);
         m_expiries.erase({stored.expiresAt, entry.stream});
         stored.expiresAt = std::max(stored.expiresAt, now + entry.lifetime);
         m_expiries.emplace(stored.expiresAt, entry.stream);
--- a/libraries/fleet/origin_shard_writer.cpp
+++ b/libraries/fleet/origin_shard_writer.cpp
@@ -56,7 +56,7 @@
 
 bool origin_shard_writer::isRestored() const
 {
-    return m_isListed && m_table.era() != m_era;
+    return m_hasEra && m_table.era() != m_era;
 }
 
 void origin_shard_writer::poll()
@@ -116,6 +116,7 @@
     m_rows.clear();
     m_current.reset();
     m_isListed = false;
+    m_era = m_table.era();
     log_event(log_level::info, "stream.origins_restored")
         .with("shard", static_cast<std::int64_t>(m_shard))
         .with("records", static_cast<std::int64_t>(records))
@@ -126,8 +127,16 @@
 void origin_shard_writer::listRows()
 {
     m_isBusy = true;
+    requestRows(++m_access);
+}
+
+void origin_shard_writer::requestRows(std::uint64_t access)
+{
     m_table.listUpTo(origin_shards::rowPrefix(m_shard), origin_shards::max_rows,
-                     [this](const outcome<std::vector<cloud::table_row>> &rows) {
+                     [this, access](const outcome<std::vector<cloud::table_row>> &rows) {
+                         if (access != m_access)
+                             return;
+                         ++m_access;
                          m_isBusy = false;
                          if (!rows) {
                              recordFailure(rows.error().message);
@@ -137,6 +146,10 @@
                          applyList(rows.value());
                          flush();
                      });
+    m_tasks.after(slow_response_time, [this, access] {
+        if (access == m_access)
+            requestRows(access);
+    });
 }
 
 void origin_shard_writer::applyList(const std::vector<cloud::table_row> &rows)
@@ -161,6 +174,7 @@
             row.ownText = each.value;
     }
     m_era = m_table.era();
+    m_hasEra = true;
     m_isListed = true;
 }
 
@@ -253,7 +267,27 @@
     m_lastWriteAt = m_tasks.now();
     m_writeStartedAt = m_tasks.now();
     m_table.write(origin_shards::rowKey(m_shard, number), known == m_rows.end() ? 0 : known->second.version,
-                  text, [this](const outcome<cloud::table_row> &written) { applyWrite(written); });
+                  text, [this, access = ++m_access](const outcome<cloud::table_row> &written) {
+                      if (access == m_access)
+                          applyWrite(written);
+                  });
+    m_tasks.after(slow_response_time, [this, access = m_access] { checkWrite(access); });
+}
+
+/// Reads the row of a write without a response. While it lacks what was written, the response is still
+/// awaited, so that one write at a time is in progress.
+void origin_shard_writer::checkWrite(std::uint64_t access)
+{
+    if (access != m_access)
+        return;
+    m_table.read(origin_shards::rowKey(m_shard, m_writtenRow),
+                 [this, access](const outcome<std::optional<cloud::table_row>> &read) {
+                     if (access != m_access)
+                         return;
+                     if (read && read.value() && read.value()->value == m_writtenText)
+                         recordSuccess(read.value()->version);
+                 });
+    m_tasks.after(slow_response_time, [this, access] { checkWrite(access); });
 }
 
 void origin_shard_writer::applyWrite(const outcome<cloud::table_row> &written)
@@ -262,6 +296,7 @@
         recordSuccess(written.value().version);
         return;
     }
+    ++m_access;
     recordFailure(written.error().message);
     switch (written.error().code) {
     case error_code::conflict: // another writer has the row
@@ -312,6 +347,7 @@
 
 void origin_shard_writer::recordSuccess(std::uint64_t version)
 {
+    ++m_access;
     const outcome<origin_row> written = origin_row::decode(m_writtenText);
     m_rows[m_writtenRow]
         = {version, written ? written.value().endsAt() : 0, m_writtenText.size(), m_writtenText};
--- a/libraries/fleet/origin_shard_writer.h
+++ b/libraries/fleet/origin_shard_writer.h
@@ -21,6 +21,9 @@
     static constexpr duration write_interval = std::chrono::milliseconds(50);
     /// Time until a failed access to the platform's table is repeated.
     static constexpr duration retry_interval = std::chrono::milliseconds(200);
+    /// Time without a response after which the rows, or the row that was written, are read: the response may
+    /// be lost, and the platform's client waits much longer for it.
+    static constexpr duration slow_response_time = std::chrono::milliseconds(400);
     /// Records that wait to be written. Above this number those that end first are dropped.
     static constexpr std::size_t max_pending = 16'384;
     /// A row is reused this long after its last record ended, because the wall clocks of nodes differ.
@@ -61,12 +64,14 @@
     void schedule(duration delay);
     void flush();
     void listRows();
+    void requestRows(std::uint64_t access);
     void applyList(const std::vector<cloud::table_row> &rows);
     void recoverOwnRecords();
     void dropEnded();
     void returnInFlight();
     std::string takeBatch(std::size_t number);
     void write();
+    void checkWrite(std::uint64_t access);
     void applyWrite(const outcome<cloud::table_row> &written);
     void readBack();
     void recordSuccess(std::uint64_t version);
@@ -88,6 +93,8 @@
     time_point m_lastWriteAt{};
     time_point m_writeStartedAt{};
     bool m_hasWritten = false;
+    std::uint64_t m_access = 0; ///< number of the access in progress; responses to earlier ones are ignored
+    bool m_hasEra = false;
     bool m_isListed = false; ///< the rows are known
     bool m_isBusy = false; ///< an access to the platform's table is in progress
     bool m_isScheduled = false;
--- a/libraries/relay/stream_origin.h
+++ b/libraries/relay/stream_origin.h
@@ -17,6 +17,14 @@
 
     auto operator<=>(const stream_origin &) const = default;
 
+    /// Returns whether two records of one stream name the same software version, so that both let it go on at
+    /// the same upstreams. A version that is not stated equals only that of the same incarnation.
+    bool agreesWith(const stream_origin &other) const
+    {
+        return service == other.service && softwareVersion == other.softwareVersion
+            && (!softwareVersion.empty() || upstream == other.upstream);
+    }
+
     bool canContinueAt(const upstream_record &candidate) const
     {
 #ifdef IVYPIER_MUTANT_STREAM_VERSION
--- a/libraries/relay/stream_resumption.cpp
+++ b/libraries/relay/stream_resumption.cpp
@@ -49,8 +49,9 @@
     m_origin = decision.origin;
     m_source = decision.knownBy;
     m_age = found.age;
-    // The nodes that held the record may have started again since, and the caller may come back once more.
-    if (found.origin)
+    // The nodes that held the record may have started again since, and the caller may come back once more,
+    // when the proof of a single version may no longer hold.
+    if (!m_call.resumedCall.empty())
         m_environment.origins.record(stream_key::of(m_account, m_call.resumedCall), *m_origin,
                                      resumptionTime());
     done(decision);
--- a/libraries/relay/version_register.cpp
+++ b/libraries/relay/version_register.cpp
@@ -28,6 +28,7 @@
     , m_table(table)
     , m_upstreams(upstreams)
     , m_wallMilliseconds(std::move(wallMilliseconds))
+    , m_startedAt(tasks.now())
 {
 }
 
@@ -134,12 +135,15 @@
 void version_register::noteUpstreams(service_state &state, const std::string &service) const
 {
     for (const upstream *each : m_upstreams.all()) {
-        if (each->record.service == service)
-            state.seenAt[each->record.softwareVersion] = m_tasks.now();
+        if (each->record.service != service)
+            continue;
+        state.seenAt[each->record.softwareVersion] = m_tasks.now();
+        state.firstSeenAt.try_emplace(each->record.softwareVersion, m_tasks.now());
     }
     std::erase_if(state.seenAt, [&](const auto &each) {
         return m_tasks.now() - each.second > version_retention && !state.row.versions.contains(each.first);
     });
+    std::erase_if(state.firstSeenAt, [&](const auto &each) { return !state.seenAt.contains(each.first); });
     // A listed version counts as seen when this node learns of it.
     for (const std::string &each : state.row.versions)
         state.seenAt.try_emplace(each, m_tasks.now());
@@ -156,12 +160,37 @@
     return result;
 }
 
-bool version_register::needsUpdate(const service_state &state, bool holdsDuties) const
+bool version_register::hasListedUpstream(const std::string &service, const service_state &state) const
+{
+    const std::vector<const upstream *> ready = m_upstreams.ready(service);
+    return std::any_of(ready.begin(), ready.end(), [&](const upstream *each) {
+        return state.row.versions.contains(each->record.softwareVersion);
+    });
+}
+
+std::set<std::string> version_register::versionsToAdd(const std::string &service,
+                                                      const service_state &state) const
 {
+    // Without an upstream of a listed version no new stream could begin during the delays.
+    const bool mayWait = hasListedUpstream(service, state);
+    std::set<std::string> result;
     for (const auto &[version, seenAt] : state.seenAt) {
-        if (m_tasks.now() - seenAt <= version_retention && !state.row.versions.contains(version))
-            return true;
+        if (m_tasks.now() - seenAt > version_retention || state.row.versions.contains(version))
+            continue;
+        const auto first = state.firstSeenAt.find(version);
+        const time_point firstSeenAt = first == state.firstSeenAt.end() ? seenAt : first->second;
+        const time_point dueAt = std::max(firstSeenAt + listing_delay, m_startedAt + start_listing_delay);
+        if (!mayWait || m_tasks.now() >= dueAt)
+            result.insert(version);
     }
+    return result;
+}
+
+bool version_register::needsUpdate(const std::string &service, const service_state &state,
+                                   bool holdsDuties) const
+{
+    if (!versionsToAdd(service, state).empty())
+        return true;
     if (state.rowVersion == 0)
         return false;
     if (state.row.era != m_table.era())
@@ -175,20 +204,29 @@
     for (const std::string &service : m_services) {
         service_state &state = m_states[service];
         noteUpstreams(state, service);
-        if (!needsUpdate(state, holdsDuties)) {
+        if (!needsUpdate(service, state, holdsDuties)) {
             state.nextUpdate.reset();
             continue;
         }
-        if (!state.nextUpdate)
-            state.nextUpdate = m_tasks.now()
-                + fromSeconds(seconds(read_spread_per_node) * static_cast<double>(nodes)
-                              * m_random.uniform());
-        if (state.isWriting || m_tasks.now() < *state.nextUpdate)
+        if (!state.nextUpdate) {
+            const duration delay = fromSeconds(seconds(read_spread_per_node) * static_cast<double>(nodes)
+                                               * m_random.uniform());
+            state.nextUpdate = m_tasks.now() + delay;
+            m_tasks.after(delay, [this, service, holdsDuties] { updateIfDue(service, holdsDuties); });
             continue;
-        update(service, holdsDuties);
+        }
+        updateIfDue(service, holdsDuties);
     }
 }
 
+void version_register::updateIfDue(const std::string &service, bool holdsDuties)
+{
+    const service_state &state = m_states[service];
+    const bool isDue = state.nextUpdate && m_tasks.now() >= *state.nextUpdate;
+    if (isDue && !state.isWriting && needsUpdate(service, state, holdsDuties))
+        update(service, holdsDuties);
+}
+
 void version_register::update(const std::string &service, bool holdsDuties)
 {
     service_state &state = m_states[service];
@@ -207,7 +245,7 @@
                      }
                      if (read.value())
                          applyRow(service, *read.value());
-                     if (needsUpdate(updated, holdsDuties))
+                     if (needsUpdate(service, updated, holdsDuties))
                          write(service, read.value(), holdsDuties);
                  });
 }
@@ -218,10 +256,7 @@
     service_state &state = m_states[service];
     version_row row = state.row;
     const std::int64_t now = m_wallMilliseconds();
-    for (const auto &[version, seenAt] : state.seenAt) {
-        if (m_tasks.now() - seenAt <= version_retention)
-            row.versions.insert(version);
-    }
+    row.versions.merge(versionsToAdd(service, state));
     if (holdsDuties) {
         for (const std::string &each : expiredVersions(state))
             row.versions.erase(each);
--- a/libraries/relay/version_register.h
+++ b/libraries/relay/version_register.h
@@ -35,6 +35,12 @@
     /// Time for each node of the fleet over which reads of a row are spread when a version appears.
     static constexpr duration read_spread_per_node = std::chrono::milliseconds(1);
     static constexpr duration retry_interval = std::chrono::milliseconds(400);
+    /// A version is added to a row that lists others this long after its upstreams appeared. Meanwhile all
+    /// nodes notice it and store the origins of their streams, which the row no longer proves afterwards.
+    static constexpr duration listing_delay = std::chrono::seconds(1);
+    /// Time after its start in which a node adds no version to a row that lists others. After the loss of all
+    /// nodes, callers come back in this time, and the row is the only proof of where their streams began.
+    static constexpr duration start_listing_delay = std::chrono::seconds(3);
 
     /// `wallMilliseconds` returns the wall-clock time in milliseconds since 1970.
     version_register(scheduler &tasks, random_source &randomness, cloud::table_service &table,
@@ -82,14 +88,18 @@
         time_point readStartedAt{};
         std::optional<time_point> nextUpdate; ///< when the row is to be updated; not set: no need is known
         std::map<std::string, time_point> seenAt; ///< versions with upstreams, and when they were last seen
+        std::map<std::string, time_point> firstSeenAt; ///< as above, and when they were first seen
         lookup_requests nextLookups; ///< requests for the next read
     };
 
     static bool hasSeveral(const service_state &state);
     static std::string keyOf(const std::string &service);
     void noteUpstreams(service_state &state, const std::string &service) const;
-    bool needsUpdate(const service_state &state, bool holdsDuties) const;
+    bool hasListedUpstream(const std::string &service, const service_state &state) const;
+    std::set<std::string> versionsToAdd(const std::string &service, const service_state &state) const;
+    bool needsUpdate(const std::string &service, const service_state &state, bool holdsDuties) const;
     std::set<std::string> expiredVersions(const service_state &state) const;
+    void updateIfDue(const std::string &service, bool holdsDuties);
     void update(const std::string &service, bool holdsDuties);
     void write(const std::string &service, const std::optional<cloud::table_row> &current, bool holdsDuties);
     void applyRow(const std::string &service, const cloud::table_row &row);
@@ -102,6 +112,7 @@
     cloud::table_service &m_table;
     const upstream_directory &m_upstreams;
     std::function<std::int64_t()> m_wallMilliseconds;
+    time_point m_startedAt;
     std::set<std::string> m_services;
     std::map<std::string, service_state> m_states;
     row_handler m_onRowRead;
