--- a/libraries/relay/call_admission.cpp
+++ b/libraries/relay/call_admission.cpp
@@ -55,16 +55,28 @@
                         : account.unitsWithoutUsage;
 }
 
+/// Counts a call that was checked against its account's limit.
+void countCall(const call_environment &environment, const std::string &account, std::uint32_t priority,
+               const char *outcome)
+{
+    environment.metrics.add(
+        "ivypier_account_calls_total",
+        {{"account", account}, {"priority", std::to_string(priority)}, {"outcome", outcome}});
+}
+
 void logOverLimit(const call_environment &environment, const call &request, const client_account &account,
-                  double units, duration wait)
+                  double units, std::uint32_t priority, duration wait)
 {
     const quota_state state = environment.quota.stateOf(account.name);
     log_event(log_level::info, "call.over_limit")
         .with("request", request.id)
         .with("account", account.name)
         .with("units", units)
+        .with("priority", static_cast<std::int64_t>(priority))
         .with("bucket", state.fleetUnits)
+        .with("probability", state.admissionProbability)
         .with("others_per_second", state.remoteUnitsPerSecond)
+        .with("report_age_ms", milliseconds(state.reportAge))
         .with("silent_nodes", state.silentFraction)
         .with("cut_off", state.isCutOff ? "yes" : "no")
         .with("wait_ms", milliseconds(wait))
@@ -102,9 +114,11 @@
         = request.size ? result.account->priority.value_or(result.matched->priority) : 0;
     const duration wait = environment.quota.take(result.account->name, units, priority);
     if (wait > duration::zero()) {
-        logOverLimit(environment, request, *result.account, units, wait);
+        logOverLimit(environment, request, *result.account, units, priority, wait);
+        countCall(environment, result.account->name, priority, "refused");
         return refused(result, status_too_many_requests, "account_limit", spreadReturn(randomness, wait));
     }
+    countCall(environment, result.account->name, priority, "admitted");
     result.unitsTaken = units;
     return result;
 }
--- a/libraries/relay/unit_quota.cpp
+++ b/libraries/relay/unit_quota.cpp
@@ -18,8 +18,8 @@
 /// that are cut off stays within the tolerance of a limit.
 constexpr double max_saved_call_fraction = 1.0 / 3.0;
 
-/// Lower bound of the admitted fraction in the estimate of the wait.
-constexpr double min_admitted_fraction = 0.1;
+/// Lower bound of the probability of admission in the estimate of the wait.
+constexpr double min_wait_probability = 0.1;
 
 } // namespace
 
@@ -233,6 +233,7 @@
 {
     // The credit spaces the admitted calls evenly; it starts at a random level, so that the nodes differ.
     const double probability = limit.threshold.probabilityOf(weightedUnits, fraction);
+    limit.admissionProbability = probability;
     limit.admissionCredit = std::min(limit.admissionCredit + probability, 1.0 + probability);
     if (limit.admissionCredit < 1.0)
         return false;
@@ -255,7 +256,7 @@
     const double fraction = admittedFraction(limit, held - unreported);
     if (fraction >= 1.0 || admitsFraction(limit, weightedUnits, fraction))
         return duration::zero();
-    return fromSeconds(seconds(m_reportAge) / std::max(fraction, min_admitted_fraction));
+    return fromSeconds(seconds(m_reportAge) / std::max(limit.admissionProbability, min_wait_probability));
 }
 
 void unit_quota::refund(const std::string &account, double units)
@@ -300,7 +301,8 @@
         return {};
     bucket now = found->second;
     refill(now);
-    return {now.fleetUnits, now.remoteUsage.perSecond, m_silentFraction, isCutOff()};
+    return {now.fleetUnits, now.remoteUsage.perSecond, m_silentFraction,
+            m_reportAge,    now.admissionProbability,  isCutOff()};
 }
 
 std::map<std::string, std::uint64_t> unit_quota::localUsage() const
--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -52,6 +52,8 @@
     double fleetUnits = 0.0; ///< in the fleet bucket; negative: a debt
     double remoteUnitsPerSecond = 0.0; ///< recent usage on other nodes
     double silentFraction = 0.0;
+    duration reportAge{}; ///< average age of the other nodes' reports
+    double admissionProbability = 1.0; ///< of the last call that did not fit into the bucket as a whole
     bool isCutOff = false; ///< no reports of other nodes arrive
 
     auto operator<=>(const quota_state &) const = default;
@@ -137,6 +139,7 @@
         double withheldUnits = 0.0; ///< deducted from fleetUnits for the nodes that stopped reporting
         double admissionCredit = 0.0; ///< calls that may be admitted while only a fraction is
         admission_threshold threshold;
+        double admissionProbability = 1.0; ///< of the last call that was not covered
         double taken = 0.0;
         double refused = 0.0;
         decaying_rate remoteUsage;
