--- a/libraries/fleet/origin_exchange.cpp
+++ b/libraries/fleet/origin_exchange.cpp
@@ -117,7 +117,9 @@
         if (std::exchange(known->second, *recorder) != *recorder && !isNew)
             takenOver.insert(shard);
     }
+#ifndef IVYPIER_MUTANT_ORIGIN_RESEND
     storeOwnRecords(m_storedServices, added, takenOver);
+#endif
 }
 
 /// Sends the records of this node's streams of the services that were added, and of the shards that another
--- a/libraries/fleet/origin_recorder.h
+++ b/libraries/fleet/origin_recorder.h
@@ -51,6 +51,10 @@
     {
         return m_counters;
     }
+    const origin_counters &counters() const
+    {
+        return m_counters;
+    }
 
 private:
     /// Shards above this number are not valid; the design size has 16.
--- a/libraries/fleet/origin_shard_writer.cpp
+++ b/libraries/fleet/origin_shard_writer.cpp
@@ -56,6 +56,9 @@
 
 bool origin_shard_writer::isRestored() const
 {
+#ifdef IVYPIER_MUTANT_ORIGIN_RESTORE
+    return false;
+#endif
     return m_hasEra && m_table.era() != m_era;
 }
 
--- a/libraries/fleet/tests/stored_origins_release_test.cpp
+++ b/libraries/fleet/tests/stored_origins_release_test.cpp
@@ -183,3 +183,20 @@
     CHECK(found->isConflicting);
     CHECK_FALSE(found->origin);
 }
+
+TEST_CASE("streams go on after the loss of all nodes, of which the recorder was killed before", "[stored]")
+{
+    for (const auto since : {1000ms, 2500ms, 4000ms}) {
+        const total counted = killedDuring([since](released_fleet &fleet) {
+            fleet.setServing("v2", true);
+            fleet.run(4s, streams_per_second);
+            fleet.kill(fleet.busiestRecorder());
+            fleet.run(since, streams_per_second);
+        });
+        INFO(since.count() << " ms: " << counted.continued << " of " << counted.resumed);
+        // For two seconds records go to the killed recorder; they are sent again when that is known.
+        if (since > 2s)
+            CHECK(counted.share() >= min_continued_share);
+        CHECK(counted.joined == 0);
+    }
+}
--- a/libraries/relay/version_register.cpp
+++ b/libraries/relay/version_register.cpp
@@ -172,7 +172,11 @@
                                                       const service_state &state) const
 {
     // Without an upstream of a listed version no new stream could begin during the delays.
+#ifdef IVYPIER_MUTANT_VERSION_DELAY
+    const bool mayWait = false;
+#else
     const bool mayWait = hasListedUpstream(service, state);
+#endif
     std::set<std::string> result;
     for (const auto &[version, seenAt] : state.seenAt) {
         if (m_tasks.now() - seenAt > version_retention || state.row.versions.contains(version))
--- a/services/edge/origin_metrics.cpp
+++ b/services/edge/origin_metrics.cpp
@@ -2,7 +2,7 @@
 
 namespace ivypier::edge {
 
-void setOriginMetrics(metrics_registry &metrics, fleet::origin_recorder &recorder)
+void setOriginMetrics(metrics_registry &metrics, const fleet::origin_recorder &recorder)
 {
     const fleet::origin_counters &counts = recorder.counters();
     metrics.set("ivypier_stored_origins_pending", {}, static_cast<double>(recorder.pendingCount()));
--- a/services/edge/origin_metrics.h
+++ b/services/edge/origin_metrics.h
@@ -6,6 +6,6 @@
 namespace ivypier::edge {
 
 /// Sets the metrics of the stored records of where streams began.
-void setOriginMetrics(metrics_registry &metrics, fleet::origin_recorder &recorder);
+void setOriginMetrics(metrics_registry &metrics, const fleet::origin_recorder &recorder);
 
 } // namespace ivypier::edge
