Upstreams are selected by the expected time to the first event

Cause: the selector compares calls in flight. Upstreams whose speeds differ (0.6, 1.0, 1.6) or that became 7.5 times slower fill up to the same number of calls, and their calls are late.

Ruled out: the mean gap between events as a measure of speed (it follows the load: of upstreams alike the means differed by up to 30 in 100; the lower part of the gaps differs by less than 15); the least expected time out of a home, its second and two random upstreams (all nodes see the same loads, 0.4 to 1.2 s old, and choose the same upstreams: 1,447 instead of 720 shared parts read again, late calls doubled with upstreams alike).

Change: relay::upstream_speed learns the pace of events and the response time of plain calls per upstream as decayed sums, shared as two new metric kinds, in turn over eight rounds; a slowdown is shared at once. relay::expected_time_selector takes the first upstream in the ranking of the shared parts whose expected time is not much above that at a mean upstream; other calls the better of two in the own failure domain. Setting upstream_selection (expected_time, prefix_affinity).

--- a/libraries/fleet/domain_sums.cpp
+++ b/libraries/fleet/domain_sums.cpp
@@ -93,6 +93,9 @@
     case metric_kind::silent_nodes:
         from.silentNodes = sample.value;
         return;
+    case metric_kind::upstream_speed: // kept by fleet_aggregator
+    case metric_kind::upstream_slowdown:
+        return;
     }
 }
 
--- a/libraries/fleet/fleet_aggregator.cpp
+++ b/libraries/fleet/fleet_aggregator.cpp
@@ -33,6 +33,8 @@
 
 fleet_aggregator::fleet_aggregator(const clock &time)
     : m_time(time)
+    , m_ownSpeeds(time)
+    , m_domainSpeeds(time)
 {
 }
 
@@ -47,6 +49,7 @@
         m_startedAt = now;
         m_nodes.clear();
         m_loads.clear();
+        m_ownSpeeds.clear();
     }
     m_lastReportAt = now;
     expireNodes();
@@ -55,6 +58,7 @@
         return;
     if (round > entry.round) {
         removeLoads(entry);
+        m_ownSpeeds.dropSlowdowns(node);
         entry.work.clear();
         entry.round = round;
     }
@@ -93,6 +97,10 @@
     case metric_kind::engine_speed:
         entry.work[sample.name].engineTokensPerSecond = static_cast<double>(sample.value);
         return;
+    case metric_kind::upstream_speed:
+    case metric_kind::upstream_slowdown:
+        m_ownSpeeds.put(node, sample);
+        return;
     case metric_kind::runs: // handled above
     case metric_kind::nodes: // only collectors send these
     case metric_kind::silent_nodes:
@@ -160,9 +168,15 @@
             if (entry.failureDomain != failureDomain)
                 continue;
             removeLoads(entry);
+            m_ownSpeeds.drop(node);
             entry.work.clear();
         }
     }
+    m_domainSpeeds.dropSlowdowns(collector);
+    for (const metric_sample &each : samples) {
+        if (each.kind == metric_kind::upstream_speed || each.kind == metric_kind::upstream_slowdown)
+            m_domainSpeeds.put(collector, each);
+    }
     for (const auto &[key, grown] : sums.add(collector, round, samples))
         m_totals[key] += grown;
 }
@@ -206,8 +220,11 @@
         if (isCurrent(entry))
             continue;
         removeLoads(entry);
+        m_ownSpeeds.drop(node);
         entry.work.clear();
     }
+    m_ownSpeeds.expire();
+    m_domainSpeeds.expire();
     std::erase_if(m_nodes, [&](const auto &each) { return now - each.second.reportedAt > node_retention; });
 }
 
@@ -244,7 +261,8 @@
     return count;
 }
 
-std::vector<metric_sample> fleet_aggregator::totalsExcluding(membership::incarnation node) const
+std::vector<metric_sample> fleet_aggregator::totalsExcluding(membership::incarnation node,
+                                                             std::uint64_t round) const
 {
     static const node_state unknownNode;
     const auto found = m_nodes.find(node);
@@ -270,10 +288,14 @@
         if (others > 0)
             result.push_back({metric_kind::load, name, 0, others});
     }
+    const std::vector<metric_sample> speeds
+        = speed_table::totalsExcluding(node, round, m_ownSpeeds, m_domainSpeeds);
+    result.insert(result.end(), speeds.begin(), speeds.end());
     return result;
 }
 
-std::vector<metric_sample> fleet_aggregator::ownSums(std::int64_t firstWindow, bool withLoads) const
+std::vector<metric_sample> fleet_aggregator::ownSums(std::int64_t firstWindow, bool withLoads,
+                                                     std::uint64_t round) const
 {
     const auto reporting = std::count_if(m_nodes.begin(), m_nodes.end(),
                                          [&](const auto &each) { return isCurrent(each.second); });
@@ -285,6 +307,8 @@
         for (const auto &[name, load] : m_loads)
             result.push_back({metric_kind::load, name, 0, load});
         addWork(result, ownWork());
+        const std::vector<metric_sample> speeds = m_ownSpeeds.totals(round);
+        result.insert(result.end(), speeds.begin(), speeds.end());
     }
     for (auto window = m_runs.lower_bound(firstWindow); window != m_runs.end(); ++window) {
         relay::run_counts sum;
--- a/libraries/fleet/fleet_aggregator.h
+++ b/libraries/fleet/fleet_aggregator.h
@@ -4,6 +4,7 @@
 #include "fleet/domain_sums.h"
 #include "fleet/metric_sample.h"
 #include "fleet/report_lifetime.h"
+#include "fleet/speed_table.h"
 #include "membership/member.h"
 #include "relay/run_counter.h"
 #include "relay/work_meter.h"
@@ -35,16 +36,18 @@
     void addDomainSums(const std::string &failureDomain, membership::incarnation collector,
                        std::uint64_t round, const std::vector<metric_sample> &samples);
 
-    /// Returns the units consumed and refused and the loads, summed over all nodes except `node`, and the
-    /// number of silent nodes.
-    std::vector<metric_sample> totalsExcluding(membership::incarnation node) const;
+    /// Returns the units consumed and refused, the loads and the speeds due in the round, summed over all
+    /// nodes except `node`, and the number of silent nodes.
+    std::vector<metric_sample> totalsExcluding(membership::incarnation node, std::uint64_t round = 0) const;
 
     /// Returns true if a collector of another failure domain sent sums within `report_lifetime`.
     bool hasCurrentSums() const;
 
     /// Returns the sums over the nodes that report to this node, for the collectors of other domains. Windows
-    /// before `firstWindow` are left out, and loads and work unless `withLoads` is set.
-    std::vector<metric_sample> ownSums(std::int64_t firstWindow, bool withLoads) const;
+    /// before `firstWindow` are left out, and loads, speeds and work unless `withLoads` is set. Only the
+    /// speeds due in the round are sent.
+    std::vector<metric_sample> ownSums(std::int64_t firstWindow, bool withLoads,
+                                       std::uint64_t round = 0) const;
 
     /// Adds runs of a node that another collector told after that node ended. The node itself does not count
     /// as reporting.
@@ -110,6 +113,8 @@
     running_totals m_ownTotals; ///< over the nodes that report to this node
     running_totals m_totals; ///< as above, with the other domains
     values_by_name m_loads;
+    speed_table m_ownSpeeds; ///< of the nodes that report to this node
+    speed_table m_domainSpeeds; ///< of collectors of other domains; two of one domain may both count
     std::map<std::string, domain_sums> m_domains; ///< domains whose collectors sent sums
     /// Runs that nodes reported to this node, by window and node.
     std::map<std::int64_t, std::map<membership::incarnation, relay::run_counts>> m_runs;
--- a/libraries/fleet/fleet_exchange.cpp
+++ b/libraries/fleet/fleet_exchange.cpp
@@ -14,9 +14,17 @@
 constexpr int max_missed_intervals = 2;
 /// How long the state of a collector that no longer replies is kept.
 constexpr duration collector_retention = std::chrono::seconds(30);
+/// How long the speed of an upstream is used that no collector states any more.
+constexpr duration speed_knowledge_retention = std::chrono::seconds(60);
 /// Number of past usage windows whose runs are kept: two minutes with windows of five seconds.
 constexpr std::int64_t retained_windows = 24;
 
+bool isOfUpstream(metric_kind kind)
+{
+    return kind == metric_kind::load || kind == metric_kind::upstream_speed
+        || kind == metric_kind::upstream_slowdown;
+}
+
 } // namespace
 
 fleet_exchange::fleet_exchange(scheduler &tasks, membership::datagram_channel &channel,
@@ -71,6 +79,9 @@
     std::erase_if(m_collectors, [&](const auto &each) {
         return m_tasks.now() - each.second.lastTotalsAt > collector_retention;
     });
+    std::erase_if(m_speeds, [&](const auto &each) {
+        return m_tasks.now() - each.second.receivedAt > speed_knowledge_retention;
+    });
     selectActiveCollector();
     sendReports(window);
     sendDomainSums(window);
@@ -95,7 +106,7 @@
         report.needsLoads
             = !m_activeCollector || (known != m_collectors.end() && &known->second == m_activeCollector);
         if (each.id == self.id)
-            applyTotals(self.id, m_round, m_aggregator.totalsExcluding(self.id));
+            applyTotals(self.id, m_round, m_aggregator.totalsExcluding(self.id, m_round));
         else
             sendTo(each, report);
     }
@@ -136,7 +147,7 @@
                                 true,
                                 false,
                                 m_aggregator.ownSums(local_metrics::firstReportedWindow(m_round, window),
-                                                     m_topology.isLeadCollector)};
+                                                     m_topology.isLeadCollector, m_round)};
     for (const membership::member &each : m_topology.sumsTargets)
         sendTo(each, message);
 }
@@ -216,9 +227,9 @@
                            sender ? sender->failureDomain : std::string());
     if (!report.isLast)
         return;
-    std::vector<metric_sample> totals = m_aggregator.totalsExcluding(report.sender);
+    std::vector<metric_sample> totals = m_aggregator.totalsExcluding(report.sender, report.round);
     if (!report.needsLoads)
-        std::erase_if(totals, [](const metric_sample &each) { return each.kind == metric_kind::load; });
+        std::erase_if(totals, [](const metric_sample &each) { return isOfUpstream(each.kind); });
     sendTo(from,
            {fleet_message_kind::totals, m_members.self().id, report.round, true, report.needsLoads,
             std::move(totals)});
@@ -269,6 +280,7 @@
     const bool continues = source.round > 0 && now - source.lastTotalsAt <= report_lifetime;
     if (round > source.round) {
         source.loads.clear();
+        source.slowdowns.clear();
         source.silentNodes = 0;
     }
     source.round = round;
@@ -280,6 +292,10 @@
             source.loads[each.name] = each.value;
         else if (each.kind == metric_kind::silent_nodes)
             source.silentNodes = each.value;
+        else if (each.kind == metric_kind::upstream_slowdown)
+            source.slowdowns[each.name] = toSums(each);
+        else if (each.kind == metric_kind::upstream_speed)
+            applySpeed(each);
         else if (each.kind == metric_kind::consumed || each.kind == metric_kind::refused)
             applyRunningTotal(source, each, isActive);
     }
@@ -298,6 +314,25 @@
     last = sample.value;
 }
 
+void fleet_exchange::applySpeed(const metric_sample &sample)
+{
+    m_speeds[sample.name] = {toSums(sample), m_tasks.now()};
+}
+
+relay::remote_speed fleet_exchange::remoteSpeed(const std::string &upstream) const
+{
+    const std::string digest = upstreamDigest(upstream);
+    relay::remote_speed result;
+    if (const auto found = m_speeds.find(digest); found != m_speeds.end())
+        result.steady = found->second.sums;
+    if (!m_activeCollector)
+        return result;
+    const auto found = m_activeCollector->slowdowns.find(digest);
+    if (found != m_activeCollector->slowdowns.end())
+        result.recent = found->second;
+    return result;
+}
+
 double fleet_exchange::remoteLoad(const std::string &upstream) const
 {
     if (!m_activeCollector)
--- a/libraries/fleet/fleet_exchange.h
+++ b/libraries/fleet/fleet_exchange.h
@@ -59,6 +59,9 @@
     /// Returns the load that the other nodes place on an upstream, in calls; 0 if no totals are available.
     double remoteLoad(const std::string &upstream) const;
 
+    /// Returns the sums of the other nodes for the speed of an upstream, empty if none are known.
+    relay::remote_speed remoteSpeed(const std::string &upstream) const;
+
     /// Returns the aggregate of all reports that this node received, its own included.
     const fleet_aggregator &aggregator() const
     {
@@ -102,6 +105,12 @@
         std::map<metric_key, std::uint64_t> runningTotals;
         /// Hashed, because it is read for each upstream of each call.
         std::unordered_map<std::string, std::uint64_t> loads;
+        std::unordered_map<std::string, relay::speed_sums> slowdowns;
+    };
+    struct known_speed
+    {
+        relay::speed_sums sums;
+        time_point receivedAt{};
     };
 
     void runReportRound();
@@ -115,6 +124,7 @@
     void markGoneNodes();
     void applyTotals(membership::incarnation from, std::uint64_t round,
                      const std::vector<metric_sample> &metricSamples);
+    void applySpeed(const metric_sample &sample);
     void applyRunningTotal(collector &source, const metric_sample &sample, bool isActive) const;
     void sendTo(const membership::member &to, const fleet_message &message);
     void sendTo(const endpoint &to, const fleet_message &message);
@@ -137,6 +147,8 @@
     std::uint64_t m_round = 0;
     std::uint64_t m_bytesSent = 0;
     std::map<membership::incarnation, collector> m_collectors;
+    /// Sent in turn over several rounds, and kept when another collector is used.
+    std::unordered_map<std::string, known_speed> m_speeds;
     const collector *m_activeCollector = nullptr; ///< the collector whose totals are used
     bool m_hasRemoteCollector = false;
     duration m_interval = min_report_interval;
--- a/libraries/fleet/local_metrics.cpp
+++ b/libraries/fleet/local_metrics.cpp
@@ -1,6 +1,7 @@
 #include "fleet/local_metrics.h"
 
 #include "base/hash.h"
+#include "fleet/speed_table.h"
 
 #include <map>
 
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr std::size_t upstream_digest_length = 6;
+/// A node reports the speed of each upstream that it knows once in so many rounds.
+constexpr std::uint64_t speed_report_rounds = 8;
 
 } // namespace
 
@@ -18,11 +21,13 @@
 }
 
 local_metrics::local_metrics(const relay::unit_quota &quota, const relay::run_counter &runs,
-                             const relay::upstream_directory &upstreams, const relay::work_meter &work)
+                             const relay::upstream_directory &upstreams, const relay::work_meter &work,
+                             const relay::upstream_speed &speeds)
     : m_quota(quota)
     , m_runs(runs)
     , m_upstreams(upstreams)
     , m_work(work)
+    , m_speeds(speeds)
 {
 }
 
@@ -49,6 +54,7 @@
             metricSamples.push_back({metric_kind::load, upstreamDigest(each->record.id), 0,
                                      static_cast<std::uint64_t>(each->load() * load_units_per_call)});
     }
+    addSpeeds(metricSamples, round);
     for (std::int64_t each = firstReportedWindow(round, window); each <= window; ++each) {
         for (const auto &[account, count] : m_runs.countsOf(each))
             metricSamples.push_back({metric_kind::runs, account, each, count});
@@ -56,4 +62,16 @@
     return metricSamples;
 }
 
+void local_metrics::addSpeeds(std::vector<metric_sample> &to, std::uint64_t round) const
+{
+    for (const std::string &each : m_speeds.known()) {
+        const relay::remote_speed own = m_speeds.ownSums(each);
+        const std::string digest = upstreamDigest(each);
+        if (own.steady.expected > 0.0 && isSpeedDue(digest, round, speed_report_rounds))
+            to.push_back(toSample(metric_kind::upstream_speed, digest, own.steady));
+        if (own.recent.expected > 0.0)
+            to.push_back(toSample(metric_kind::upstream_slowdown, digest, own.recent));
+    }
+}
+
 } // namespace ivypier::fleet
--- a/libraries/fleet/local_metrics.h
+++ b/libraries/fleet/local_metrics.h
@@ -4,6 +4,7 @@
 #include "relay/run_counter.h"
 #include "relay/unit_quota.h"
 #include "relay/upstream_directory.h"
+#include "relay/upstream_speed.h"
 #include "relay/work_meter.h"
 
 #include <vector>
@@ -29,7 +30,8 @@
     static constexpr std::uint64_t rounds_per_resend = 4;
 
     local_metrics(const relay::unit_quota &quota, const relay::run_counter &runs,
-                  const relay::upstream_directory &upstreams, const relay::work_meter &work);
+                  const relay::upstream_directory &upstreams, const relay::work_meter &work,
+                  const relay::upstream_speed &speeds);
 
     /// Returns the first usage window whose runs are part of the report of a round.
     static std::int64_t firstReportedWindow(std::uint64_t round, std::int64_t window);
@@ -38,10 +40,13 @@
     std::vector<metric_sample> collect(std::uint64_t round, std::int64_t window) const;
 
 private:
+    void addSpeeds(std::vector<metric_sample> &to, std::uint64_t round) const;
+
     const relay::unit_quota &m_quota;
     const relay::run_counter &m_runs;
     const relay::upstream_directory &m_upstreams;
     const relay::work_meter &m_work;
+    const relay::upstream_speed &m_speeds;
 };
 
 } // namespace ivypier::fleet
--- a/libraries/fleet/metric_sample.h
+++ b/libraries/fleet/metric_sample.h
@@ -17,9 +17,12 @@
     refused, ///< units refused because of an account's limit since the reporting node started
     nodes, ///< nodes that report to the sending collector
     silent_nodes, ///< nodes that stopped reporting without leaving
+    upstream_speed, ///< decayed milliseconds that calls at an upstream took; `window`: that they were
+                    ///< expected to
+    upstream_slowdown, ///< the same over the last second, from nodes to which the upstream became slow
 };
 
-inline constexpr auto last_metric_kind = metric_kind::silent_nodes;
+inline constexpr auto last_metric_kind = metric_kind::upstream_slowdown;
 
 /// Identifies a running total: its kind and the account.
 using metric_key = std::pair<metric_kind, std::string>;
@@ -29,7 +32,7 @@
 {
     metric_kind kind = metric_kind::consumed;
     std::string name;
-    std::int64_t window = 0; ///< usage window of a `runs` sample; 0 for the other kinds
+    std::int64_t window = 0; ///< usage window of a `runs` sample; see the kinds of speeds; 0 for the others
     std::uint64_t value = 0;
 
     auto operator<=>(const metric_sample &) const = default;
--- a/libraries/fleet/tests/stated_limit_test.cpp
+++ b/libraries/fleet/tests/stated_limit_test.cpp
@@ -233,6 +233,7 @@
         relay::unit_quota quota{fleet.time, randomness};
         relay::run_counter runs{5000};
         relay::work_meter work{fleet.time};
+        relay::upstream_speed speeds{fleet.time};
         own_bucket_permits ownBucket{
             fleet.time,
             fleet.chosenPolicy == policy::own_bucket ? 1.0 : 1.0 / static_cast<double>(fleet.members.size())};
@@ -258,6 +259,7 @@
                                     quota,
                                     runs,
                                     work,
+                                    speeds,
                                     usedPermits,
                                     origins,
                                     versions,
--- a/libraries/relay/call_environment.h
+++ b/libraries/relay/call_environment.h
@@ -17,6 +17,7 @@
 #include "relay/upstream_end_detector.h"
 #include "relay/upstream_protocol.h"
 #include "relay/upstream_selector.h"
+#include "relay/upstream_speed.h"
 #include "relay/work_meter.h"
 
 #include <functional>
@@ -37,6 +38,7 @@
     unit_quota &quota;
     run_counter &runs;
     work_meter &work;
+    upstream_speed &speeds;
     call_permits &permits;
     stream_origins &origins;
     service_versions &versions;
--- a/libraries/relay/prefix_affinity_selector.cpp
+++ b/libraries/relay/prefix_affinity_selector.cpp
@@ -1,33 +1,12 @@
 #include "relay/prefix_affinity_selector.h"
 
 #include "base/hash.h"
+#include "relay/shared_prefix.h"
 
 #include <algorithm>
 
 namespace ivypier::relay {
 
-namespace {
-
-/// Returns a hash of the prompt parts that other prompts may share: all but the last, which is specific to
-/// this call or its session. A prompt with only one part is hashed whole. Returns 0 without parts.
-std::uint64_t sharedPrefix(const prompt_size &size)
-{
-    if (size.parts.empty())
-        return 0;
-    std::string ids;
-    const std::size_t shared = std::max<std::size_t>(size.parts.size() - 1, 1);
-    for (std::size_t index = 0; index < shared; ++index)
-        ids += std::to_string(size.parts[index].id) + ',';
-    return hash64(ids);
-}
-
-} // namespace
-
-std::uint64_t selection_request::work() const
-{
-    return request->size ? request->size->promptTokens + request->size->answerTokens : 1;
-}
-
 prefix_affinity_selector::prefix_affinity_selector(const clock &time, random_source &randomness,
                                                    const upstream_directory &upstreams,
                                                    std::string failureDomain, remote_load remoteLoad,
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -3,6 +3,7 @@
 #include "base/status_codes.h"
 #include "relay/call_log.h"
 #include "relay/return_time.h"
+#include "relay/shared_prefix.h"
 
 #include <utility>
 
@@ -38,10 +39,8 @@
 
 std::uint64_t relayed_call::uncachedTokens() const
 {
-    if (!m_call.size)
-        return 0;
     // The parts before the last are shared with other prompts, and usually cached at the selected upstream.
-    return m_call.size->parts.empty() ? m_call.size->promptTokens : m_call.size->parts.back().tokens;
+    return m_call.size ? ownTokens(*m_call.size) : 0;
 }
 
 std::string relayed_call::upstreamId() const
@@ -161,7 +160,8 @@
         m_environment.retries.recordFirstAttempt(m_serviceName);
     if (m_call.size)
         m_environment.work.recordSent(m_serviceName, uncachedTokens());
-    m_attempt = std::make_unique<upstream_attempt>(m_environment, m_call, chosen, uncachedTokens());
+    m_attempt = std::make_unique<upstream_attempt>(m_environment, m_call, chosen,
+                                                   m_environment.selector.tokensToRead(m_call, chosen));
     const attempt details = attemptDetails(m_attempt->to());
     if (details.lastEvent)
         m_resumption->logContinuation(m_attempt->to(), *details.lastEvent, m_answer.hasBegun());
@@ -357,9 +357,8 @@
 
 void relayed_call::recordEvents()
 {
-    m_attempt->recordPrefillDone();
     countRun();
-    m_attempt->setAnswerBegan();
+    m_attempt->recordEvents(m_answer.events()->lastEvent());
     const time_point beganAt = *m_attempt->answerBeganAt();
     const bool hasSurvived = m_environment.tasks.now() - beganAt >= crash_survival_time;
     if (hasSurvived && !std::exchange(m_attempt->isSurvivalRecorded, true))
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -279,6 +279,7 @@
     unit_quota quota{time, randomness};
     run_counter runs{5000};
     work_meter work{time};
+    upstream_speed speeds{time};
     fake_permits permits;
     fake_origins origins;
     fake_versions versions;
@@ -301,6 +302,7 @@
                          quota,
                          runs,
                          work,
+                         speeds,
                          permits,
                          origins,
                          versions,
--- a/libraries/relay/tests/relayed_call_test.cpp
+++ b/libraries/relay/tests/relayed_call_test.cpp
@@ -27,16 +27,14 @@
 TEST_CASE("a call before the first configuration is refused with Retry-After")
 {
     relay_fixture fixture;
-    relay_service empty{{fixture.time,     fixture.randomness,
-                         fixture.metrics,  fixture.transport,
-                         fixture.protocol, fixture.upstreams,
-                         fixture.selector, fixture.retries,
-                         fixture.quota,    fixture.runs,
-                         fixture.work,     fixture.permits,
-                         fixture.origins,  fixture.versions,
-                         fixture.buffers,  fixture.quarantine,
-                         fixture.ends,     fixture.crashKeys,
-                         [] { return 0; }, [](const service &) { return std::size_t{8}; }}};
+    relay_service empty{
+        {fixture.time,      fixture.randomness, fixture.metrics,
+         fixture.transport, fixture.protocol,   fixture.upstreams,
+         fixture.selector,  fixture.retries,    fixture.quota,
+         fixture.runs,      fixture.work,       fixture.speeds,
+         fixture.permits,   fixture.origins,    fixture.versions,
+         fixture.buffers,   fixture.quarantine, fixture.ends,
+         fixture.crashKeys, [] { return 0; },   [](const service &) { return std::size_t{8}; }}};
     auto answer = std::make_shared<received_response>();
     empty.handle({}, std::make_shared<fake_reply>(answer));
     CHECK(answer->status == 503);
--- a/libraries/relay/tests/resumption_under_load_test.cpp
+++ b/libraries/relay/tests/resumption_under_load_test.cpp
@@ -282,6 +282,7 @@
                                quota,
                                runs,
                                loadMeter,
+                               speeds,
                                rates,
                                origins,
                                versions,
--- a/libraries/relay/upstream_attempt.h
+++ b/libraries/relay/upstream_attempt.h
@@ -33,8 +33,8 @@
     /// Records that the answer has begun with its first event, or with its head if it is no stream.
     void setAnswerBegan();
 
-    /// Records that the upstream has processed the prompt.
-    void recordPrefillDone();
+    /// Records that events of a stream arrived, up to number `last` if they are numbered.
+    void recordEvents(std::optional<std::uint64_t> last);
 
     bool isRunning() const
     {
@@ -67,12 +67,18 @@
     bool isSurvivalRecorded = false; ///< that the upstream went on with the answer for long
 
 private:
+    void recordPace(std::uint64_t events);
+
     call_environment &m_environment;
     const call &m_call;
     upstream_record m_to;
     std::uint64_t m_pendingPrefillTokens; ///< prompt tokens that the upstream has yet to process
     time_point m_sentAt;
     std::optional<time_point> m_answerBeganAt;
+    std::uint64_t m_speedTicket = 0;
+    std::optional<std::uint64_t> m_lastEvent;
+    std::uint64_t m_uncountedEvents = 0; ///< that arrived after `m_countedAt`
+    time_point m_countedAt{};
     std::unique_ptr<http::outgoing_exchange> m_exchange;
     bool m_isAnswering = false;
 };
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -43,6 +43,9 @@
         startWait(each, wait.mapped());
     const bool wasDraining = !isNew && each.record.draining;
     const bool startsDraining = record.draining && !wasDraining;
+    if (isNew || startsDraining || each.record.service != record.service
+        || each.record.failureDomain != record.failureDomain)
+        ++m_revision;
     each.record = record;
     each.record.softwareVersion = softwareVersionOf(record);
     // An incarnation that drains ends: a row that states otherwise is older.
@@ -81,6 +84,7 @@
     m_waits[id] = found->second.waitUntil;
     m_softwareVersions[id].listedAt = m_time.now();
     m_upstreams.erase(found);
+    ++m_revision;
     forgetLeft();
     if (record.draining)
         m_left[id] = m_time.now();
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -89,6 +89,13 @@
     /// Returns the upstreams of a service that accept new calls, including ejected ones.
     std::vector<const upstream *> ready(const std::string &service) const;
 
+    /// Returns a number that changes whenever ready() may return other upstreams for a service. Pointers to
+    /// upstreams are valid until it changes.
+    std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+
     /// Returns all listed upstreams.
     std::vector<const upstream *> all() const;
 
@@ -128,6 +135,7 @@
     void forgetLeft();
 
     const clock &m_time;
+    std::uint64_t m_revision = 1;
     std::map<std::string, upstream> m_upstreams;
     std::map<std::string, time_point> m_left; ///< upstreams that drained, and when they were removed
     std::map<std::string, time_point> m_waits; ///< ends of the waits of upstreams that are not listed now
--- a/libraries/relay/upstream_selector.h
+++ b/libraries/relay/upstream_selector.h
@@ -34,6 +34,10 @@
 
     /// Returns the load of an upstream in calls, as far as this node knows the calls of other nodes.
     virtual double loadOf(const upstream &each) const = 0;
+
+    /// Returns the prompt tokens of a call that the upstream has to read, as far as the selector knows what
+    /// it keeps. By default the shared parts count as kept at the upstream that was selected.
+    virtual std::uint64_t tokensToRead(const call &request, const upstream_record &at);
 };
 
 } // namespace ivypier::relay
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -31,6 +31,7 @@
 #include "platform/lookup_codec.h"
 #include "platform/runner_protocol.h"
 #include "platform/store_client.h"
+#include "relay/expected_time_selector.h"
 #include "relay/prefix_affinity_selector.h"
 #include "relay/quarantine_register.h"
 #include "relay/relay_service.h"
@@ -104,15 +105,14 @@
     adapter::cloud_client cloud{platformCalls, settings.cloud, settings.name};
     relay::upstream_directory upstreams{tasks};
     adapter::runner_protocol protocol;
-    relay::prefix_affinity_selector upstreamSelector{
-        tasks, randomness, upstreams, settings.failureDomain,
-        [this](const std::string &id) { return fleetExchange.remoteLoad(id); }};
+    relay::upstream_speed upstreamSpeeds{tasks};
+    std::unique_ptr<relay::upstream_selector> upstreamSelector = makeSelector();
     relay::retry_budget retryBudget{tasks,
                                     {node_retry_share * settings.retryRatio, 0.0, settings.retryWindow}};
     relay::unit_quota quota{tasks, randomness};
     relay::run_counter runCounter{milliseconds(settings.usageWindow)};
     relay::work_meter workMeter{tasks};
-    fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter};
+    fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter, upstreamSpeeds};
     fleet::fleet_exchange fleetExchange;
     fleet::permit_exchange permits;
     fleet::origin_exchange origins;
@@ -134,11 +134,12 @@
                                        upstreamConnections,
                                        protocol,
                                        upstreams,
-                                       upstreamSelector,
+                                       *upstreamSelector,
                                        retryBudget,
                                        quota,
                                        runCounter,
                                        workMeter,
+                                       upstreamSpeeds,
                                        permits,
                                        origins,
                                        versions,
@@ -186,6 +187,7 @@
     void handleControl(const http::incoming_request &incoming, const std::shared_ptr<http::reply> &to);
     void handleMetrics(const http::incoming_request &incoming, http::reply &to);
     void handleQuarantine(const http::incoming_request &incoming, http::reply &to);
+    std::unique_ptr<relay::upstream_selector> makeSelector();
     void startVersions();
     void applyConfiguration(std::shared_ptr<const relay::route_table> table);
     void update();
@@ -289,6 +291,7 @@
 {
     startedAt = tasks.now();
     quota.setTolerance(settings.limitTolerance);
+    upstreamSpeeds.setRemote([this](const std::string &id) { return fleetExchange.remoteSpeed(id); });
     tables.start();
     members.start();
     fleetExchange.start();
@@ -309,6 +312,16 @@
         .write();
 }
 
+std::unique_ptr<relay::upstream_selector> edge_node::edge_components::makeSelector()
+{
+    const auto remoteLoad = [this](const std::string &id) { return fleetExchange.remoteLoad(id); };
+    if (settings.selection == upstream_selection::prefix_affinity)
+        return std::make_unique<relay::prefix_affinity_selector>(tasks, randomness, upstreams,
+                                                                 settings.failureDomain, remoteLoad);
+    return std::make_unique<relay::expected_time_selector>(tasks, randomness, upstreams, upstreamSpeeds,
+                                                           settings.failureDomain, remoteLoad);
+}
+
 void edge_node::edge_components::startVersions()
 {
     versions.onRowRead([this](const std::string &service, std::uint64_t rowVersion, const std::string &text) {
@@ -374,7 +387,7 @@
 void edge_node::edge_components::handleMetrics(const http::incoming_request &incoming, http::reply &to)
 {
     if (incoming.head.path() == "/upstreams") {
-        const upstream_knowledge known{upstreams, upstreamSelector, permits.limits(), versions.listed(),
+        const upstream_knowledge known{upstreams, *upstreamSelector, permits.limits(), versions.listed(),
                                        tasks.now()};
         to.send(status_ok, {{"Content-Type", "application/json"}}, writeJson(reportUpstreams(known)));
         return;
@@ -491,6 +504,7 @@
 {
     tasks.after(update_interval, [this] { update(); });
     census.update();
+    upstreamSpeeds.forgetIdle();
     quota.setNodes(nodeCount());
     quota.setRemoteReporting(fleetExchange.hasRemoteCollector(), fleetExchange.reportAge());
     quota.setSilentFraction(fleetExchange.silentFraction(nodeCount()), fleet::silent_node_age);
--- a/services/edge/edge_settings.cpp
+++ b/services/edge/edge_settings.cpp
@@ -9,6 +9,8 @@
 
 /// A twentieth of the memory of the smallest VM.
 constexpr std::int64_t default_answer_buffer_bytes = std::int64_t{8} * 1024 * 1024;
+constexpr const char *expected_time_name = "expected_time";
+constexpr const char *prefix_affinity_name = "prefix_affinity";
 constexpr std::int64_t min_answer_buffer_bytes = std::int64_t{64} * 1024;
 constexpr std::int64_t max_answer_buffer_bytes = std::int64_t{1} << 40;
 
@@ -58,6 +60,11 @@
     result.retrySlack = root.requiredNumber("repeat_slack", 0.0, 1e6);
     result.retryWindow = requiredMilliseconds(root, "repeat_window_ms", 100, 600'000);
     result.limitTolerance = root.requiredNumber("limit_tolerance", 0.0, 1e12);
+    const std::string selection = root.optionalString("upstream_selection", expected_time_name);
+    if (selection == prefix_affinity_name)
+        result.selection = upstream_selection::prefix_affinity;
+    else if (selection != expected_time_name)
+        root.fault("upstream_selection", "expected \"expected_time\" or \"prefix_affinity\"");
     root.finish();
     std::vector<settings_error> faults = root.faults();
     if (!faults.empty())
--- a/services/edge/edge_settings.h
+++ b/services/edge/edge_settings.h
@@ -11,6 +11,12 @@
 
 namespace ivypier::edge {
 
+/// How an edge node selects upstreams.
+enum class upstream_selection {
+    expected_time, ///< relay::expected_time_selector
+    prefix_affinity, ///< relay::prefix_affinity_selector
+};
+
 /// Settings of an edge node.
 struct edge_settings
 {
@@ -42,6 +48,8 @@
     duration retryWindow{};
     double limitTolerance = 0.0; ///< units by which an account may exceed its limit, across all nodes
 
+    upstream_selection selection = upstream_selection::expected_time;
+
     bool operator==(const edge_settings &) const = default;
 };
 
