A slowdown is a run of slow observations; tests of uneven upstreams

Cause: a node with one stream at an upstream never saw its slowdown, because the decayed count of observations stayed below the bound, and the sums of before diluted the ratio (test "a slowdown is seen within 1.2 s"). The bound of 1.4 mean times moved too many calls away from their homes.

--- a/libraries/relay/expected_time_selector.cpp
+++ b/libraries/relay/expected_time_selector.cpp
@@ -18,7 +18,7 @@
 /// mean upstream times `time_bound`, plus the delay of `slack_calls`. The loads of other nodes are up to 1.2
 /// s old: choosing the least of several expected times instead made all nodes choose the same upstreams, and
 /// read shared parts again 1,447 instead of 720 times in 24 s.
-constexpr double time_bound = 1.4;
+constexpr double time_bound = 1.7;
 constexpr double slack_calls = 3.0;
 /// Upstreams of a prefix's ranking that are assumed to keep the shared parts.
 constexpr std::ptrdiff_t kept_ranks = 2;
--- a/libraries/relay/tests/uneven_fleet.h
+++ b/libraries/relay/tests/uneven_fleet.h
@@ -24,7 +24,6 @@
     std::uint64_t prefixes = 0;
     double targetMs = 0.0;
     double gapMs = 0.0; ///< 0: none
-    double answerTokens = 160.0;
 };
 
 struct fleet_options
@@ -42,6 +41,7 @@
     double busyDomainDemand = 1.0; ///< of the first failure domain, relative to the others
     double reportsLostFromS = 1e9;
     double reportsLostToS = 1e9;
+    double answerTokens = 160.0; ///< in the mean
     std::uint64_t seed = 1;
 };
 
@@ -277,7 +277,7 @@
         const std::uint64_t prefix = sent.prefixes > 0 ? 1 + m_random.index(sent.prefixes) : 0;
         call request;
         request.size = prompt_size{static_cast<std::uint64_t>(sent.ownTokens + sent.sharedTokens),
-                                   static_cast<std::uint64_t>(sent.answerTokens),
+                                   static_cast<std::uint64_t>(m_options.answerTokens),
                                    {}};
         if (prefix > 0)
             request.size->parts = {{prefix, static_cast<std::uint64_t>(sent.sharedTokens)},
@@ -296,7 +296,7 @@
         m_running.emplace(number, running);
         sentTo[engine].push_back(nowMs());
         m_engines[engine].add({number, sent.ownTokens, prefix, sent.sharedTokens,
-                               static_cast<int>(sent.answerTokens * (0.5 + m_random.uniform())),
+                               static_cast<int>(m_options.answerTokens * (0.5 + m_random.uniform())),
                                m_random.uniform() < 0.15});
         if (running.isCounted)
             ++results[kind].calls;
--- a/libraries/relay/upstream_speed.cpp
+++ b/libraries/relay/upstream_speed.cpp
@@ -15,6 +15,7 @@
 /// take, which shows the speed: the upper part shows what else was read there, and single slow calls (15 in
 /// 100 take 2.5 times as long).
 constexpr double weight_above_usual = 0.15;
+constexpr double usual_margin = 1.1;
 /// One observation counts as at most this multiple of the usual in the steady sums.
 constexpr double steady_clip = 3.0;
 /// Steady differences below this factor are taken for noise: upstreams of equal speed are then told apart by
@@ -23,12 +24,13 @@
 constexpr double least_slowness = 0.2;
 constexpr double most_slowness = 20.0;
 /// An upstream is slow for now if its recent calls take this many times longer than usual, over at least
-/// `min_recent_ms` (weighted) and `min_recent_count` observations. A call that takes 2.5 times as long is no
-/// reason: with a threshold of 3.5 and two observations, one upstream in seven of equal speed counted as
-/// slow.
+/// `min_recent_ms` (weighted), and the last `min_slow_in_row` observations all took `slow_observation` times
+/// as long. A call that takes 2.5 times as long is no reason: with a threshold of 3.5 and two observations,
+/// one upstream in seven of equal speed counted as slow.
 constexpr double slowdown_threshold = 4.5;
 constexpr double min_recent_ms = 40.0;
-constexpr double min_recent_count = 4.0;
+constexpr int min_slow_in_row = 4;
+constexpr double slow_observation = 3.0;
 constexpr double recovered_threshold = 1.6;
 /// A slow upstream is taken for this much slower, because the first observations say less.
 constexpr double assumed_slowdown = 7.0;
@@ -87,9 +89,7 @@
     if (elapsed <= duration::zero())
         return;
     of.steady = of.steady * halved(elapsed, steady_half_life_s);
-    const double recentWeight = halved(elapsed, recent_half_life_s);
-    of.recent = of.recent * recentWeight;
-    of.recentCount *= recentWeight;
+    of.recent = of.recent * halved(elapsed, recent_half_life_s);
     of.decayedAt = m_time.now();
 }
 
@@ -99,10 +99,14 @@
     decay(at);
     const speed_sums others = m_remote ? m_remote(upstream).steady : speed_sums();
     const double usual = expected * steadySlowness(at.steady + others);
-    const double weight = observed > usual ? weight_above_usual : 1.0;
+    const double weight = observed > usual_margin * usual ? weight_above_usual : 1.0;
     at.steady += speed_sums{expected, std::min(observed, steady_clip * usual)} * weight;
+    const bool isSlow = observed > slow_observation * usual;
+    // Observations of before the upstream became slow, or fast again, say nothing about its present speed.
+    if (isSlow != (at.slowInRow > 0))
+        at.recent = {};
     at.recent += speed_sums{expected, observed} * weight;
-    at.recentCount += 1.0;
+    at.slowInRow = isSlow ? at.slowInRow + 1 : 0;
     return weight;
 }
 
@@ -168,16 +172,16 @@
 speed_sums upstream_speed::recentWithOverdue(const entry &of, double steady) const
 {
     speed_sums result = of.recent;
-    double count = of.recentCount;
+    int count = of.slowInRow;
     for (const auto &[ticket, each] : of.awaited) {
         const double waited = inMilliseconds(m_time.now() - each.sentAt);
         const double usual = each.expected * steady;
         if (each.work || !each.hasSlot || waited < overdue_factor * usual)
             continue;
         result += speed_sums{each.expected, waited} * weight_above_usual;
-        count += 1.0;
+        ++count;
     }
-    return count < min_recent_count ? speed_sums() : result;
+    return count < min_slow_in_row ? speed_sums() : result;
 }
 
 double upstream_speed::slowdown(const std::string &upstream)
@@ -195,7 +199,8 @@
     double held = of.heldSlowdown > 1.0
         ? std::max(of.heldSlowdown * halved(now - of.heldAt, held_half_life_s), 1.0)
         : 1.0;
-    const bool isRecovered = of.recent.observed >= min_recent_ms && ratio < recovered_threshold;
+    const bool isRecovered
+        = of.recent.observed >= min_recent_ms && of.slowInRow == 0 && ratio < recovered_threshold;
     if (isRecovered)
         held = 1.0;
     if (ratio >= slowdown_threshold)
--- a/libraries/relay/upstream_speed.h
+++ b/libraries/relay/upstream_speed.h
@@ -84,7 +84,7 @@
     {
         speed_sums steady;
         speed_sums recent;
-        double recentCount = 0.0; ///< observations in `recent`
+        int slowInRow = 0; ///< the last observations that took much longer than usual
         time_point decayedAt{};
         std::map<std::uint64_t, awaited_answer> awaited;
         double heldSlowdown = 1.0;
