Tests of the setting upstream_selection and of lost reports

Cause: neither the setting nor the behaviour with reports lost for 5 s was tested.

Ruled out: nothing; no change of the code.

--- a/libraries/relay/tests/uneven_upstreams_test.cpp
+++ b/libraries/relay/tests/uneven_upstreams_test.cpp
@@ -153,6 +153,18 @@
     CHECK(after.total(&class_result::late) <= before.total(&class_result::late) + 10);
 }
 
+// Guards against speeds that do harm when the loads beside them are old.
+TEST_CASE("reports that are lost for 5 s make no more calls late than with loads alone")
+{
+    configureLog("tests", log_level::error);
+    fleet_options options;
+    options.slowFactor = 1.0;
+    options.durationS = 18.0;
+    options.reportsLostFromS = 8.0;
+    options.reportsLostToS = 13.0;
+    CHECK(lateCalls(chooser::expected_time, options) <= lateCalls(chooser::prefix_affinity, options));
+}
+
 TEST_CASE("time of one choice at 4,800 upstreams", "[.benchmark]")
 {
     configureLog("tests", log_level::error);
--- a/services/edge/tests/edge_parts_test.cpp
+++ b/services/edge/tests/edge_parts_test.cpp
@@ -71,6 +71,23 @@
     CHECK(faultPaths("").size() >= 10);
 }
 
+// Guards against a misspelt selection that silently leaves the default in force.
+TEST_CASE("upstream_selection names one of two selectors, by default the expected time")
+{
+    const auto selectionOf = [](const std::string &text) {
+        const auto read = readEdgeSettings(text);
+        REQUIRE(std::holds_alternative<edge_settings>(read));
+        return std::get<edge_settings>(read).selection;
+    };
+    CHECK(selectionOf(validSettings) == upstream_selection::expected_time);
+    CHECK(selectionOf(validSettings + "upstream_selection = \"expected_time\"\n")
+          == upstream_selection::expected_time);
+    CHECK(selectionOf(validSettings + "upstream_selection = \"prefix_affinity\"\n")
+          == upstream_selection::prefix_affinity);
+    CHECK(faultPaths(validSettings + "upstream_selection = \"random\"\n")
+          == std::vector<std::string>{"upstream_selection"});
+}
+
 TEST_CASE("a look-up returns nodes of the caller's failure domain if there are enough, otherwise all")
 {
     const std::vector<membership::member> members{nodeIn("a", 1), nodeIn("a", 2), nodeIn("b", 3),
