--- a/utilities/soak/caller_crowd.cpp
+++ b/utilities/soak/caller_crowd.cpp
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr duration call_timeout = std::chrono::seconds(4);
-/// Share of the callers of streams that leave before the end, and after how many events.
-constexpr double leaving_share = 0.2;
-constexpr std::size_t events_before_leaving = 6;
 /// Share of the calls that hold something that crashes upstreams, while there is something.
 constexpr double crashing_share = 0.1;
 constexpr double stream_share = 0.3;
@@ -44,7 +41,7 @@
         : record(std::move(begun))
         , m_crowd(crowd)
         , m_number(number)
-        , m_leavesEarly(crowd.m_random.uniform() < leaving_share)
+        , m_leavesEarly(crowd.m_random.uniform() < crowd.m_ending.leavingShare)
     {
     }
 
@@ -67,13 +64,14 @@
         m_partial.append(data);
         for (const std::uint64_t each : takeEvents(m_partial))
             record.events.push_back(each);
-        if (m_leavesEarly && record.events.size() >= events_before_leaving)
+        if (m_leavesEarly && record.events.size() >= m_crowd.m_ending.eventsBeforeLeaving)
             end(true);
     }
     void onEnd() override
     {
-        const bool isLast = !record.events.empty() && record.events.back() == stream_events;
-        end(record.type != call_type::stream || isLast || record.lastEvent == stream_events);
+        const auto length = static_cast<std::uint64_t>(m_crowd.m_ending.length);
+        const bool isLast = !record.events.empty() && record.events.back() == length;
+        end(record.type != call_type::stream || isLast || record.lastEvent == length);
     }
     void onFailed(const http::exchange_failure &) override
     {
@@ -106,11 +104,12 @@
 };
 
 caller_crowd::caller_crowd(event_loop &loop, const soak_deployment &deployment, std::uint64_t seed,
-                           double callsPerSecond)
+                           double callsPerSecond, const stream_ending &ending)
     : m_loop(loop)
     , m_deployment(deployment)
     , m_random(seed)
     , m_callsPerSecond(callsPerSecond)
+    , m_ending(ending)
     , m_connections(loop)
 {
 }
--- a/utilities/soak/caller_crowd.h
+++ b/utilities/soak/caller_crowd.h
@@ -20,7 +20,7 @@
 {
 public:
     caller_crowd(event_loop &loop, const soak_deployment &deployment, std::uint64_t seed,
-                 double callsPerSecond);
+                 double callsPerSecond, const stream_ending &ending);
     ~caller_crowd();
 
     void start();
@@ -59,6 +59,7 @@
     const soak_deployment &m_deployment;
     seeded_random m_random;
     double m_callsPerSecond;
+    stream_ending m_ending;
     http::connection_pool m_connections;
     time_point m_startedAt{};
     bool m_isStopped = false;
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -21,6 +21,7 @@
 ABSL_FLAG(std::uint64_t, nodes, 4, "number of nodes");
 ABSL_FLAG(std::uint64_t, upstreams, 6, "number of upstreams");
 ABSL_FLAG(double, callers, 60.0, "calls a second");
+ABSL_FLAG(bool, endless_streams, false, "upstreams never end a stream, and all callers leave theirs");
 ABSL_FLAG(std::string, only, "", "comma-separated kinds of faults; empty: all");
 ABSL_FLAG(std::string, replay, "", "file with the schedule to play");
 
@@ -104,10 +105,12 @@
         return program::exit_usage;
     }
     std::cout << schedule.text() << "logs in " << folder << std::endl;
+    const stream_ending streams
+        = absl::GetFlag(FLAGS_endless_streams) ? stream_ending::never() : stream_ending();
     event_loop loop;
     soak_deployment deployment(loop, absl::GetFlag(FLAGS_bin), folder, networkOfProcess(),
-                               absl::GetFlag(FLAGS_nodes), absl::GetFlag(FLAGS_upstreams));
-    caller_crowd callers(loop, deployment, schedule.seed, absl::GetFlag(FLAGS_callers));
+                               absl::GetFlag(FLAGS_nodes), absl::GetFlag(FLAGS_upstreams), streams.length);
+    caller_crowd callers(loop, deployment, schedule.seed, absl::GetFlag(FLAGS_callers), streams);
     soak_result result;
     const auto finish = [&] {
         deployment.fetchRecord(callers.startedAt(), [&](const std::vector<upstream_record> &upstreams) {
--- a/utilities/soak/soak_deployment.cpp
+++ b/utilities/soak/soak_deployment.cpp
@@ -38,7 +38,8 @@
 } // namespace
 
 soak_deployment::soak_deployment(event_loop &loop, std::string binaries, std::string folder,
-                                 std::string network, std::size_t nodes, std::size_t upstreams)
+                                 std::string network, std::size_t nodes, std::size_t upstreams,
+                                 int streamLength)
     : m_loop(loop)
     , m_connections(loop)
     , m_requests(loop, m_connections)
@@ -46,6 +47,7 @@
     , m_folder(std::move(folder))
     , m_network(std::move(network))
     , m_upstreamCount(upstreams)
+    , m_streamLength(streamLength)
     , m_processes(m_folder)
     , m_nodes(nodes)
 {
@@ -84,7 +86,7 @@
         "platform");
     fetchWords([this, done = std::move(done)] {
         Json::Value streams(Json::objectValue);
-        streams["length"] = stream_events;
+        streams["length"] = m_streamLength;
         control("streams", streams);
         putUpstreams();
         // The platform has all upstreams when the nodes start.
--- a/utilities/soak/soak_deployment.h
+++ b/utilities/soak/soak_deployment.h
@@ -33,9 +33,10 @@
 {
 public:
     /// `folder` is where settings and logs are written; `binaries` has the programs of the build; `network`
-    /// is the beginning of the loopback addresses, e.g. `127.30.7.`.
+    /// is the beginning of the loopback addresses, e.g. `127.30.7.`; `streamLength` is the number of events
+    /// of a whole stream, 0 if upstreams never end one.
     soak_deployment(event_loop &loop, std::string binaries, std::string folder, std::string network,
-                    std::size_t nodes, std::size_t upstreams);
+                    std::size_t nodes, std::size_t upstreams, int streamLength);
 
     /// Starts all processes, and calls `done` once every node takes calls and knows all upstreams.
     void start(std::function<void()> done);
@@ -88,6 +89,7 @@
     std::string m_folder;
     std::string m_network;
     std::size_t m_upstreamCount;
+    int m_streamLength;
     scenarios::process_table m_processes;
     std::vector<node_process> m_nodes;
     wire_words m_words;
--- a/utilities/soak/soak_record.h
+++ b/utilities/soak/soak_record.h
@@ -12,6 +12,20 @@
 /// Events of a whole stream.
 inline constexpr int stream_events = 16;
 
+/// How streams end.
+struct stream_ending
+{
+    int length = stream_events; ///< events of a whole stream; 0: upstreams never end one
+    double leavingShare = 0.2; ///< of the callers, who leave before the end
+    std::size_t eventsBeforeLeaving = 6;
+
+    /// Returns streams that upstreams never end, and that all callers leave.
+    static stream_ending never()
+    {
+        return {0, 1.0, 12};
+    }
+};
+
 /// Whether a call may run more than once, and what its answer is.
 enum class call_type {
     at_most_once,
