Answers that callers leave speak for parts that they outlast

Cause: answers that callers leave were no evidence at all unless they went on for 3 s. The first part of all prompts occurs at each end of an upstream, so with streams that are never whole three ends of any cause convicted it. Change: nodes tell the keepers how long an answer had lasted, up to its last event, when its caller left. It speaks for a key only if it lasted longer than each call with the key had at any end, and an end is cleared by four such answers for it and for each later end; so a key that ends one in five of the upstreams that run it is not cleared. The field is added at the end of the message, which earlier versions ignore.

--- a/libraries/fleet/crash_exchange.cpp
+++ b/libraries/fleet/crash_exchange.cpp
@@ -109,6 +109,9 @@
     if (!message.calls.empty())
         reportEnd(std::move(message));
     forgetWatched(answers);
+    // What was left before the end tells keys that had been served from those that never were.
+    if (!answers.left.empty())
+        scheduleTellingLeft(end.service);
 }
 
 void crash_exchange::reportEnd(crash_message message)
@@ -152,6 +155,25 @@
     m_tasks.after(answer_delay, [this, service] { tellAnswers(service); });
 }
 
+void crash_exchange::recordLeftAnswer(const std::string &service, const crash_key_list &keys,
+                                      const relay::left_answer &answer)
+{
+    service_answers &answers = m_answers[service];
+    bool isOfInterest = false;
+    for (const crash_key key : keys) {
+        answers.left.add(key, answer);
+        isOfInterest = isOfInterest || isWatched(answers, key) || m_entries.isOpen(service, key);
+    }
+    if (isOfInterest && m_tasks.now() - answers.leftToldAt >= answer_interval)
+        scheduleTellingLeft(service);
+}
+
+void crash_exchange::scheduleTellingLeft(const std::string &service)
+{
+    if (m_tellingLeft.insert(service).second)
+        m_tasks.after(answer_delay, [this, service] { tellLeftAnswers(service); });
+}
+
 bool crash_exchange::needsProof(const std::string &service, const crash_key_list &keys) const
 {
     const auto found = m_answers.find(service);
@@ -211,6 +233,23 @@
         m_reporter.report(std::move(message));
 }
 
+void crash_exchange::tellLeftAnswers(const std::string &service)
+{
+    m_tellingLeft.erase(service);
+    service_answers &answers = m_answers[service];
+    const std::vector<key_left_answer> left = answers.left.take(m_tasks.now(), [&](crash_key key) {
+        return isWatched(answers, key) || m_entries.isOpen(service, key);
+    });
+    answers.leftToldAt = m_tasks.now();
+    for (std::size_t first = 0; first < left.size(); first += max_left_answers_per_message) {
+        crash_message message{.kind = crash_message_kind::answers, .service = service};
+        const std::size_t end = std::min(left.size(), first + max_left_answers_per_message);
+        message.leftAnswers.assign(left.begin() + static_cast<std::ptrdiff_t>(first),
+                                   left.begin() + static_cast<std::ptrdiff_t>(end));
+        m_reporter.report(std::move(message));
+    }
+}
+
 void crash_exchange::receive(const endpoint &from, std::string_view datagram)
 {
     const outcome<crash_message> decoded = decodeCrashMessage(m_fleetKey, datagram);
@@ -258,6 +297,8 @@
                         message.answeredBefore);
     for (const key_answer &each : message.answers)
         m_keeper.addAnswer(message.service, each.key, m_tasks.now() - each.age, each.evidence);
+    for (const key_left_answer &each : message.leftAnswers)
+        m_keeper.addLeftAnswer(message.service, each.key, {each.call, m_tasks.now() - each.age, each.lasted});
 }
 
 void crash_exchange::requestTrial(const std::string &service, const crash_key_list &keys,
@@ -328,6 +369,7 @@
             answers.untold[{each, answered->second.evidence}] = answered->second.beganAt;
     }
     tellAnswers(entry.service);
+    tellLeftAnswers(entry.service);
 }
 
 } // namespace ivypier::fleet
--- a/libraries/fleet/crash_exchange.h
+++ b/libraries/fleet/crash_exchange.h
@@ -6,6 +6,7 @@
 #include "fleet/crash_message.h"
 #include "fleet/crash_reporter.h"
 #include "fleet/keeper_ranking.h"
+#include "fleet/left_answer_memory.h"
 #include "membership/datagram_channel.h"
 #include "membership/membership_view.h"
 #include "relay/call_quarantine.h"
@@ -57,6 +58,8 @@
     bool needsProof(const std::string &service, const relay::crash_key_list &keys) const override;
     void recordAnswer(const std::string &service, const relay::crash_key_list &keys, time_point beganAt,
                       relay::answer_evidence evidence) override;
+    void recordLeftAnswer(const std::string &service, const relay::crash_key_list &keys,
+                          const relay::left_answer &answer) override;
 
     /// Tells all nodes of an entry if it is newer than the known one.
     void publish(const relay::quarantine_entry &entry);
@@ -95,13 +98,17 @@
         std::map<relay::crash_key, time_point> watched; ///< keys of ends that this node reported, and when
         std::map<answer_key, time_point> told; ///< last answers that the keepers were told
         std::map<answer_key, time_point> untold;
+        left_answer_memory left;
+        time_point leftToldAt{};
     };
 
     void noteAnswer(service_answers &answers, const std::string &service, const answer_key &answered,
                     time_point beganAt);
     static void dropOldAnswers(service_answers &answers);
     static bool wasAnsweredWhole(const service_answers &answers, relay::crash_key key);
+    void scheduleTellingLeft(const std::string &service);
     void tellAnswers(const std::string &service);
+    void tellLeftAnswers(const std::string &service);
     void reportEnd(crash_message message);
     void forgetWatched(service_answers &answers) const;
     bool isWatched(const service_answers &answers, relay::crash_key key) const;
@@ -127,6 +134,7 @@
     std::map<std::string, reported_end> m_reportedEnds; ///< by upstream
     std::map<std::string, trial_request> m_trialRequests; ///< not answered yet, by entry
     std::set<std::string> m_tellingAnswers; ///< services whose answers are told soon
+    std::set<std::string> m_tellingLeft; ///< likewise, answers that callers left
     time_point m_startedAt{};
     std::uint64_t m_datagramsSent = 0;
 };
--- a/libraries/fleet/crash_keeper.cpp
+++ b/libraries/fleet/crash_keeper.cpp
@@ -45,6 +45,12 @@
     scheduleEvaluation(service, evaluation_delay);
 }
 
+void crash_keeper::addLeftAnswer(const std::string &service, crash_key key, const relay::left_answer &answer)
+{
+    evidenceOf(service).evidence.addLeftAnswer(key, answer);
+    scheduleEvaluation(service, evaluation_delay);
+}
+
 bool crash_keeper::isSuspected(const std::string &service, crash_key key) const
 {
     const auto found = m_services.find(service);
--- a/libraries/fleet/crash_keeper.h
+++ b/libraries/fleet/crash_keeper.h
@@ -37,6 +37,8 @@
     void addAnswer(const std::string &service, relay::crash_key key, time_point beganAt,
                    relay::answer_evidence evidence);
 
+    void addLeftAnswer(const std::string &service, relay::crash_key key, const relay::left_answer &answer);
+
     /// Returns whether the key occurred at an end, and no answer has cleared it.
     bool isSuspected(const std::string &service, relay::crash_key key) const;
 
--- a/libraries/fleet/crash_message.cpp
+++ b/libraries/fleet/crash_message.cpp
@@ -33,6 +33,15 @@
     MSGPACK_DEFINE(key, age, isWhole)
 };
 
+struct wire_left_answer
+{
+    std::uint64_t key = 0;
+    std::uint64_t call = 0;
+    std::int64_t age = 0;
+    std::int64_t lasted = 0;
+    MSGPACK_DEFINE(key, call, age, lasted)
+};
+
 struct wire_message
 {
     std::uint8_t version = protocol_version;
@@ -46,8 +55,10 @@
     std::vector<wire_call> calls;
     wire_keys answeredBefore;
     std::vector<wire_answer> answers;
+    /// Nodes of earlier versions do not send it, and ignore it.
+    std::vector<wire_left_answer> leftAnswers;
     MSGPACK_DEFINE(version, kind, number, keeper, service, upstream, entry, age, calls, answeredBefore,
-                   answers)
+                   answers, leftAnswers)
 };
 
 wire_keys toWire(const relay::crash_key_list &keys)
@@ -90,6 +101,9 @@
     for (const key_answer &each : message.answers)
         wire.answers.push_back(
             {each.key.value, milliseconds(each.age), each.evidence == relay::answer_evidence::whole});
+    for (const key_left_answer &each : message.leftAnswers)
+        wire.leftAnswers.push_back(
+            {each.key.value, each.call.value, milliseconds(each.age), milliseconds(each.lasted)});
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, wire);
     return membership::authenticateDatagram(fleetKey, authenticated_context, {buffer.data(), buffer.size()});
@@ -123,6 +137,14 @@
              std::chrono::milliseconds(each.age),
              each.isWhole ? relay::answer_evidence::whole : relay::answer_evidence::survived});
     }
+    for (const wire_left_answer &each : read.leftAnswers) {
+        if (!isValidAge(each.age) || !isValidAge(each.lasted))
+            return error{error_code::invalid_argument, "a field of a crash message is out of range"};
+        result.leftAnswers.push_back({{each.key},
+                                      {each.call},
+                                      std::chrono::milliseconds(each.age),
+                                      std::chrono::milliseconds(each.lasted)});
+    }
     return result;
 }
 
--- a/libraries/fleet/crash_message.h
+++ b/libraries/fleet/crash_message.h
@@ -29,6 +29,17 @@
     auto operator<=>(const key_answer &) const = default;
 };
 
+/// An answer to a key that its caller left.
+struct key_left_answer
+{
+    relay::crash_key key;
+    relay::crash_key call; ///< identity of the call
+    duration age{}; ///< since the answer began
+    duration lasted{};
+
+    auto operator<=>(const key_left_answer &) const = default;
+};
+
 /// A message between the nodes that send calls and those that keep the evidence of a service.
 struct crash_message
 {
@@ -42,6 +53,7 @@
     std::vector<relay::crash_suspect> calls; ///< in progress at the upstream
     relay::crash_key_list answeredBefore; ///< keys of these calls that were answered before the end
     std::vector<key_answer> answers;
+    std::vector<key_left_answer> leftAnswers;
 
     auto operator<=>(const crash_message &) const = default;
 };
@@ -55,5 +67,6 @@
 
 /// Keys that fit into one datagram, in calls and lists together.
 inline constexpr std::size_t max_keys_per_message = 96;
+inline constexpr std::size_t max_left_answers_per_message = 24;
 
 } // namespace ivypier::fleet
--- a/libraries/fleet/crash_reporter.cpp
+++ b/libraries/fleet/crash_reporter.cpp
@@ -72,6 +72,8 @@
         message.age += since;
         for (key_answer &answer : message.answers)
             answer.age += since;
+        for (key_left_answer &answer : message.leftAnswers)
+            answer.age += since;
         if (each.id == m_members.self().id) {
             outgoing.confirmedBy.insert(each.id);
             m_receiveLocally(message);
--- a/libraries/fleet/tests/crash_message_test.cpp
+++ b/libraries/fleet/tests/crash_message_test.cpp
@@ -17,6 +17,7 @@
     message.calls = {{{8}, {{1}, {2}}, 40ms}, {{9}, {{3}}, {}}};
     message.answeredBefore = {{2}};
     message.answers = {{{3}, 20ms, relay::answer_evidence::survived}};
+    message.leftAnswers = {{{4}, {9}, 900ms, 700ms}};
     return message;
 }
 
@@ -55,4 +56,8 @@
     for (std::uint64_t key = 0; key < max_keys_per_message / 2; ++key)
         message.answers.push_back({{UINT64_MAX - key}, 10min, relay::answer_evidence::whole});
     CHECK(encodeCrashMessage(fleet::tests::fleetKey(), message).size() <= membership::max_datagram_bytes);
+    message.answers.clear();
+    for (std::uint64_t key = 0; key < max_left_answers_per_message; ++key)
+        message.leftAnswers.push_back({{UINT64_MAX - key}, {UINT64_MAX}, 10min, 10min});
+    CHECK(encodeCrashMessage(fleet::tests::fleetKey(), message).size() <= membership::max_datagram_bytes);
 }
--- a/libraries/relay/call_quarantine.h
+++ b/libraries/relay/call_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/crash_key.h"
+#include "relay/left_answers.h"
 #include "relay/upstream_end.h"
 
 #include <functional>
@@ -47,6 +48,12 @@
     virtual void recordAnswer(const std::string &service, const crash_key_list &keys, time_point beganAt,
                               answer_evidence evidence)
         = 0;
+
+    /// Records that a caller left the answer to a call with these keys while it was going on.
+    virtual void recordLeftAnswer(const std::string & /*service*/, const crash_key_list & /*keys*/,
+                                  const left_answer & /*answer*/)
+    {
+    }
 };
 
 /// Longest time for which a call waits for permission to be a trial.
--- a/libraries/relay/call_suspicion.cpp
+++ b/libraries/relay/call_suspicion.cpp
@@ -77,4 +77,11 @@
     m_environment.quarantine.recordAnswer(m_service, keys(), beganAt, answer_evidence::survived);
 }
 
+void call_suspicion::recordLeft(time_point beganAt, duration lasted)
+{
+    m_environment.quarantine.recordLeftAnswer(
+        m_service, m_environment.crashKeys.keysOf(m_call, m_service),
+        {m_environment.crashKeys.identityOf(m_call, m_account), beganAt, lasted});
+}
+
 } // namespace ivypier::relay
--- a/libraries/relay/call_suspicion.h
+++ b/libraries/relay/call_suspicion.h
@@ -33,6 +33,9 @@
     /// Records that an upstream went on with an answer for crash_survival_time.
     void recordSurvival(time_point beganAt);
 
+    /// Records that the caller left an answer that began at `beganAt` and had gone on for `lasted`.
+    void recordLeft(time_point beganAt, duration lasted);
+
     /// Returns the key of the call itself.
     crash_key callKey() const;
 
--- a/libraries/relay/crash_evidence.cpp
+++ b/libraries/relay/crash_evidence.cpp
@@ -42,6 +42,7 @@
         if (!isKnown && known.calls.size() < max_calls_per_end)
             known.calls.push_back(each);
     }
+    m_left.addEnd(known);
     if (m_answeredBefore.size() < max_answered_keys)
         m_answeredBefore.insert(answeredBefore.begin(), answeredBefore.end());
 }
@@ -53,6 +54,11 @@
     time = std::max(time.value_or(beganAt), beganAt);
 }
 
+void crash_evidence::addLeftAnswer(crash_key key, const left_answer &answer)
+{
+    m_left.add(key, answer, m_ends);
+}
+
 void crash_evidence::dropOld()
 {
     std::erase_if(m_ends, [this](const auto &each) { return m_time.now() - each.second.at > retention; });
@@ -66,6 +72,7 @@
     if (m_ends.empty()) {
         m_answeredBefore.clear();
         m_answered.clear();
+        m_left.clear();
     }
     if (m_answered.size() > max_answered_keys)
         std::erase_if(m_answered, [this](const auto &each) { return !isSuspected(each.first); });
@@ -73,6 +80,8 @@
 
 bool crash_evidence::wasAnsweredAfter(crash_key key, time_point time) const
 {
+    if (m_left.isOutlivedSince(key, time))
+        return true;
     const auto found = m_answered.find(key);
     if (found == m_answered.end())
         return false;
@@ -113,7 +122,7 @@
 {
     const bool isEndKnown = std::any_of(upstreams.begin(), upstreams.end(),
                                         [this](const std::string &each) { return m_ends.contains(each); });
-    return isEndKnown && m_answered.contains(key) && !isSuspected(key);
+    return isEndKnown && (m_answered.contains(key) || m_left.contains(key)) && !isSuspected(key);
 }
 
 std::vector<const upstream_end *> crash_evidence::endsByTime() const
@@ -144,7 +153,7 @@
 
 bool crash_evidence::isKnownAnswered(crash_key key) const
 {
-    if (m_answeredBefore.contains(key))
+    if (m_answeredBefore.contains(key) || m_left.isOutlived(key))
         return true;
     const auto found = m_answered.find(key);
     return found != m_answered.end() && (found->second.whole || !endsUpstreamsLate(key));
--- a/libraries/relay/crash_evidence.h
+++ b/libraries/relay/crash_evidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "relay/left_answers.h"
 #include "relay/upstream_end.h"
 
 #include <compare>
@@ -58,6 +59,9 @@
     /// caused by the key, unless the answer was not whole and the key ends upstreams late.
     void addAnswer(crash_key key, time_point beganAt, answer_evidence evidence);
 
+    /// Records an answer to a call with this key that its caller left while it was going on.
+    void addLeftAnswer(crash_key key, const left_answer &answer);
+
     /// Returns whether the key occurred in a call at an upstream that ended, and no answer has cleared it.
     bool isSuspected(crash_key key) const;
 
@@ -113,6 +117,7 @@
     const clock &m_time;
     std::map<std::string, upstream_end> m_ends;
     std::map<crash_key, last_answers> m_answered;
+    left_answers m_left;
     std::set<crash_key> m_answeredBefore;
 };
 
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -361,6 +361,7 @@
     countRun();
     m_attempt->setAnswerBegan();
     const time_point beganAt = *m_attempt->answerBeganAt();
+    m_attempt->lastEventAt = m_environment.tasks.now();
     const bool hasSurvived = m_environment.tasks.now() - beganAt >= crash_survival_time;
     if (hasSurvived && !std::exchange(m_attempt->isSurvivalRecorded, true))
         m_suspicion->recordSurvival(beganAt);
@@ -464,6 +465,9 @@
 void relayed_call::onCallerDisconnected()
 {
     const auto alive = shared_from_this();
+    if (m_attempt && m_attempt->isRunning() && m_attempt->lastEventAt)
+        m_suspicion->recordLeft(*m_attempt->answerBeganAt(),
+                                *m_attempt->lastEventAt - *m_attempt->answerBeganAt());
     endAttempt(false);
     complete(0, "caller_gone");
 }
--- a/libraries/relay/tests/quarantined_call_test.cpp
+++ b/libraries/relay/tests/quarantined_call_test.cpp
@@ -158,6 +158,30 @@
     CHECK(fixture.quarantine.ends.front().calls.empty());
 }
 
+TEST_CASE("a stream that its caller leaves is recorded up to its last event, and one without events is not")
+{
+    quarantine_fixture fixture;
+    fixture.install(2);
+    const auto silent = fixture.start(quarantine_fixture::requestWithParts({1, 2, 3}));
+    fixture.last().head(200, {{"Meaning", "served"}});
+    silent->onClosed();
+    CHECK(fixture.quarantine.left.empty());
+    const auto answer = fixture.start(quarantine_fixture::requestWithParts({1, 2, 3}));
+    fixture.last().head(200, {{"Meaning", "served"}});
+    fixture.last().body(event(1));
+    const time_point beganAt = fixture.time.now();
+    fixture.time.advance(300ms);
+    fixture.last().body(event(2));
+    // An upstream that has been silent since may have ended.
+    fixture.time.advance(400ms);
+    answer->onClosed();
+    REQUIRE(fixture.quarantine.left.size() == 1);
+    const auto &[keys, left] = fixture.quarantine.left.front();
+    CHECK(keys == fixture.keysOf({1, 2, 3}));
+    CHECK(left.beganAt == beganAt);
+    CHECK(left.lasted == 300ms);
+}
+
 TEST_CASE("a whole answer speaks for the keys of its call, a torn one against them")
 {
     quarantine_fixture fixture;
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -164,12 +164,17 @@
         answered.push_back(keys);
         lastEvidence = evidence;
     }
+    void recordLeftAnswer(const std::string &, const crash_key_list &keys, const left_answer &answer) override
+    {
+        left.emplace_back(keys, answer);
+    }
 
     std::map<crash_key_list, quarantine_decision> decisions;
     bool isWatchingCalls = false;
     bool isTrialGranted = false;
     std::vector<upstream_end> ends;
     std::vector<crash_key_list> answered;
+    std::vector<std::pair<crash_key_list, left_answer>> left;
     answer_evidence lastEvidence = answer_evidence::whole;
 };
 
--- a/libraries/relay/upstream_attempt.h
+++ b/libraries/relay/upstream_attempt.h
@@ -64,6 +64,7 @@
     }
 
     bool answerEndsWithConnection = false;
+    std::optional<time_point> lastEventAt;
     bool isSurvivalRecorded = false; ///< that the upstream went on with the answer for long
 
 private:
