--- a/libraries/program/file_reader.cpp
+++ b/libraries/program/file_reader.cpp
@@ -11,34 +11,35 @@
 
 constexpr std::size_t read_chunk_bytes = 4096;
 
-outcome<std::string> readStream(std::istream &stream, const std::string &path)
+outcome<std::string> readStream(std::istream &stream, const std::string &path, std::size_t maxBytes)
 {
     // Reads in chunks instead of into a buffer of max_file_bytes: a daemon rereads its settings file, and the
     // memory of such a buffer would stay with the process.
     std::string text;
     std::array<char, read_chunk_bytes> chunk{};
-    while (stream && text.size() <= max_file_bytes) {
+    while (stream && text.size() <= maxBytes) {
         stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size()));
         text.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
     }
     if (stream.bad())
         return error{error_code::unavailable, "can't read \"" + path + '"'};
-    if (text.size() > max_file_bytes)
-        return error{error_code::too_large, '"' + path + "\" has more than 2097152 bytes"};
+    if (text.size() > maxBytes)
+        return error{error_code::too_large,
+                     '"' + path + "\" has more than " + std::to_string(maxBytes) + " bytes"};
     return text;
 }
 
 } // namespace
 
-outcome<std::string> readFile(const std::string &path)
+outcome<std::string> readFile(const std::string &path, std::size_t maxBytes)
 {
     if (path == "-")
-        return readStream(std::cin, path);
+        return readStream(std::cin, path, maxBytes);
     std::error_code failure;
     std::ifstream file(path, std::ios::binary);
     if (!file || std::filesystem::is_directory(path, failure))
         return error{error_code::not_found, "can't read \"" + path + '"'};
-    return readStream(file, path);
+    return readStream(file, path, maxBytes);
 }
 
 outcome<std::string> readKeyFile(const std::string &path)
--- a/services/ctl/check_command.cpp
+++ b/services/ctl/check_command.cpp
@@ -1,4 +1,6 @@
 #include "commands.h"
+#include "file_check.h"
+#include "program/file_reader.h"
 
 #include <iostream>
 
@@ -11,23 +13,26 @@
 
 std::string_view check_command::argumentName() const
 {
-    return "DOCUMENT";
+    return "FILE";
 }
 
 int check_command::run(const command_options &options, const std::string &argument) const
 {
-    const auto read = loadDocument(options, argument);
-    if (const auto *code = std::get_if<program::exit_code>(&read))
-        return *code;
-    if (options.json) {
-        Json::Value json(Json::objectValue);
-        json["valid"] = true;
-        json["faults"] = Json::Value(Json::arrayValue);
-        printJson(json);
-    } else {
-        std::cout << argument << ": valid\n";
+    if (options.format != "auto" && options.format != "document" && options.format != "platform") {
+        std::cerr << "ivypierctl: --format is document, platform or auto\n";
+        return check_result::exit_errors;
     }
-    return program::exit_ok;
+    const outcome<std::string> text = program::readFile(argument, max_checked_bytes);
+    if (!text) {
+        check_result unread;
+        unread.addError("unreadable", "", text.error().message);
+        return unread.print(options, argument);
+    }
+    const bool isPlatform
+        = options.format == "auto" ? isPlatformConfiguration(text.value()) : options.format == "platform";
+    const check_result result = isPlatform ? checkPlatformConfiguration(options, text.value())
+                                           : checkDocument(options, text.value());
+    return result.print(options, argument);
 }
 
 } // namespace ivypier::ctl
--- a/services/ctl/command.h
+++ b/services/ctl/command.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "configuration/document_difference.h"
 #include "program/exit_code.h"
 
@@ -21,6 +22,10 @@
     std::string certificateAuthority; ///< PEM file to verify nodes' certificates with; empty: no TLS
     std::string operatorName; ///< recorded as the writer of a submitted document
     std::optional<std::uint64_t> expectedVersion; ///< submit only if this version is in force
+    std::string against; ///< version, file or `in-force` that a checked file is compared with; may be empty
+    std::string format = "auto"; ///< of a checked file: `document`, `platform` or `auto`
+    duration callerWait{}; ///< for which callers wait for an answer; zero: not known
+    bool strict = false; ///< warnings of a check are failures
     bool json = false;
 
     auto operator<=>(const command_options &) const = default;
--- a/services/ctl/commands.h
+++ b/services/ctl/commands.h
@@ -4,7 +4,7 @@
 
 namespace ivypier::ctl {
 
-/// Validates a document locally, without contacting the platform.
+/// Checks a document or the platform's configuration, and compares it with another one. Sends nothing.
 class check_command final : public command
 {
 public:
--- a/services/ctl/main.cpp
+++ b/services/ctl/main.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/flags/flag.h>
 
+#include <algorithm>
 #include <iostream>
 
 ABSL_FLAG(std::string, platform, "127.0.0.1:9000", "address of the platform's services");
@@ -13,6 +14,11 @@
 ABSL_FLAG(std::string, ca, "", "PEM file of certificates to trust; speaks TLS to nodes");
 ABSL_FLAG(std::string, operator, "ivypierctl", "your name, recorded with a submission");
 ABSL_FLAG(std::int64_t, base, -1, "submit only if this version is in force; -1: whichever is");
+ABSL_FLAG(std::string, against, "", "for check: a version, a file or in-force to compare with");
+ABSL_FLAG(std::string, format, "auto",
+          "for check: document, platform (the platform's own format) or auto, by content");
+ABSL_FLAG(std::int64_t, caller_wait_ms, 0, "for check: how long callers wait; 0: not known, not checked");
+ABSL_FLAG(bool, strict, false, "for check: warnings are failures");
 ABSL_FLAG(bool, json, false, "print JSON");
 
 namespace ivypier::ctl {
@@ -38,7 +44,9 @@
 
 constexpr const char *usage = R"(Operates an ivypier deployment.
 
-  ivypierctl check DOCUMENT     say what is wrong with a document; asks nobody
+  ivypierctl check FILE         say what is wrong with a document, or with the
+                                platform's configuration, and with --against
+                                what it changes; sends nothing
   ivypierctl diff DOCUMENT      what it would change of what is in force
   ivypierctl submit DOCUMENT    put it in force, whole or not at all
   ivypierctl show               the document in force
@@ -58,7 +66,8 @@
 
 Exit codes: 0 done, 1 a flag is wrong, 2 an argument or file is missing,
 3 the document has faults, 5 another operator was first, 6 not reached,
-7 the key is refused, 8 there are differences (diff), 9 not known whether accepted.)";
+7 the key is refused, 8 there are differences (diff), 9 not known whether accepted.
+Of check: 0 no errors, 1 warnings with --strict, 2 errors.)";
 
 int usageError(const std::string &message)
 {
@@ -74,6 +83,11 @@
     options.keyFile = absl::GetFlag(FLAGS_key_file);
     options.certificateAuthority = absl::GetFlag(FLAGS_ca);
     options.operatorName = absl::GetFlag(FLAGS_operator);
+    options.against = absl::GetFlag(FLAGS_against);
+    options.format = absl::GetFlag(FLAGS_format);
+    options.callerWait = std::chrono::milliseconds(
+        std::clamp<std::int64_t>(absl::GetFlag(FLAGS_caller_wait_ms), 0, INT32_MAX));
+    options.strict = absl::GetFlag(FLAGS_strict);
     options.json = absl::GetFlag(FLAGS_json);
     if (absl::GetFlag(FLAGS_base) >= 0)
         options.expectedVersion = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_base));
