Findings of the configuration that a node takes in are logged

At most 20 lines configuration.finding and one with the number of the others, after the configuration was applied. Nothing is refused.

--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -1,6 +1,7 @@
 #include "edge_node.h"
 
 #include "caller_lookup.h"
+#include "configuration_findings.h"
 #include "peer_feed_codec.h"
 #include "platform_tables.h"
 #include "quarantine_control.h"
@@ -457,7 +458,9 @@
     }
     versions.setServices(std::move(resumableServices));
     versions.poll(lease.held().has_value(), nodeCount());
+    const std::shared_ptr<const relay::route_table> applied = table;
     relayService.setTable(std::move(table));
+    logConfigurationFindings(applied->content());
 }
 
 void edge_node::edge_components::readFleetSize()
