--- a/libraries/delivery/evidence_series.h
+++ b/libraries/delivery/evidence_series.h
@@ -10,7 +10,7 @@
 
 namespace ivypier::delivery {
 
-/// Totals of both version classes on one route.
+/// Evidence of both version classes on one route.
 struct route_evidence
 {
     evidence_totals target;
@@ -19,31 +19,49 @@
     auto operator<=>(const route_evidence &) const = default;
 };
 
-/// The evidence on one rollout as running totals at successive times.
+/// The evidence on one rollout in successive intervals, formed from running totals.
 class evidence_series
 {
 public:
-    struct entry
+    using routes = std::map<std::string, route_evidence>;
+
+    /// What came in since the interval before.
+    struct interval
     {
-        time_point at{};
-        double share = 0.0; ///< share stated at that time
-        std::map<std::string, route_evidence> routes;
+        time_point begin{};
+        time_point end{};
+        routes increments;
     };
 
-    /// Minimum time between two entries; what comes in between replaces the newest entry.
-    static constexpr duration interval = std::chrono::milliseconds(200);
-    /// Entries that are kept. Longer rollouts forget their first intervals.
-    static constexpr std::size_t max_entries = 600;
+    /// Minimum length of an interval. A longer series merges its oldest intervals.
+    static constexpr duration min_length = std::chrono::milliseconds(200);
+    static constexpr std::size_t max_intervals = 300;
 
-    void append(entry newest);
+    /// Appends running totals. Those of the first call, which may be the work of an earlier holder of the
+    /// duties, form an interval without a length.
+    void append(time_point now, const routes &totals);
 
-    const std::deque<entry> &entries() const
+    const std::deque<interval> &intervals() const
     {
-        return m_entries;
+        return m_intervals;
     }
 
+    /// Returns the sum of the intervals that end after `since`.
+    routes sumSince(time_point since) const;
+    routes sum() const;
+
+    /// Returns the calls a second of both classes together, smoothed over a few seconds.
+    double callsPerSecond() const;
+
 private:
-    std::deque<entry> m_entries;
+    routes m_lastTotals;
+    std::deque<interval> m_intervals;
 };
 
+/// Adds evidence by route.
+void addRoutes(evidence_series::routes &to, const evidence_series::routes &added);
+
+/// Returns the sum over the routes.
+route_evidence sumOfRoutes(const evidence_series::routes &routes);
+
 } // namespace ivypier::delivery
--- a/libraries/delivery/rollout_controller.h
+++ b/libraries/delivery/rollout_controller.h
@@ -46,6 +46,10 @@
     /// A statement is repeated after this time, because permissions end.
     static constexpr duration statement_interval = std::chrono::milliseconds(300);
     static constexpr duration retry_interval = std::chrono::milliseconds(300);
+    /// Statements on a rollout that has ended are repeated for nodes that join.
+    static constexpr duration ended_statement_interval = std::chrono::seconds(3);
+    /// Upstreams count as present until none was seen for this long.
+    static constexpr duration presence_time = std::chrono::seconds(1);
     /// Time between two writes of the record of a rollout whose share changes.
     static constexpr duration record_interval = std::chrono::seconds(1);
 
@@ -85,42 +89,56 @@
     {
         rollout_order order;
         time_point startedAt{}; ///< the earliest time at which the order is known to have been in force
-        bool isRecordRead = false; ///< in the present tenure
-        bool isReading = false;
-        bool isWritingRecord = false;
-        bool isWritingStatus = false;
-        std::uint64_t recordVersion = 0;
-        std::optional<rollout_record> written;
-        std::optional<rollout_status_row> statusWritten;
-        bool isStatusKnown = false; ///< the status row was read since the last uncertain write
-        std::uint64_t statusVersion = 0;
-        time_point nextRecordWrite{};
-        time_point nextStatusWrite{};
-        time_point nextRead{};
-        time_point nextStatement{};
         rollout_state state = rollout_state::in_progress;
         bool isCompleting = false; ///< completion was decided, and its write is awaited
+        bool mayBeCompleted = false; ///< a write of the completion has no known result
         double share = 0.0;
         std::string reason;
         evidence_series series;
-        version_evidence newestEvidence;
+        evidence_totals target;
+        evidence_totals other;
         duration evidenceAge{};
+        std::optional<time_point> targetSeenAt;
+        std::optional<time_point> otherSeenAt;
         std::uint64_t sequence = 0;
-        std::uint64_t era = 0; ///< of the table when the rows were written
+        time_point nextStatement{};
+
+        bool isRecordTaken = false; ///< in the present tenure
+        bool isRecordKnown = false; ///< the row was read since the last uncertain write
+        bool isRecordBusy = false;
+        std::uint64_t recordVersion = 0;
+        std::optional<rollout_record> record; ///< as written last
+        time_point nextRecordCall{};
+
+        bool isStatusKnown = false;
+        bool isStatusBusy = false;
+        std::uint64_t statusVersion = 0;
+        std::optional<rollout_status_row> status; ///< as written last
+        std::uint64_t startedStatusVersion = 0; ///< of the row that states it as in progress
+        time_point nextStatusCall{};
     };
 
+    /// Finds the rollout for which a call to the store was made, unless the tenure or the order changed.
+    rollout *find(const std::string &service, std::uint64_t orderVersion, std::uint64_t tenure);
     void beginTenure(std::uint64_t fencingToken);
-    void readRecord(const std::string &service);
-    void takeRecord(rollout &current, const std::optional<cloud::table_row> &row);
+    void noteEra();
+    void noteInput(rollout &current, const rollout_input &input);
+    void applyHeard(rollout &current);
     void decide(rollout &current, const rollout_input &input);
-    void writeRecord(const std::string &service);
-    void writeStatus(const std::string &service);
-    void readStatus(const std::string &service);
-    void applyStatusRow(rollout &current, const std::optional<rollout_status_row> &row);
-    void state(rollout &current);
-    void setState(rollout &current, rollout_state next, const std::string &reason);
-    rollout_status statusOf(const rollout &current) const;
-    rollout *find(const std::string &service, std::uint64_t orderVersion);
+    void setEnded(rollout &current, rollout_state state, const std::string &reason);
+    void stateIfDue(rollout &current);
+    void announce(rollout &current);
+
+    void updateRecord(rollout &current);
+    void readRecord(rollout &current);
+    void writeRecord(rollout &current);
+    void takeRecord(rollout &current, const std::optional<cloud::table_row> &row);
+    rollout_record recordOf(const rollout &current) const;
+
+    void updateStatus(rollout &current);
+    void readStatus(rollout &current);
+    void writeStatus(rollout &current, const rollout_status_row &row);
+    void takeStatus(rollout &current, const std::optional<rollout_status_row> &row);
 
     scheduler &m_tasks;
     cloud::table_service &m_table;
@@ -128,7 +146,10 @@
     announcer m_announce;
     rollout_limits m_limits;
     std::optional<std::uint64_t> m_tenure;
+    std::uint64_t m_era = 0; ///< of the table at the last poll
+    bool m_isSuperseded = false; ///< a row shows a holder with a higher fencing token
     std::map<std::string, rollout> m_rollouts; ///< by service
+    std::map<std::string, rollout_status> m_heard; ///< newest statements of other holders, by service
 };
 
 } // namespace ivypier::delivery
--- a/libraries/delivery/rollout_decision.h
+++ b/libraries/delivery/rollout_decision.h
@@ -21,7 +21,7 @@
     auto operator<=>(const rollout_verdict &) const = default;
 };
 
-/// What the decision on a rollout is based on.
+/// What the decision on a rollout is based on, apart from the evidence.
 struct decision_input
 {
     duration sinceOrder{};
@@ -35,6 +35,29 @@
     auto operator<=>(const decision_input &) const = default;
 };
 
+/// Time kept at the end for the writes of a completion.
+inline constexpr duration completion_margin = std::chrono::milliseconds(600);
+/// Time before that in which all new calls go to the target, so that streams on other versions end.
+inline constexpr duration drain_time = std::chrono::milliseconds(1800);
+/// Minimum time of the stages `trial` and `loaded`.
+inline constexpr duration min_trial_time = std::chrono::milliseconds(800);
+inline constexpr duration min_loaded_time = std::chrono::milliseconds(1200);
+/// Allowance for a statement to reach the nodes.
+inline constexpr duration statement_delay = std::chrono::milliseconds(300);
+/// The share isn't raised on older evidence.
+inline constexpr duration max_evidence_age = std::chrono::seconds(4);
+
+/// Highest share of the first stage, `observed`.
+inline constexpr double observed_share = 0.04;
+/// Bounds of the share of the stage `trial`; within them it is what the exposure bound leaves.
+inline constexpr double min_trial_share = 0.08;
+inline constexpr double max_trial_share = 0.3;
+/// Share of the stage `loaded`. The rest goes to the other versions, so that both are still compared at the
+/// same time: without it, a lost failure domain would look like a bad version.
+inline constexpr double loaded_share = 0.9;
+/// Answers of the target without which the share isn't raised, unless fewer calls were sent.
+inline constexpr std::uint64_t min_answers = 8;
+
 /// Decides on the share and the end of a rollout. Without state of its own.
 rollout_verdict decideRollout(const rollout_limits &limits, const evidence_series &series,
                               const decision_input &input);
--- a/libraries/delivery/rollout_record.cpp
+++ b/libraries/delivery/rollout_record.cpp
@@ -15,6 +15,7 @@
     object["written"] = Json::Int64(writtenAt);
     object["tenure"] = Json::UInt64(tenure);
     object["sequence"] = Json::UInt64(sequence);
+    object["status"] = Json::UInt64(statusVersion);
     object["reason"] = reason;
     return writeJson(object);
 }
@@ -37,6 +38,7 @@
     result.writtenAt = integerMember(object, "written", 0);
     result.tenure = unsignedMember(object, "tenure", 0);
     result.sequence = unsignedMember(object, "sequence", 0);
+    result.statusVersion = unsignedMember(object, "status", 0);
     result.reason = stringMember(object, "reason");
     return result;
 }
--- a/libraries/delivery/rollout_record.h
+++ b/libraries/delivery/rollout_record.h
@@ -22,6 +22,9 @@
     std::int64_t writtenAt = 0; ///< wall-clock time in milliseconds since 1970
     std::uint64_t tenure = 0; ///< fencing token of the holder that wrote it
     std::uint64_t sequence = 0; ///< number of its newest statement
+    /// Version of the status row that states this rollout as in progress; 0 while it isn't written. A newer
+    /// row that states its end was therefore written for this order.
+    std::uint64_t statusVersion = 0;
     std::string reason;
 
     auto operator<=>(const rollout_record &) const = default;
