--- a/libraries/delivery/evidence_series.h
+++ b/libraries/delivery/evidence_series.h
@@ -34,7 +34,7 @@
     };
 
     /// Minimum length of an interval. A longer series merges its oldest intervals.
-    static constexpr duration min_length = std::chrono::milliseconds(200);
+    static constexpr duration min_length = std::chrono::milliseconds(100);
     static constexpr std::size_t max_intervals = 300;
 
     /// Appends running totals. Those of the first call, which may be the work of an earlier holder of the
--- a/libraries/delivery/rollout_controller.cpp
+++ b/libraries/delivery/rollout_controller.cpp
@@ -176,6 +176,7 @@
     decision.hasOther = current.otherSeenAt && now - *current.otherSeenAt < presence_time;
     decision.streamsOnOther = found == input.upstreams.end() ? 0 : found->second.streamsOnOther;
     decision.share = current.share;
+    decision.atShare = now - current.shareSince;
     const rollout_verdict verdict = decideRollout(m_limits, current.series, decision);
     if (verdict.action == rollout_action::roll_back) {
         if (!current.mayBeCompleted)
@@ -193,6 +194,8 @@
         return;
     current.reason = verdict.reason;
     const bool hasChanged = std::exchange(current.share, verdict.share) != verdict.share;
+    if (hasChanged)
+        current.shareSince = now;
     log_event(log_level::info, "rollout.step")
         .with("service", current.order.service)
         .with("target", current.order.targetVersion)
--- a/libraries/delivery/rollout_controller.h
+++ b/libraries/delivery/rollout_controller.h
@@ -62,7 +62,7 @@
     /// orders, so that the next holder of the duties knows when an order came.
     void setOrders(const std::vector<rollout_order> &orders);
 
-    /// To be called about every 200 ms.
+    /// To be called about every 100 ms.
     void poll(const rollout_input &input);
 
     /// Tells the node's newest knowledge of a statement, also by other holders: a holder whose row is older
@@ -93,6 +93,7 @@
         bool isCompleting = false; ///< completion was decided, and its write is awaited
         bool mayBeCompleted = false; ///< a write of the completion has no known result
         double share = 0.0;
+        time_point shareSince{};
         std::string reason;
         evidence_series series;
         evidence_totals target;
--- a/libraries/delivery/rollout_controller_store.cpp
+++ b/libraries/delivery/rollout_controller_store.cpp
@@ -108,6 +108,7 @@
     if (current.state != rollout_state::in_progress)
         return;
     current.share = record.share;
+    current.shareSince = m_tasks.now();
     current.reason = record.reason;
     if (record.state != rollout_state::in_progress)
         setEnded(current, record.state, record.reason);
--- a/libraries/delivery/rollout_decision.cpp
+++ b/libraries/delivery/rollout_decision.cpp
@@ -17,7 +17,7 @@
 /// Time until most calls have an answer; the share that a bad version has in the meantime counts.
 constexpr duration answer_time = std::chrono::milliseconds(200);
 /// The share isn't raised while a difference has this part of the required strength.
-constexpr double doubt_part = 0.3;
+constexpr double doubt_part = 0.25;
 /// A rollout that reaches its end in doubt of this strength is rolled back.
 constexpr double end_doubt_part = 0.5;
 /// Doubt delays the stage `loaded` until this much time is left before the streams must end.
@@ -108,16 +108,23 @@
         return {rollout_action::go_on, share, stage};
     };
     if (input.timeLeft > plan.trialAt)
-        return raise(std::max(observed_share, 0.0), "observed");
+        return raise(observed_share, "observed");
     // A target that came late is observed first, however little time is left.
     if (!isShown)
         return raise(std::max(input.share, observed_share), "waits for answers of the target");
     const double rate = series.callsPerSecond();
     const bool isTried = input.share >= min_trial_share;
-    if (input.timeLeft > plan.loadedAt || !isTried)
+    const bool mustHurry = input.timeLeft <= plan.drainAt + min_loaded_in_doubt;
+    if (!mustHurry && input.share < loaded_share && (isDoubtful || areOthersDisturbed(series)))
+        return {rollout_action::go_on, input.share,
+                isDoubtful ? "in doubt, " + describe(difference) : "waits, the other versions fail too"};
+    // There is no time to find out more, and more calls would go to a version that is probably bad.
+    if (mustHurry && difference.strength >= end_doubt_part * required)
+        return {rollout_action::roll_back, 0.0, "in doubt with no time left, " + describe(difference)};
+    // A trial that began late, for example because the holder changed, is as long as another.
+    const bool isTrialLongEnough = input.atShare >= plan.reaction || mustHurry;
+    if (input.timeLeft > plan.loadedAt || !isTried || (input.share < loaded_share && !isTrialLongEnough))
         return raise(isTried ? input.share : trialShare(limits, sum, rate, plan, input), "trial");
-    if (isDoubtful && input.share < loaded_share && input.timeLeft > plan.drainAt + min_loaded_in_doubt)
-        return {rollout_action::go_on, input.share, "in doubt, " + describe(difference)};
     if (input.timeLeft > plan.drainAt || input.share < loaded_share)
         return raise(loaded_share, "loaded");
     if (input.share >= 1.0 && input.streamsOnOther == 0)
--- a/libraries/delivery/rollout_decision.h
+++ b/libraries/delivery/rollout_decision.h
@@ -31,6 +31,7 @@
     bool hasOther = false; ///< upstreams of other versions accept calls
     std::uint64_t streamsOnOther = 0; ///< running calls on upstreams of other versions
     double share = 0.0; ///< present share
+    duration atShare{}; ///< since the present share was stated first
 
     auto operator<=>(const decision_input &) const = default;
 };
@@ -40,7 +41,7 @@
 /// Time before that in which all new calls go to the target, so that streams on other versions end.
 inline constexpr duration drain_time = std::chrono::milliseconds(1800);
 /// Minimum time of the stages `trial` and `loaded`.
-inline constexpr duration min_trial_time = std::chrono::milliseconds(800);
+inline constexpr duration min_trial_time = std::chrono::milliseconds(1500);
 inline constexpr duration min_loaded_time = std::chrono::milliseconds(1200);
 /// Allowance for a statement to reach the nodes.
 inline constexpr duration statement_delay = std::chrono::milliseconds(300);
@@ -48,13 +49,13 @@
 inline constexpr duration max_evidence_age = std::chrono::seconds(4);
 
 /// Highest share of the first stage, `observed`.
-inline constexpr double observed_share = 0.04;
+inline constexpr double observed_share = 0.03;
 /// Bounds of the share of the stage `trial`; within them it is what the exposure bound leaves.
 inline constexpr double min_trial_share = 0.08;
-inline constexpr double max_trial_share = 0.3;
+inline constexpr double max_trial_share = 0.13;
 /// Share of the stage `loaded`. The rest goes to the other versions, so that both are still compared at the
 /// same time: without it, a lost failure domain would look like a bad version.
-inline constexpr double loaded_share = 0.9;
+inline constexpr double loaded_share = 0.65;
 /// Answers of the target without which the share isn't raised, unless fewer calls were sent.
 inline constexpr std::uint64_t min_answers = 8;
 
--- a/libraries/delivery/tests/rollout_table_test.cpp
+++ b/libraries/delivery/tests/rollout_table_test.cpp
@@ -103,3 +103,24 @@
         }
     }
 }
+
+TEST_CASE("log of one rollout", "[.trace]")
+{
+    configureLog("tests", log_level::info);
+    const auto number = [](const char *variable, std::uint64_t fallback) {
+        const char *const text = std::getenv(variable);
+        return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+    };
+    for (const rollout_case &size : sizes()) {
+        if (size.nodes != number("IVYPIER_TABLE_NODES", 8))
+            continue;
+        rollout_case wanted = size;
+        wanted.bad = static_cast<badness>(number("IVYPIER_TABLE_TARGET", 0));
+        wanted.disturbed = static_cast<disturbance>(number("IVYPIER_TABLE_DISTURBANCE", 0));
+        wanted.seed = number("IVYPIER_SEED", 1);
+        const rollout_result result = simulated_rollout(wanted).run();
+        std::printf("%s after %.2f s, %zu of %zu calls, bound %.0f, %s\n", name(result.state).data(),
+                    result.endedAt, static_cast<std::size_t>(result.exposed),
+                    static_cast<std::size_t>(result.calls), result.exposureBound, result.reason.c_str());
+    }
+}
--- a/libraries/delivery/tests/simulated_rollout.cpp
+++ b/libraries/delivery/tests/simulated_rollout.cpp
@@ -117,7 +117,7 @@
 void simulated_rollout::poll()
 {
     m_runningHistory.push_back(m_running);
-    if (m_runningHistory.size() > static_cast<std::size_t>(m_case.lateness / 200ms) + 1)
+    if (m_runningHistory.size() > static_cast<std::size_t>(m_case.lateness / 100ms) + 1)
         m_runningHistory.pop_front();
     for (holder &each : m_holders) {
         if (each.token == 0)
@@ -301,7 +301,7 @@
         }
         const bool isBurst = m_case.disturbed == disturbance::burst && m_commonFailures > 0.0;
         arrive(m_case.callsPerSecond * (isBurst ? 2.6 : 1.0));
-        if (steps++ % 10 == 0)
+        if (steps++ % 5 == 0)
             poll();
         m_time.advance(step);
         while (!m_events.empty() && m_events.top().at <= m_time.now()) {
--- a/libraries/delivery/version_comparison.h
+++ b/libraries/delivery/version_comparison.h
@@ -27,7 +27,7 @@
 inline constexpr duration history_time = std::chrono::seconds(8);
 
 /// Compares the target with the other versions, on each route separately, by failures, times, gaps and calls
-/// without an answer. `evidenceAge` is the average age of the reports in the evidence.
+/// without an answer.
 ///
 /// Answers of the same interval are compared, so that what befalls both versions, as a burst or a lost
 /// failure domain does, is no difference. The newest answers of the target are also compared with earlier
@@ -35,6 +35,10 @@
 /// few don't contradict it.
 version_difference compareVersions(const evidence_series &series);
 
+/// Returns true while the other versions fail clearly more often than before. A difference is hard to see
+/// then.
+bool areOthersDisturbed(const evidence_series &series);
+
 /// Returns the strength that a difference must have: a false rollback has a probability below one in a
 /// thousand for all looks at all routes together, also if failures come in clumps of a few.
 double requiredStrength(std::size_t looks, std::size_t routes);
