delivery: the stage "loaded" takes 0.75 of the calls, the stages before less

With 0.65 a version that is bad from 0.6 of the load on was found late, because its load lay near the limit. Stages before it now leave more of the exposure bound to it; a strong doubt takes the share back until late evidence arrives; the last stage waits until the one before has lasted as long as evidence needs.

--- a/libraries/delivery/rollout_controller.cpp
+++ b/libraries/delivery/rollout_controller.cpp
@@ -192,10 +192,15 @@
     }
     if (verdict.share == current.share && verdict.reason == current.reason)
         return;
+    // The figures in a reason change at each look.
+    const auto stageOf = [](const std::string &reason) { return reason.substr(0, reason.find(',')); };
+    const bool isNewStage = stageOf(current.reason) != stageOf(verdict.reason);
     current.reason = verdict.reason;
     const bool hasChanged = std::exchange(current.share, verdict.share) != verdict.share;
     if (hasChanged)
         current.shareSince = now;
+    else if (!isNewStage)
+        return;
     log_event(log_level::info, "rollout.step")
         .with("service", current.order.service)
         .with("target", current.order.targetVersion)
--- a/libraries/delivery/rollout_decision.cpp
+++ b/libraries/delivery/rollout_decision.cpp
@@ -18,6 +18,10 @@
 constexpr duration answer_time = std::chrono::milliseconds(200);
 /// The share isn't raised while a difference has this part of the required strength.
 constexpr double doubt_part = 0.25;
+/// In doubt of this strength the share goes back from that of the stage `loaded`.
+constexpr double retreat_part = 0.4;
+/// Time at the end in which all calls go to the target in any case.
+constexpr duration last_drain_time = std::chrono::milliseconds(500);
 /// A rollout that reaches its end in doubt of this strength is rolled back.
 constexpr double end_doubt_part = 0.5;
 /// Doubt delays the stage `loaded` until this much time is left before the streams must end.
@@ -39,11 +43,11 @@
     duration loadedAt{};
     duration drainAt{};
 
-    static stage_plan create(duration evidenceAge)
+    static stage_plan create(duration length, duration evidenceAge)
     {
         stage_plan plan;
         plan.reaction = fromSeconds(seconds(evidenceAge) * age_factor) + statement_delay + answer_time;
-        plan.drainAt = completion_margin + drain_time;
+        plan.drainAt = completion_margin + std::clamp(length / 10, min_drain_time, max_drain_time);
         plan.loadedAt = plan.drainAt + std::max(plan.reaction, min_loaded_time);
         plan.trialAt = plan.loadedAt + std::max(plan.reaction, min_trial_time);
         return plan;
@@ -98,7 +102,7 @@
     if (!input.hasOther)
         return {rollout_action::complete, 1.0, "the target runs everywhere"};
 
-    const stage_plan plan = stage_plan::create(input.evidenceAge);
+    const stage_plan plan = stage_plan::create(input.sinceOrder + input.timeLeft, input.evidenceAge);
     const bool isDoubtful = difference.strength >= doubt_part * required;
     const auto raise = [&](double share, const char *stage) -> rollout_verdict {
         if (share <= input.share)
@@ -121,12 +125,22 @@
     // There is no time to find out more, and more calls would go to a version that is probably bad.
     if (mustHurry && difference.strength >= end_doubt_part * required)
         return {rollout_action::roll_back, 0.0, "in doubt with no time left, " + describe(difference)};
-    // A trial that began late, for example because the holder changed, is as long as another.
-    const bool isTrialLongEnough = input.atShare >= plan.reaction || mustHurry;
-    if (input.timeLeft > plan.loadedAt || !isTried || (input.share < loaded_share && !isTrialLongEnough))
-        return raise(isTried ? input.share : trialShare(limits, sum, rate, plan, input), "trial");
-    if (input.timeLeft > plan.drainAt || input.share < loaded_share)
+    if (input.share < loaded_share) {
+        // A trial that began late, for example because the holder changed, is as long as another.
+        const bool isTrialLongEnough = input.atShare >= plan.reaction || mustHurry;
+        if (input.timeLeft > plan.loadedAt || !isTried || !isTrialLongEnough)
+            return raise(isTried ? input.share : trialShare(limits, sum, rate, plan, input), "trial");
         return raise(loaded_share, "loaded");
+    }
+    // The evidence that is on its way tells more; meanwhile few calls go to the target.
+    if (input.share < 1.0 && !mustHurry && difference.strength >= retreat_part * required)
+        return {rollout_action::go_on, min_trial_share, "retreats in doubt, " + describe(difference)};
+    // Streams that break at the end are worth less than a verdict: the stage is cut short only if nothing
+    // else is left.
+    const bool isLoadedLongEnough
+        = input.atShare >= plan.reaction || input.timeLeft <= completion_margin + last_drain_time;
+    if (input.share < 1.0 && (input.timeLeft > plan.drainAt || !isLoadedLongEnough))
+        return {rollout_action::go_on, loaded_share, "loaded"};
     if (input.share >= 1.0 && input.streamsOnOther == 0)
         return {rollout_action::complete, 1.0, "streams on other versions have ended"};
     return raise(1.0, "drains");
--- a/libraries/delivery/rollout_decision.h
+++ b/libraries/delivery/rollout_decision.h
@@ -39,7 +39,9 @@
 /// Time kept at the end for the writes of a completion.
 inline constexpr duration completion_margin = std::chrono::milliseconds(600);
 /// Time before that in which all new calls go to the target, so that streams on other versions end.
-inline constexpr duration drain_time = std::chrono::milliseconds(1800);
+/// It is a tenth of the rollout within these bounds.
+inline constexpr duration min_drain_time = std::chrono::milliseconds(1800);
+inline constexpr duration max_drain_time = std::chrono::seconds(3);
 /// Minimum time of the stages `trial` and `loaded`.
 inline constexpr duration min_trial_time = std::chrono::milliseconds(1500);
 inline constexpr duration min_loaded_time = std::chrono::milliseconds(1200);
@@ -49,13 +51,13 @@
 inline constexpr duration max_evidence_age = std::chrono::seconds(4);
 
 /// Highest share of the first stage, `observed`.
-inline constexpr double observed_share = 0.03;
+inline constexpr double observed_share = 0.02;
 /// Bounds of the share of the stage `trial`; within them it is what the exposure bound leaves.
-inline constexpr double min_trial_share = 0.08;
-inline constexpr double max_trial_share = 0.13;
+inline constexpr double min_trial_share = 0.05;
+inline constexpr double max_trial_share = 0.08;
 /// Share of the stage `loaded`. The rest goes to the other versions, so that both are still compared at the
 /// same time: without it, a lost failure domain would look like a bad version.
-inline constexpr double loaded_share = 0.65;
+inline constexpr double loaded_share = 0.75;
 /// Answers of the target without which the share isn't raised, unless fewer calls were sent.
 inline constexpr std::uint64_t min_answers = 8;
 
--- a/libraries/delivery/tests/rollout_table_test.cpp
+++ b/libraries/delivery/tests/rollout_table_test.cpp
@@ -29,6 +29,12 @@
 constexpr std::array<const char *, 7> disturbance_names{
     "-", "burst", "nodes killed", "domain lost", "holder killed", "store silent", "third partitioned"};
 
+std::uint64_t numberFrom(const char *variable, std::uint64_t fallback)
+{
+    const char *const text = std::getenv(variable);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
 struct table_line
 {
     double worstExposure = 0.0; ///< relative to the bound
@@ -76,15 +82,17 @@
 TEST_CASE("table of rollouts over seeds", "[.table]")
 {
     configureLog("tests", log_level::error);
-    const char *const text = std::getenv("IVYPIER_TABLE_SEEDS");
-    const char *const only = std::getenv("IVYPIER_TABLE_NODES");
-    const std::uint64_t seeds = text == nullptr ? 20 : std::strtoull(text, nullptr, 10);
+    const std::uint64_t seeds = numberFrom("IVYPIER_TABLE_SEEDS", 20);
+    const std::uint64_t onlyNodes = numberFrom("IVYPIER_TABLE_NODES", 0);
+    const std::uint64_t onlyTarget = numberFrom("IVYPIER_TABLE_TARGET", badness_names.size());
     std::printf("%6s %-11s %-18s %8s %6s %6s %6s %8s %6s %5s %7s\n", "nodes", "target", "disturbance",
                 "exposure", "over", "bound", "after", "rollback", "wrong", "late", "broken");
     for (const rollout_case &size : sizes()) {
-        if (only != nullptr && std::strtoull(only, nullptr, 10) != size.nodes)
+        if (onlyNodes != 0 && onlyNodes != size.nodes)
             continue;
         for (std::size_t bad = 0; bad < badness_names.size(); ++bad) {
+            if (onlyTarget != badness_names.size() && onlyTarget != bad)
+                continue;
             for (std::size_t disturbed = 0; disturbed < disturbance_names.size(); ++disturbed) {
                 rollout_case wanted = size;
                 wanted.bad = static_cast<badness>(bad);
@@ -107,17 +115,13 @@
 TEST_CASE("log of one rollout", "[.trace]")
 {
     configureLog("tests", log_level::info);
-    const auto number = [](const char *variable, std::uint64_t fallback) {
-        const char *const text = std::getenv(variable);
-        return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-    };
     for (const rollout_case &size : sizes()) {
-        if (size.nodes != number("IVYPIER_TABLE_NODES", 8))
+        if (size.nodes != numberFrom("IVYPIER_TABLE_NODES", 8))
             continue;
         rollout_case wanted = size;
-        wanted.bad = static_cast<badness>(number("IVYPIER_TABLE_TARGET", 0));
-        wanted.disturbed = static_cast<disturbance>(number("IVYPIER_TABLE_DISTURBANCE", 0));
-        wanted.seed = number("IVYPIER_SEED", 1);
+        wanted.bad = static_cast<badness>(numberFrom("IVYPIER_TABLE_TARGET", 0));
+        wanted.disturbed = static_cast<disturbance>(numberFrom("IVYPIER_TABLE_DISTURBANCE", 0));
+        wanted.seed = numberFrom("IVYPIER_SEED", 1);
         const rollout_result result = simulated_rollout(wanted).run();
         std::printf("%s after %.2f s, %zu of %zu calls, bound %.0f, %s\n", name(result.state).data(),
                     result.endedAt, static_cast<std::size_t>(result.exposed),
