delivery: no verdict by the past while the other versions fail more than usual

That comparison is now left out while the other versions fail more than before, and doubt then ends no rollout. Calls without an answer are also counted over the whole rollout.

--- a/libraries/delivery/rollout_decision.cpp
+++ b/libraries/delivery/rollout_decision.cpp
@@ -103,6 +103,7 @@
         return {rollout_action::complete, 1.0, "the target runs everywhere"};
 
     const stage_plan plan = stage_plan::create(input.sinceOrder + input.timeLeft, input.evidenceAge);
+    const bool isDisturbed = areOthersDisturbed(series);
     const bool isDoubtful = difference.strength >= doubt_part * required;
     const auto raise = [&](double share, const char *stage) -> rollout_verdict {
         if (share <= input.share)
@@ -119,11 +120,11 @@
     const double rate = series.callsPerSecond();
     const bool isTried = input.share >= min_trial_share;
     const bool mustHurry = input.timeLeft <= plan.drainAt + min_loaded_in_doubt;
-    if (!mustHurry && input.share < loaded_share && (isDoubtful || areOthersDisturbed(series)))
+    if (!mustHurry && input.share < loaded_share && (isDoubtful || isDisturbed))
         return {rollout_action::go_on, input.share,
                 isDoubtful ? "in doubt, " + describe(difference) : "waits, the other versions fail too"};
     // There is no time to find out more, and more calls would go to a version that is probably bad.
-    if (mustHurry && difference.strength >= end_doubt_part * required)
+    if (mustHurry && !isDisturbed && difference.strength >= end_doubt_part * required)
         return {rollout_action::roll_back, 0.0, "in doubt with no time left, " + describe(difference)};
     if (input.share < loaded_share) {
         // A trial that began late, for example because the holder changed, is as long as another.
--- a/libraries/delivery/rollout_status.h
+++ b/libraries/delivery/rollout_status.h
@@ -13,8 +13,8 @@
 /// Returns the name of a state as the platform's rows and the log have it.
 std::string_view name(rollout_state state);
 
-/// Returns the state with a name, or std::nullopt if there is none.
-std::optional<rollout_state> rolloutStateOf(std::string_view name);
+/// Returns the state whose name is `text`, or std::nullopt if there is none.
+std::optional<rollout_state> rolloutStateOf(std::string_view text);
 
 /// Orders the statements on one rollout: by the fencing token of the holder that stated them, then by their
 /// number.
--- a/libraries/delivery/version_comparison.cpp
+++ b/libraries/delivery/version_comparison.cpp
@@ -20,6 +20,8 @@
 /// that the difference to their newest calls must have then.
 constexpr double min_control = 5.0;
 constexpr double min_control_strength = 1.5;
+/// The strength of it if it comes from a time that ended before the newest calls.
+constexpr double min_earlier_strength = 4.0;
 /// Gaps show about half a second after the first events of their streams. While the share rises, they belong
 /// to the smaller share of that time.
 constexpr std::size_t gap_lag_intervals = 5;
@@ -37,6 +39,7 @@
 /// The other versions count as disturbed from this failure rate, relative to their past.
 constexpr double disturbed_factor = 2.0;
 constexpr double disturbed_excess = 0.03;
+constexpr std::uint64_t min_disturbing_failures = 3;
 constexpr double nearly_all_part = 0.95;
 constexpr double overdue_factor = 1.5;
 
@@ -80,7 +83,7 @@
 
 constexpr std::array<kind_rule, 5> kind_rules{{{event_kind::failure, "failures", 0.04},
                                                {event_kind::slow, "slow first events", 0.2, 2},
-                                               {event_kind::slow, "very slow first events", 0.055, 3},
+                                               {event_kind::slow, "very slow first events", 0.045, 3},
                                                {event_kind::gap, "long gaps", 0.08},
                                                {event_kind::overdue, "calls without answer", 0.1}}};
 
@@ -167,6 +170,7 @@
 public:
     route_comparison(const evidence_series &series, std::vector<std::string> routes, std::string label)
         : m_series(series)
+        , m_areOthersDisturbed(areOthersDisturbed(series))
         , m_label(std::move(label))
         , m_now(series.intervals().back().end)
         , m_total(routes.size())
@@ -267,12 +271,17 @@
         const event_counts newest = sumFrom(recent, counts.size());
         const event_counts past = sumFrom(indexAfter(m_now - history_time), counts.size());
         const event_counts mixed{newest.targetEvents, newest.targetCalls, past.otherEvents, past.otherCalls};
-        if (strengthOf(strataFrom(lately)) >= min_control_strength) {
+        // If the other versions have changed too, their past tells nothing.
+        if (m_areOthersDisturbed)
+            return best;
+        const std::size_t middle = indexAfter(m_now - recent_time / 2);
+        const bool hasControl = sumFrom(middle, counts.size()).otherCalls >= min_control;
+        const double support = strengthOf(strataFrom(lately));
+        if (support >= (hasControl ? min_control_strength : min_earlier_strength)) {
             take(strengthOf({mixed}), mixed);
             return best;
         }
-        const std::size_t middle = indexAfter(m_now - recent_time / 2);
-        if (sumFrom(middle, counts.size()).otherCalls >= min_control)
+        if (hasControl)
             return best;
         const std::size_t blindFrom = indexAfter(m_now - blind_time);
         const std::size_t blindMiddle = indexAfter(m_now - blind_time / 2);
@@ -286,13 +295,20 @@
     /// Compares the calls that were sent so long ago that nearly all calls to other versions have an answer
     /// by now, and have none themselves.
     rated_strength overdueDifference(const kind_rule &rule) const
+    {
+        const rated_strength lately = overdueDifference(rule, 2 * recent_time);
+        const rated_strength always = overdueDifference(rule, m_now - m_series.intervals().front().end);
+        return lately.strength > always.strength ? lately : always;
+    }
+
+    rated_strength overdueDifference(const kind_rule &rule, duration window) const
     {
         std::vector<event_counts> strata;
         event_counts sum;
         for (std::size_t route = 0; route < m_total.size(); ++route) {
             if (m_total[route].other.served() < min_known_times)
                 continue;
-            strata.push_back(overdueOf(route));
+            strata.push_back(overdueOf(route, window));
             sum += strata.back();
         }
         if (sum.targetRate() < sum.otherRate() + rule.minExcess)
@@ -300,11 +316,11 @@
         return {strengthOf(strata), sum};
     }
 
-    event_counts overdueOf(std::size_t route) const
+    event_counts overdueOf(std::size_t route, duration window) const
     {
         const duration usual = timeBucketEnd(bucketOfPart(m_total[route].other, nearly_all_part));
         const duration lag = std::max(fromSeconds(seconds(usual) * overdue_factor), recent_time / 4);
-        const std::size_t begin = indexAfter(m_now - lag - 2 * recent_time);
+        const std::size_t begin = indexAfter(m_now - lag - window);
         const std::size_t end = indexAfter(m_now - lag);
         route_evidence before;
         route_evidence lately;
@@ -324,6 +340,7 @@
     }
 
     const evidence_series &m_series;
+    bool m_areOthersDisturbed;
     std::string m_label;
     time_point m_now;
     std::vector<std::vector<route_evidence>> m_increments; ///< by interval and route
@@ -343,15 +360,21 @@
 {
     if (series.intervals().empty())
         return false;
-    const time_point recent = series.intervals().back().end - recent_time;
-    evidence_totals past = sumOfRoutes(series.sum()).other;
-    const evidence_totals newest = sumOfRoutes(series.sumSince(recent)).other;
-    past -= newest;
+    const evidence_totals sum = sumOfRoutes(series.sum()).other;
     const auto rate = [](const evidence_totals &totals) {
         return static_cast<double>(totals.failures()) / (static_cast<double>(totals.answered()) + 1.0);
     };
-    return static_cast<double>(newest.answered()) >= min_control
-        && rate(newest) >= disturbed_factor * rate(past) + disturbed_excess;
+    // The short window shows a disturbance that began when the share had just risen.
+    for (const duration window : {recent_time, recent_time / 3}) {
+        const evidence_totals newest
+            = sumOfRoutes(series.sumSince(series.intervals().back().end - window)).other;
+        evidence_totals past = sum;
+        past -= newest;
+        if (newest.failures() >= min_disturbing_failures
+            && rate(newest) >= disturbed_factor * rate(past) + disturbed_excess)
+            return true;
+    }
+    return false;
 }
 
 version_difference compareVersions(const evidence_series &series)
