--- a/services/edge/edge_settings.cpp
+++ b/services/edge/edge_settings.cpp
@@ -58,6 +58,9 @@
     result.retrySlack = root.requiredNumber("repeat_slack", 0.0, 1e6);
     result.retryWindow = requiredMilliseconds(root, "repeat_window_ms", 100, 600'000);
     result.limitTolerance = root.requiredNumber("limit_tolerance", 0.0, 1e12);
+    result.exposureShare = root.optionalNumber("exposure_share", 0.0, 0.0, 1.0);
+    result.exposureTolerance = root.optionalNumber("exposure_tolerance", 0.0, 0.0, 1e9);
+    result.rollbackTime = std::chrono::milliseconds(root.optionalInteger("rollback_ms", 0, 0, 600'000));
     root.finish();
     std::vector<settings_error> faults = root.faults();
     if (!faults.empty())
--- a/services/edge/edge_settings.h
+++ b/services/edge/edge_settings.h
@@ -42,6 +42,16 @@
     duration retryWindow{};
     double limitTolerance = 0.0; ///< units by which an account may exceed its limit, across all nodes
 
+    double exposureShare = 0.0; ///< of a service's calls that a bad version of a rollout may get at most
+    double exposureTolerance = 0.0; ///< calls that it may get in addition, across all nodes
+    duration rollbackTime{}; ///< time from the decisive bad answer until no call goes to the version
+
+    /// Returns whether the deployment has rollouts. Without bounds nothing of rollouts takes effect.
+    bool hasRollouts() const
+    {
+        return exposureShare > 0.0 && rollbackTime > duration::zero();
+    }
+
     bool operator==(const edge_settings &) const = default;
 };
 
--- a/services/edge/tests/edge_parts_test.cpp
+++ b/services/edge/tests/edge_parts_test.cpp
@@ -58,6 +58,25 @@
 
 } // namespace
 
+TEST_CASE("a deployment without the bounds of rollouts has none, and one with all of them has")
+{
+    const auto without = readEdgeSettings(validSettings);
+    REQUIRE(std::holds_alternative<edge_settings>(without));
+    CHECK_FALSE(std::get<edge_settings>(without).hasRollouts());
+    // The template writes 0 for a bound that the platform does not state.
+    const auto empty
+        = readEdgeSettings(validSettings + "exposure_share = 0\nexposure_tolerance = 0\nrollback_ms = 0\n");
+    REQUIRE(std::holds_alternative<edge_settings>(empty));
+    CHECK_FALSE(std::get<edge_settings>(empty).hasRollouts());
+    const auto with = readEdgeSettings(
+        validSettings + "exposure_share = 0.1\nexposure_tolerance = 50\nrollback_ms = 5000\n");
+    REQUIRE(std::holds_alternative<edge_settings>(with));
+    CHECK(std::get<edge_settings>(with).hasRollouts());
+    CHECK(std::get<edge_settings>(with).exposureTolerance == 50.0);
+    CHECK(std::get<edge_settings>(with).rollbackTime == std::chrono::seconds(5));
+    CHECK(faultPaths(validSettings + "exposure_share = 1.5\n") == std::vector<std::string>{"exposure_share"});
+}
+
 TEST_CASE("readEdgeSettings() returns the settings or all faults")
 {
     const auto read = readEdgeSettings(validSettings);
