A followed row keeps its own version, whichever way it was read

An order of a rollout is identified by the version of its row. A node that read the row in a list of the table was told the version of the list instead, and a node that read it from another node the version under which that node had logged it, so nodes disagreed about which order is in force.

The change log keeps its own ascending version for each entry; observers and other nodes get the version of the row. A row that was written again with the same value is told to the observer also when it is found in a list.

--- a/libraries/cloud/table_follower.cpp
+++ b/libraries/cloud/table_follower.cpp
@@ -60,7 +60,8 @@
     for (const auto &[key, version] : newest) {
         const auto row = m_rows.find(key);
         const bool isRemoved = row == m_rows.end();
-        result.rows.push_back({key, version, isRemoved ? std::string() : row->second.value, isRemoved});
+        result.rows.push_back({key, isRemoved ? version : row->second.version,
+                               isRemoved ? std::string() : row->second.value, isRemoved});
     }
     return result;
 }
@@ -143,12 +144,12 @@
     return std::max<duration>(m_connectedSince + m_options.uncertainPeriod - m_tasks.now(), duration::zero());
 }
 
-bool table_follower::notifyObserver(const feed_row &row, duration uncertainFor)
+bool table_follower::notifyObserver(const feed_row &row, duration uncertainFor, std::uint64_t loggedVersion)
 {
     if (!m_observer.onChange(row, uncertainFor))
         return false;
     m_hasUpdates = true;
-    m_changeLog.push_back({row.key, row.version});
+    m_changeLog.push_back({row.key, loggedVersion});
     if (m_changeLog.size() > m_options.changeLogCapacity) {
         m_changeLogStart = m_changeLog.front().version;
         m_changeLog.pop_front();
@@ -183,7 +184,8 @@
     for (const auto &[key, row] : previousRows) {
         // A row whose removal tells nothing new is kept for the nodes that ask this one: a restored store may
         // lack the newest configuration.
-        if (!m_rows.contains(key) && !notifyObserver({key, read.version, {}, true}, uncertainFor))
+        if (!m_rows.contains(key)
+            && !notifyObserver({key, read.version, {}, true}, uncertainFor, read.version))
             m_rows.emplace(key, row);
     }
     // Versions in the change log must be in ascending order, so a row read from a snapshot is logged with
@@ -191,10 +193,10 @@
     for (const feed_row &each : read.rows) {
         const auto known = previousRows.find(each.key);
         if (known == previousRows.end())
-            notifyObserver({each.key, read.version, each.value, false}, duration::zero());
-        else if (known->second.value == each.value)
+            notifyObserver(each, duration::zero(), read.version);
+        else if (known->second.value == each.value && known->second.version == each.version)
             continue;
-        else if (notifyObserver({each.key, read.version, each.value, false}, duration::zero()))
+        else if (notifyObserver(each, duration::zero(), read.version))
             notifyReplacing(known->second, each.value);
         else
             m_rows[each.key].value = known->second.value;
@@ -230,7 +232,10 @@
     const duration uncertainFor = uncertainTimeLeft();
     for (const feed_row &each : read.rows) {
         const auto known = m_rows.find(each.key);
-        if (!notifyObserver(each, uncertainFor) && known != m_rows.end())
+        // Another node may tell a row that is older than what it read last.
+        const std::uint64_t firstVersion = std::min(m_version + 1, read.version);
+        const std::uint64_t loggedVersion = std::clamp(each.version, firstVersion, read.version);
+        if (!notifyObserver(each, uncertainFor, loggedVersion) && known != m_rows.end())
             continue;
         if (known != m_rows.end() && !each.removed)
             notifyReplacing(known->second, each.value);
@@ -293,11 +298,10 @@
         m_isListingFallback = false;
         if (!read || !m_hasSnapshot)
             return;
-        for (feed_row each : read.value().rows) {
-            each.version = m_version;
+        for (const feed_row &each : read.value().rows) {
             const auto known = m_rows.find(each.key);
             const bool isKnown = known != m_rows.end() && known->second.value == each.value;
-            if (isKnown || !notifyObserver(each, duration::zero()))
+            if (isKnown || !notifyObserver(each, duration::zero(), m_version))
                 continue;
             if (known != m_rows.end())
                 notifyReplacing(known->second, each.value);
--- a/libraries/cloud/table_follower.h
+++ b/libraries/cloud/table_follower.h
@@ -118,7 +118,9 @@
     void recordRestore(std::uint64_t version);
     void applyChanges(const versioned_rows &read);
     duration uncertainTimeLeft() const;
-    bool notifyObserver(const feed_row &row, duration uncertainFor);
+    /// `loggedVersion` is the version under which the change log keeps the row. It grows with each read; the
+    /// row's own version may be older.
+    bool notifyObserver(const feed_row &row, duration uncertainFor, std::uint64_t loggedVersion);
     void notifyReplacing(const feed_row &before, const std::string &after) const;
     void notifyTableUpdated();
     void schedulePoll();
