--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -157,7 +157,8 @@
         platformCalls,
         settings.control.port,
         upstreams,
-        [this](std::shared_ptr<const relay::route_table> table) { applyConfiguration(std::move(table)); }};
+        [this](std::shared_ptr<const relay::route_table> table) { applyConfiguration(std::move(table)); },
+        [](const std::vector<delivery::rollout_order> &) {}};
 
     /// Only one process at a time runs on a VM, so the VM's name identifies the lease holder.
     placement::lease_manager lease{
--- a/services/edge/platform_tables.cpp
+++ b/services/edge/platform_tables.cpp
@@ -1,6 +1,7 @@
 #include "platform_tables.h"
 
 #include "platform/configuration_codec.h"
+#include "platform/rollout_codec.h"
 #include "platform/upstream_codec.h"
 #include "platform/wire_names.h"
 
@@ -32,7 +33,8 @@
                                  membership::gossip_membership &members, cloud::change_feed &store,
                                  http::fetcher &calls, std::uint16_t controlPort,
                                  relay::upstream_directory &upstreams,
-                                 relay::configuration_rows::update_handler onConfiguration)
+                                 relay::configuration_rows::update_handler onConfiguration,
+                                 relay::rollout_rows::update_handler onRollouts)
     : m_tasks(tasks)
     , m_members(members)
     , m_upstreams(upstreams)
@@ -47,9 +49,10 @@
                               onConfiguration(std::move(table));
                               members.publish({configuration_fact, version, ""});
                           })
+    , m_rolloutRows(tasks, adapter::wire::rollout_key_prefix, adapter::decodeRolloutOrder,
+                    std::move(onRollouts))
     , m_upstreamRows(tasks, upstreams, adapter::decodeUpstream)
-    , m_configuration(tasks, randomness, m_feed, &m_peerFeed, adapter::wire::operator_table,
-                      m_configurationRows)
+    , m_configuration(tasks, randomness, m_feed, &m_peerFeed, adapter::wire::operator_table, m_operatorRows)
     , m_upstreamTable(tasks, randomness, m_feed, &m_peerFeed, adapter::wire::upstream_table, m_upstreamRows,
                       {.settledBatchDelay = upstream_batch_delay})
 {
