Calls follow the gate of a rollout and record what they observe of its versions

While a rollout is in progress the target may get only its share of new calls, and the holder of the duties needs what the calls of all nodes observed.

upstream_choice asks the gate once a call: a call that is not admitted never goes to the target, an admitted one goes to another version only if the target has no upstream. Repeated attempts avoid the target; a stream that goes on stays at its version, and after the rollback nothing goes to the target, also no resumption. The target's upstreams are left out of the scarce versions. attempt_evidence records starts, failures, time to the first event or the whole response, and gaps. Not counted: what was not run, waits, and connections that could not be made, because new upstreams may not listen yet.

--- /dev/null
+++ b/libraries/relay/attempt_evidence.cpp
@@ -0,0 +1,56 @@
+#include "relay/attempt_evidence.h"
+
+namespace ivypier::relay {
+
+attempt_evidence::attempt_evidence(call_rollouts *rollouts, const clock &time, const std::string &service,
+                                   const std::string &softwareVersion, const route &matched)
+    : m_rollouts(rollouts)
+    , m_time(time)
+    , m_version(softwareVersion)
+    , m_targetLatency(matched.targetLatency)
+    , m_targetGap(matched.targetGap)
+    , m_sentAt(time.now())
+{
+    const std::uint64_t order = rollouts ? rollouts->gate().orderInProgress(service) : 0;
+    if (order == 0)
+        return;
+    const bool isTarget = rollouts->gate().withoutTarget(service).targetVersion == softwareVersion;
+    m_key = {service, order, isTarget ? delivery::version_class::target : delivery::version_class::other,
+             matched.name};
+    rollouts->evidence().recordStart(*m_key);
+}
+
+void attempt_evidence::recordEvents()
+{
+    if (!m_key)
+        return;
+    const time_point now = m_time.now();
+    if (!m_hasEvents) {
+        m_rollouts->evidence().recordFirstEvent(*m_key, now - m_sentAt);
+        m_rollouts->gate().recordAnswer(m_key->service, m_version, false);
+    } else if (m_targetGap > duration::zero() && now - m_lastEventsAt > m_targetGap && !m_hasGap) {
+        m_hasGap = true;
+        m_rollouts->evidence().recordGap(*m_key);
+    }
+    m_hasEvents = true;
+    m_lastEventsAt = now;
+}
+
+void attempt_evidence::recordFailure()
+{
+    if (!m_key)
+        return;
+    m_rollouts->evidence().recordFailure(*m_key, m_hasEvents);
+    m_rollouts->gate().recordAnswer(m_key->service, m_version, true);
+    m_key.reset();
+}
+
+void attempt_evidence::recordAbandoned()
+{
+    const bool isLate = m_targetLatency > duration::zero() && m_time.now() - m_sentAt > m_targetLatency;
+    if (!m_hasEvents && isLate)
+        recordFailure();
+    m_key.reset();
+}
+
+} // namespace ivypier::relay
--- a/libraries/relay/call_environment.h
+++ b/libraries/relay/call_environment.h
@@ -7,6 +7,7 @@
 #include "relay/answer_buffers.h"
 #include "relay/call_permits.h"
 #include "relay/call_quarantine.h"
+#include "relay/call_rollouts.h"
 #include "relay/crash_key.h"
 #include "relay/retry_budget.h"
 #include "relay/run_counter.h"
@@ -48,6 +49,7 @@
     std::function<std::int64_t()> wallMilliseconds;
     /// Returns the maximum number of connections that this node may open to one upstream of the service.
     std::function<std::size_t(const service &)> connectionsFor;
+    call_rollouts *rollouts = nullptr; ///< null: the deployment has no rollouts
 };
 
 } // namespace ivypier::relay
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -134,7 +134,8 @@
         return;
     }
     const upstream *chosen = m_environment.upstreams.find(id);
-    if (decision.isGranted && chosen && !chosen->record.draining) {
+    if (decision.isGranted && chosen && !chosen->record.draining
+        && m_choice->mayStillUse(chosen->record, m_resumption->origin())) {
         startAttemptOn(chosen->record);
         return;
     }
@@ -156,12 +157,15 @@
 
 void relayed_call::startAttemptOn(const upstream_record &chosen)
 {
-    m_choice->exclude(chosen.id);
+    m_choice->recordSent(chosen.id);
     if (++m_attemptCount == 1)
         m_environment.retries.recordFirstAttempt(m_serviceName);
     if (m_call.size)
         m_environment.work.recordSent(m_serviceName, uncachedTokens());
     m_attempt = std::make_unique<upstream_attempt>(m_environment, m_call, chosen, uncachedTokens());
+    m_evidence
+        = std::make_unique<attempt_evidence>(m_environment.rollouts, m_environment.tasks, m_serviceName,
+                                             m_attempt->to().softwareVersion, *m_admission.matched);
     const attempt details = attemptDetails(m_attempt->to());
     if (details.lastEvent)
         m_resumption->logContinuation(m_attempt->to(), *details.lastEvent, m_answer.hasBegun());
@@ -176,6 +180,13 @@
         m_attempt->end(succeeded);
 }
 
+void relayed_call::abandonAttempt()
+{
+    if (m_attempt && m_attempt->isRunning())
+        m_evidence->recordAbandoned();
+    endAttempt(false);
+}
+
 void relayed_call::endWithoutUpstream()
 {
     if (m_mayHaveRun)
@@ -268,6 +279,7 @@
     m_mayHaveRun = true;
     ++m_possibleRuns;
     m_environment.upstreams.recordFailure(upstreamId());
+    m_evidence->recordFailure();
     endAttempt(false);
     if (!retryAfterFailure("unsigned_success"))
         fail(status_bad_gateway, "unsigned_success");
@@ -315,8 +327,10 @@
     ++m_possibleRuns;
     if (!m_admission.matched->isStream())
         countRun();
-    if (!asksToWait)
+    if (!asksToWait) {
         m_environment.upstreams.recordFailure(upstreamId());
+        m_evidence->recordFailure();
+    }
     if (m_answer.hasBegun() || canRetry()) {
         endAttempt(false);
         if (retryAfterFailure("upstream_failed"))
@@ -358,6 +372,7 @@
 void relayed_call::recordEvents()
 {
     m_attempt->recordPrefillDone();
+    m_evidence->recordEvents();
     countRun();
     m_attempt->setAnswerBegan();
     const time_point beganAt = *m_attempt->answerBeganAt();
@@ -375,6 +390,7 @@
     const bool hasGap = m_answer.events()->hasGap();
     const char *reason = hasGap ? "missing_event" : "event_too_long";
     m_environment.upstreams.recordFailure(upstreamId());
+    m_evidence->recordFailure();
     endAttempt(false);
     // Events that are missing can't be had from another upstream: the caller has those after the gap.
     if (hasGap || !retryAfterFailure(reason))
@@ -388,9 +404,11 @@
         endStream();
         return;
     }
-    if (m_attempt->answerBeganAt())
+    if (m_attempt->answerBeganAt()) {
+        m_evidence->recordEvents();
         m_suspicion->recordAnswer(upstreamId(), *m_attempt->answerBeganAt(),
                                   m_attempt->answerEndsWithConnection);
+    }
     endAttempt(false);
     complete(m_answer.sendKept(), "answered");
 }
@@ -399,6 +417,7 @@
 {
     if (m_answer.events() && m_answer.events()->hasPartialEvent()) {
         m_suspicion->recordBroken(upstreamId(), m_attempt->answerBeganAt());
+        m_evidence->recordFailure();
         endAttempt(false);
         if (!retryAfterFailure("torn_event"))
             fail(status_bad_gateway, "torn_event");
@@ -419,6 +438,7 @@
         m_environment.upstreams.recordFailure(upstreamId());
     if (failure.stage != http::exchange_stage::not_sent) {
         m_suspicion->recordBroken(upstreamId(), m_attempt->answerBeganAt());
+        m_evidence->recordFailure();
         if (!m_mayHaveRun || m_attempt->isUnanswered())
             ++m_possibleRuns;
         m_mayHaveRun = true;
@@ -454,7 +474,7 @@
     const auto alive = shared_from_this();
     m_timer.reset();
     const bool mayHaveRun = m_mayHaveRun || (m_attempt && m_attempt->isRunning());
-    endAttempt(false);
+    abandonAttempt();
     if (mayHaveRun)
         fail(status_gateway_timeout, "time_over");
     else
@@ -464,7 +484,7 @@
 void relayed_call::onCallerDisconnected()
 {
     const auto alive = shared_from_this();
-    endAttempt(false);
+    abandonAttempt();
     complete(0, "caller_gone");
 }
 
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/answer_delivery.h"
+#include "relay/attempt_evidence.h"
 #include "relay/call_admission.h"
 #include "relay/call_environment.h"
 #include "relay/call_suspicion.h"
@@ -46,6 +47,7 @@
     void startAttemptOn(const upstream_record &chosen);
     attempt attemptDetails(const upstream_record &to) const;
     void endAttempt(bool succeeded);
+    void abandonAttempt();
     void endWithoutUpstream();
     bool isQuarantined();
     void endQuarantined();
@@ -85,6 +87,7 @@
     std::unique_ptr<stream_resumption> m_resumption;
     std::unique_ptr<call_suspicion> m_suspicion;
     std::unique_ptr<upstream_attempt> m_attempt; ///< the current or last one
+    std::unique_ptr<attempt_evidence> m_evidence; ///< of the current or last attempt
     std::optional<timer_id> m_timer;
     std::uint32_t m_possibleRuns = 0; ///< attempts whose upstream may have run the call
     std::uint32_t m_attemptCount = 0;
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -287,6 +287,7 @@
     fake_reachability_check reachability{time};
     upstream_end_detector ends{time, upstreams, reachability, quarantine};
     crash_key_deriver crashKeys{testFleetKey()};
+    call_rollouts rollouts{time, randomness};
     duration callerTimeout = std::chrono::seconds(2);
     route defaultRoute;
     client_account account;
@@ -309,7 +310,8 @@
                          ends,
                          crashKeys,
                          [this] { return time.wallMilliseconds(); },
-                         [](const service &) { return std::size_t{8}; }}};
+                         [](const service &) { return std::size_t{8}; },
+                         &rollouts}};
     int callCount = 0;
 };
 
--- a/libraries/relay/upstream_choice.cpp
+++ b/libraries/relay/upstream_choice.cpp
@@ -53,12 +53,82 @@
     }
 }
 
+void upstream_choice::recordSent(const std::string &id)
+{
+    m_isSent = true;
+    exclude(id);
+}
+
+delivery::version_filter upstream_choice::filterFor(const std::string &service,
+                                                    const std::optional<stream_origin> &origin)
+{
+    if (!m_environment.rollouts)
+        return {};
+    delivery::rollout_gate &gate = m_environment.rollouts->gate();
+    if (origin) {
+        // A stream stays at the version that began it, also at the target of a rollout, unless that was
+        // rolled back.
+        delivery::version_filter result = gate.withoutTarget(service);
+        if (result.orderVersion != 0)
+            result.excluded.erase(result.targetVersion);
+        return result;
+    }
+    if (m_isSent)
+        return gate.withoutTarget(service);
+    // A call takes its part of the share once, however many upstreams refuse it before it is sent.
+    if (!m_admitted || m_admittedService != service) {
+        m_admitted = gate.admit(service);
+        m_admittedService = service;
+    }
+    // The version may have been rolled back while the call waited for a permit.
+    const std::set<std::string> excluded = gate.excludedVersions(service);
+    const bool isWithdrawn
+        = std::any_of(m_admitted->only.begin(), m_admitted->only.end(),
+                      [&](const std::string &version) { return excluded.contains(version); });
+    if (isWithdrawn)
+        m_admitted = gate.withoutTarget(service);
+    return *m_admitted;
+}
+
+bool upstream_choice::mayStillUse(const upstream_record &chosen, const std::optional<stream_origin> &origin)
+{
+    if (!m_environment.rollouts)
+        return true;
+    if (origin)
+        return filterFor(chosen.service, origin).mayUse(chosen.softwareVersion);
+    return m_environment.rollouts->gate().mayUse(chosen.service, chosen.softwareVersion);
+}
+
+const upstream *upstream_choice::select(const std::string &service, const delivery::version_filter &filter,
+                                        version_reserve reserve) const
+{
+    reserve.closed.insert(m_excluded.begin(), m_excluded.end());
+    if (!filter.only.empty() || !filter.excluded.empty()) {
+        for (const upstream *each : m_environment.upstreams.ready(service)) {
+            if (!filter.mayUse(each->record.softwareVersion))
+                reserve.closed.insert(each->record.id);
+        }
+    }
+    const std::optional<std::string> id
+        = m_environment.selector.select({&m_route, &m_call, service, reserve.closed, reserve.avoided});
+    return id ? m_environment.upstreams.find(*id) : nullptr;
+}
+
 version_reserve upstream_choice::reserved(const std::string &service,
                                           const std::optional<stream_origin> &origin) const
 {
     if (origin)
         return {};
-    return reservedForResumption(m_environment.upstreams.ready(service), [this](const upstream &each) {
+    std::vector<const upstream *> ready = m_environment.upstreams.ready(service);
+    if (m_environment.rollouts) {
+        // The few upstreams of a target are not scarce: the gate decides on the calls that they get.
+        const delivery::version_filter filter = m_environment.rollouts->gate().withoutTarget(service);
+        if (filter.orderVersion != 0)
+            std::erase_if(ready, [&](const upstream *each) {
+                return each->record.softwareVersion == filter.targetVersion;
+            });
+    }
+    return reservedForResumption(ready, [this](const upstream &each) {
         return upstream_occupancy{m_environment.selector.loadOf(each),
                                   m_environment.permits.isNeeded(each.record.id)};
     });
@@ -68,13 +138,12 @@
                                         const std::optional<stream_origin> &origin)
 {
     excludeUnavailable(service, origin);
-    version_reserve reserve = reserved(service, origin);
-    const bool isReserved = !reserve.closed.empty();
-    reserve.closed.insert(m_excluded.begin(), m_excluded.end());
-    const std::optional<std::string> id
-        = m_environment.selector.select({&m_route, &m_call, service, reserve.closed, reserve.avoided});
-    const upstream *chosen = id ? m_environment.upstreams.find(*id) : nullptr;
-    if (!chosen && isReserved) {
+    const version_reserve reserve = reserved(service, origin);
+    const delivery::version_filter filter = filterFor(service, origin);
+    const upstream *chosen = select(service, filter, reserve);
+    if (!chosen && !filter.only.empty()) // the versions that are wanted have no upstream now
+        chosen = select(service, m_environment.rollouts->gate().withoutTarget(service), reserve);
+    if (!chosen && !reserve.closed.empty()) {
         const duration soon = spreadReturn(m_environment.randomness, retry_after_base);
         m_returnAfter = std::min(m_returnAfter.value_or(soon), soon);
     }
--- a/libraries/relay/upstream_choice.h
+++ b/libraries/relay/upstream_choice.h
@@ -21,6 +21,12 @@
     /// goes only where `origin` allows.
     const upstream *choose(const std::string &service, const std::optional<stream_origin> &origin);
 
+    /// Returns false if the version of an upstream that was chosen has been rolled back since.
+    bool mayStillUse(const upstream_record &chosen, const std::optional<stream_origin> &origin);
+
+    /// Records that the call was sent to an upstream. Further attempts avoid the target of a rollout.
+    void recordSent(const std::string &id);
+
     /// Records that an upstream was tried or does not take the call. `returnAfter`: when it may take calls.
     void exclude(const std::string &id, std::optional<duration> returnAfter = std::nullopt);
 
@@ -34,12 +40,20 @@
     bool canServe(const upstream_record &candidate, const std::optional<stream_origin> &origin) const;
     void excludeUnavailable(const std::string &service, const std::optional<stream_origin> &origin);
     version_reserve reserved(const std::string &service, const std::optional<stream_origin> &origin) const;
+    /// Returns the versions at which the call may run by the rollouts.
+    delivery::version_filter filterFor(const std::string &service,
+                                       const std::optional<stream_origin> &origin);
+    const upstream *select(const std::string &service, const delivery::version_filter &filter,
+                           version_reserve reserve) const;
 
     call_environment &m_environment;
     const call &m_call;
     const route &m_route;
     std::set<std::string> m_excluded;
     std::optional<duration> m_returnAfter;
+    std::optional<delivery::version_filter> m_admitted; ///< by the gate, for the first attempt
+    std::string m_admittedService;
+    bool m_isSent = false; ///< an attempt was sent
 };
 
 } // namespace ivypier::relay
