The evidence on rollouts rides in the fleet exchange up to the holder of the duties

The decision on a rollout needs the calls of the whole fleet.

Running totals of a new metric kind go with the reports: those that changed, and all of them in every fourth report. fleet::evidence_sums keeps the newest value of each node, because the totals of an order grow from 0, and takes for each domain the larger of its nodes' sum and its collectors' sum, so that nothing is counted twice. Nothing is sent while no rollout is in progress. fleet_aggregator::medianReportAge() states how old the sums are.

--- a/libraries/fleet/domain_sums.cpp
+++ b/libraries/fleet/domain_sums.cpp
@@ -93,6 +93,8 @@
     case metric_kind::silent_nodes:
         from.silentNodes = sample.value;
         return;
+    case metric_kind::rollout_evidence: // summed by the aggregator
+        return;
     }
 }
 
--- a/libraries/fleet/domain_sums.h
+++ b/libraries/fleet/domain_sums.h
@@ -42,6 +42,18 @@
     /// Returns the number of nodes that reported to the collector that knows most, 0 if no sums are current.
     std::size_t reportingNodes() const;
 
+    /// Returns the nodes of the domain when its last sums were received.
+    std::size_t lastNodes() const
+    {
+        return m_lastNodes;
+    }
+
+    /// Returns the time since the last sums were received.
+    duration age() const
+    {
+        return m_time.now() - m_lastReceivedAt;
+    }
+
     /// Returns the nodes that stopped reporting without leaving: those that the collectors know, or all nodes
     /// of the domain if none of its collectors has sent sums for `silence`.
     std::size_t silentNodes(duration silence) const;
--- a/libraries/fleet/fleet_aggregator.cpp
+++ b/libraries/fleet/fleet_aggregator.cpp
@@ -33,6 +33,7 @@
 
 fleet_aggregator::fleet_aggregator(const clock &time)
     : m_time(time)
+    , m_evidence(time)
 {
 }
 
@@ -76,6 +77,12 @@
         addRun(node, sample);
         return;
     }
+    if (sample.kind == metric_kind::rollout_evidence) {
+        if (entry.failureDomain.empty())
+            return; // the membership does not know the node yet; it reports its totals again
+        m_evidence.addNode(node, entry.failureDomain, sample.name, sample.value);
+        return;
+    }
     if (entry.isRunsOnly)
         return;
     switch (sample.kind) {
@@ -94,6 +101,7 @@
         entry.work[sample.name].engineTokensPerSecond = static_cast<double>(sample.value);
         return;
     case metric_kind::runs: // handled above
+    case metric_kind::rollout_evidence:
     case metric_kind::nodes: // only collectors send these
     case metric_kind::silent_nodes:
         return;
@@ -165,6 +173,10 @@
     }
     for (const auto &[key, grown] : sums.add(collector, round, samples))
         m_totals[key] += grown;
+    for (const metric_sample &each : samples) {
+        if (each.kind == metric_kind::rollout_evidence)
+            m_evidence.addDomain(failureDomain, each.name, each.value);
+    }
 }
 
 bool fleet_aggregator::hasCurrentSums() const
@@ -286,6 +298,9 @@
             result.push_back({metric_kind::load, name, 0, load});
         addWork(result, ownWork());
     }
+    const auto reportsHere = [this](const std::string &domain) { return !hasCurrentSums(domain); };
+    for (const auto &[name, total] : m_evidence.ofNodes(reportsHere))
+        result.push_back({metric_kind::rollout_evidence, name, 0, total});
     for (auto window = m_runs.lower_bound(firstWindow); window != m_runs.end(); ++window) {
         relay::run_counts sum;
         for (const auto &[domain, counts] : runsByDomain(window->first)) {
@@ -370,6 +385,24 @@
     return result;
 }
 
+duration fleet_aggregator::medianReportAge() const
+{
+    const time_point now = m_time.now();
+    std::vector<duration> ages;
+    for (const auto &[node, entry] : m_nodes) {
+        const duration age = now - entry.reportedAt;
+        if (!entry.isGone && age <= silent_node_retention && !hasCurrentSums(entry.failureDomain))
+            ages.push_back(age);
+    }
+    for (const auto &[domain, sums] : m_domains)
+        ages.insert(ages.end(), sums.lastNodes(), std::min<duration>(sums.age(), silent_node_retention));
+    if (ages.empty())
+        return duration::zero();
+    const auto median = ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
+    std::nth_element(ages.begin(), median, ages.end());
+    return *median;
+}
+
 void fleet_aggregator::dropWindowsBefore(std::int64_t window)
 {
     m_runs.erase(m_runs.begin(), m_runs.lower_bound(window));
--- a/libraries/fleet/fleet_aggregator.h
+++ b/libraries/fleet/fleet_aggregator.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "fleet/domain_sums.h"
+#include "fleet/evidence_sums.h"
 #include "fleet/metric_sample.h"
 #include "fleet/report_lifetime.h"
 #include "membership/member.h"
@@ -69,6 +70,16 @@
     /// measured.
     std::map<std::string, relay::service_work> work() const;
 
+    /// Returns the sums over all nodes of the evidence on rollouts, by sample name.
+    evidence_sums::totals rolloutEvidence() const
+    {
+        return m_evidence.all();
+    }
+
+    /// Returns the median age of the newest reports or sums, each node counted once; nodes that are gone or
+    /// were silent for long do not count. Zero without reports.
+    duration medianReportAge() const;
+
     /// Drops the runs of all windows before `window`.
     void dropWindowsBefore(std::int64_t window);
 
@@ -110,6 +121,7 @@
     running_totals m_ownTotals; ///< over the nodes that report to this node
     running_totals m_totals; ///< as above, with the other domains
     values_by_name m_loads;
+    evidence_sums m_evidence;
     std::map<std::string, domain_sums> m_domains; ///< domains whose collectors sent sums
     /// Runs that nodes reported to this node, by window and node.
     std::map<std::int64_t, std::map<membership::incarnation, relay::run_counts>> m_runs;
--- a/libraries/fleet/local_metrics.cpp
+++ b/libraries/fleet/local_metrics.cpp
@@ -18,11 +18,13 @@
 }
 
 local_metrics::local_metrics(const relay::unit_quota &quota, const relay::run_counter &runs,
-                             const relay::upstream_directory &upstreams, const relay::work_meter &work)
+                             const relay::upstream_directory &upstreams, const relay::work_meter &work,
+                             relay::call_rollouts *rollouts)
     : m_quota(quota)
     , m_runs(runs)
     , m_upstreams(upstreams)
     , m_work(work)
+    , m_rollouts(rollouts)
 {
 }
 
@@ -53,6 +55,10 @@
         for (const auto &[account, count] : m_runs.countsOf(each))
             metricSamples.push_back({metric_kind::runs, account, each, count});
     }
+    if (m_rollouts) {
+        for (auto &[name, value] : m_rollouts->takeSamples(round % rounds_per_resend == 0))
+            metricSamples.push_back({metric_kind::rollout_evidence, std::move(name), 0, value});
+    }
     return metricSamples;
 }
 
--- a/libraries/fleet/local_metrics.h
+++ b/libraries/fleet/local_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/metric_sample.h"
+#include "relay/call_rollouts.h"
 #include "relay/run_counter.h"
 #include "relay/unit_quota.h"
 #include "relay/upstream_directory.h"
@@ -17,7 +18,8 @@
 /// Loads are reported in whole tenths of a call.
 inline constexpr double load_units_per_call = 10.0;
 
-/// Collects the metric samples that this node reports to the collectors.
+/// Collects the metric samples that this node reports to the collectors. The totals of rollouts that did not
+/// change since the last report are part of every `rounds_per_resend`th report only.
 class local_metrics
 {
 public:
@@ -29,7 +31,8 @@
     static constexpr std::uint64_t rounds_per_resend = 4;
 
     local_metrics(const relay::unit_quota &quota, const relay::run_counter &runs,
-                  const relay::upstream_directory &upstreams, const relay::work_meter &work);
+                  const relay::upstream_directory &upstreams, const relay::work_meter &work,
+                  relay::call_rollouts *rollouts = nullptr);
 
     /// Returns the first usage window whose runs are part of the report of a round.
     static std::int64_t firstReportedWindow(std::uint64_t round, std::int64_t window);
@@ -42,6 +45,7 @@
     const relay::run_counter &m_runs;
     const relay::upstream_directory &m_upstreams;
     const relay::work_meter &m_work;
+    relay::call_rollouts *m_rollouts;
 };
 
 } // namespace ivypier::fleet
--- a/libraries/fleet/metric_sample.h
+++ b/libraries/fleet/metric_sample.h
@@ -17,14 +17,16 @@
     refused, ///< units refused because of an account's limit since the reporting node started
     nodes, ///< nodes that report to the sending collector
     silent_nodes, ///< nodes that stopped reporting without leaving
+    rollout_evidence, ///< a running total of the calls of one rollout's order, since the order
 };
 
-inline constexpr auto last_metric_kind = metric_kind::silent_nodes;
+inline constexpr auto last_metric_kind = metric_kind::rollout_evidence;
 
 /// Identifies a running total: its kind and the account.
 using metric_key = std::pair<metric_kind, std::string>;
 
-/// Holds one value that a node reports. `name` is an account, the digest of an upstream's ID or a service.
+/// Holds one value that a node reports. `name` is an account, the digest of an upstream's ID, a service or a
+/// sample name of delivery::version_evidence.
 struct metric_sample
 {
     metric_kind kind = metric_kind::consumed;
--- a/libraries/fleet/tests/test_cluster.h
+++ b/libraries/fleet/tests/test_cluster.h
@@ -35,6 +35,7 @@
         , quota(time, randomness)
         , upstreams(time)
         , work(time)
+        , rollouts(time, randomness)
         , exchange(
               time, *channel, fleetKey(), view, port, "duty", localMetrics, quota,
               [this, &time] { return runs.windowAt(time.wallMilliseconds()); }, maxSingleLevelNodes)
@@ -47,7 +48,8 @@
     relay::run_counter runs{5000};
     relay::upstream_directory upstreams;
     relay::work_meter work;
-    local_metrics localMetrics{quota, runs, upstreams, work};
+    relay::call_rollouts rollouts;
+    local_metrics localMetrics{quota, runs, upstreams, work, &rollouts};
     fleet_exchange exchange;
 };
 
