Nodes take part in rollouts: orders, statements, the controller and what an operator sees

The parts of rollouts were not connected.

A wish to stop travels as the fact rollout-stop/<service> with the order's version. The autoscaler leaves the target's upstreams out of its count while a rollout is in progress and after a rollback, and then releases no upstream. Without the bounds of rollouts in the settings nothing of this runs.

--- a/libraries/duties/upstream_autoscaler.cpp
+++ b/libraries/duties/upstream_autoscaler.cpp
@@ -72,7 +72,11 @@
 capacity_plan upstream_autoscaler::countPresent(const std::string &service) const
 {
     capacity_plan result;
+    const std::set<std::string> uncounted
+        = m_rollouts ? m_rollouts->withoutTarget(service).excluded : std::set<std::string>();
     for (const relay::upstream *each : m_upstreams.ready(service)) {
+        if (uncounted.contains(each->record.softwareVersion))
+            continue;
         domain_capacity &counts = result[each->record.failureDomain];
         ++(each->record.reclaimable ? counts.reclaimable : counts.onDemand);
     }
@@ -122,6 +126,7 @@
         capacity_plan plan = m_policy.choose({*each.scaling, load, present, countBooting(each, present),
                                               m_loads[each.name].firstCallAt == time_point()});
         holdReclaimable(each.name, present, plan);
+        holdDuringRollout(each.name, present, plan);
         logPlan(each.name, load, plan);
         for (const auto &[domain, counts] : plan) {
             const auto in = present.find(domain);
@@ -156,6 +161,23 @@
     }
 }
 
+void upstream_autoscaler::followRollouts(const delivery::rollout_gate &gate)
+{
+    m_rollouts = &gate;
+}
+
+void upstream_autoscaler::holdDuringRollout(const std::string &service, const capacity_plan &present,
+                                            capacity_plan &plan) const
+{
+    if (!m_rollouts || m_rollouts->orderInProgress(service) == 0)
+        return;
+    for (const auto &[domain, counts] : present) {
+        domain_capacity &planned = plan[domain];
+        planned.onDemand = std::max(planned.onDemand, counts.onDemand);
+        planned.reclaimable = std::max(planned.reclaimable, counts.reclaimable);
+    }
+}
+
 void upstream_autoscaler::logPlan(const std::string &service, double load, const capacity_plan &plan)
 {
     if (std::exchange(m_previousPlans[service], plan) == plan)
--- a/libraries/duties/upstream_autoscaler.h
+++ b/libraries/duties/upstream_autoscaler.h
@@ -2,6 +2,7 @@
 
 #include "base/scheduler.h"
 #include "cloud/fenced_operations.h"
+#include "delivery/rollout_gate.h"
 #include "duties/capacity_policy.h"
 #include "placement/duty.h"
 #include "relay/upstream_directory.h"
@@ -49,6 +50,10 @@
                         relay::upstream_directory &upstreams, capacity_policy policy,
                         autoscaler_options options);
 
+    /// Has the upstreams of a rollout's target left out of the count while it is in progress and after it was
+    /// rolled back. `gate` must outlive this object.
+    void followRollouts(const delivery::rollout_gate &gate);
+
     /// Updates the orders. Must be called a few times per second.
     void poll(const relay::service_map &configuration,
               const std::map<std::string, relay::service_work> &work);
@@ -91,6 +96,10 @@
     /// Records when reclaimable upstreams were reclaimed, and for `reclaimHoldTime` after that keeps the plan
     /// from releasing others.
     void holdReclaimable(const std::string &service, const capacity_plan &present, capacity_plan &plan);
+    /// Keeps the plan from releasing upstreams while a rollout of the service is in progress: the calls that
+    /// the target serves then come back when it is rolled back.
+    void holdDuringRollout(const std::string &service, const capacity_plan &present,
+                           capacity_plan &plan) const;
     void logPlan(const std::string &service, double load, const capacity_plan &plan);
     void orderIfNeeded(const relay::service &service, const std::string &domain, bool reclaimable,
                        std::uint32_t count, std::uint32_t present);
@@ -102,6 +111,7 @@
     const relay::upstream_directory &m_upstreams;
     capacity_policy m_policy;
     autoscaler_options m_options;
+    const delivery::rollout_gate *m_rollouts = nullptr;
     std::uint64_t m_tenure = 0;
     std::map<order_key, sent_order> m_sent;
     std::map<order_key, time_point> m_lastLeavingAt; ///< when an upstream last stopped accepting calls
--- a/libraries/membership/membership_view.h
+++ b/libraries/membership/membership_view.h
@@ -17,7 +17,8 @@
 /// `configuration` (the newest head), `leaving/<upstream address>`, `witness/<incarnation>` (its successor),
 /// `epoch/<incarnation>` (the version is the epoch of its tickets), `share/<account>/<node>` (limit shares),
 /// `domain/<region>/<failure domain>` (a domain_summary), `versions/<service>` (the row of its software
-/// versions, by the version of the row).
+/// versions, by the version of the row), `rollout/<service>` (the newest statement on its rollout),
+/// `rollout-stop/<service>` (an operator's wish to stop it; the version is that of the order).
 struct fact
 {
     std::string key;
--- a/libraries/relay/call_rollouts.h
+++ b/libraries/relay/call_rollouts.h
@@ -37,6 +37,10 @@
     {
         return m_evidence;
     }
+    const delivery::version_evidence &evidence() const
+    {
+        return m_evidence;
+    }
 
     /// Returns the totals of this node that changed since the last call, or all of them. There are none while
     /// no rollout is in progress.
--- a/libraries/relay/rollout_rows.cpp
+++ b/libraries/relay/rollout_rows.cpp
@@ -45,10 +45,6 @@
         > cloud::store_position::fromPacked(found->second.rowVersion).era();
     if (isRestored && uncertainFor > duration::zero())
         return false;
-    log_event(log_level::info, "rollout.order_withdrawn")
-        .with("service", service)
-        .with("target", found->second.targetVersion)
-        .write();
     m_orders.erase(found);
     return true;
 }
@@ -73,12 +69,6 @@
         return false;
     if (known == m_orders.end() && m_orders.size() >= max_orders)
         return false;
-    log_event(log_level::info, "rollout.ordered")
-        .with("service", service)
-        .with("target", order.targetVersion)
-        .with("within_s", seconds(order.length))
-        .with("order", static_cast<std::int64_t>(order.rowVersion))
-        .write();
     m_orders[service] = std::move(order);
     return true;
 }
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -4,6 +4,7 @@
 #include "peer_feed_codec.h"
 #include "platform_tables.h"
 #include "quarantine_control.h"
+#include "rollout_control.h"
 #include "upstream_report.h"
 
 #include "base/hash.h"
@@ -112,7 +113,8 @@
     relay::unit_quota quota{tasks, randomness};
     relay::run_counter runCounter{milliseconds(settings.usageWindow)};
     relay::work_meter workMeter{tasks};
-    fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter};
+    relay::call_rollouts callRollouts{tasks, randomness};
+    fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter, rolloutsOfCalls()};
     fleet::fleet_exchange fleetExchange;
     fleet::permit_exchange permits;
     fleet::origin_exchange origins;
@@ -147,7 +149,8 @@
                                        upstreamEnds,
                                        crashKeys,
                                        [this] { return wallClock.milliseconds(); },
-                                       [this](const relay::service &of) { return connectionsFor(of); }}};
+                                       [this](const relay::service &of) { return connectionsFor(of); },
+                                       rolloutsOfCalls()}};
 
     platform_tables tables{
         tasks,
@@ -158,7 +161,7 @@
         settings.control.port,
         upstreams,
         [this](std::shared_ptr<const relay::route_table> table) { applyConfiguration(std::move(table)); },
-        [](const std::vector<delivery::rollout_order> &) {}};
+        [this](const std::vector<delivery::rollout_order> &orders) { rolloutControl.setOrders(orders); }};
 
     /// Only one process at a time runs on a VM, so the VM's name identifies the lease holder.
     placement::lease_manager lease{
@@ -169,6 +172,7 @@
                                          lease,
                                          fleetExchange.aggregator(),
                                          {.windowMilliseconds = milliseconds(settings.usageWindow)}};
+    rollout_control rolloutControl{tasks, callRollouts, members, store, lease, fleetExchange, upstreams};
     duties::upstream_autoscaler autoscaler{tasks, cloud, lease, upstreams, duties::capacity_policy({}), {}};
 
     std::unique_ptr<http::listener> callListener;
@@ -188,6 +192,12 @@
     void handleMetrics(const http::incoming_request &incoming, http::reply &to);
     void handleQuarantine(const http::incoming_request &incoming, http::reply &to);
     void startVersions();
+    void startRollouts();
+    /// Returns null if the deployment has no rollouts.
+    relay::call_rollouts *rolloutsOfCalls()
+    {
+        return settings.hasRollouts() ? &callRollouts : nullptr;
+    }
     void applyConfiguration(std::shared_ptr<const relay::route_table> table);
     void update();
     void readFleetSize();
@@ -289,6 +299,7 @@
 void edge_node::edge_components::start()
 {
     startedAt = tasks.now();
+    startRollouts();
     quota.setTolerance(settings.limitTolerance);
     tables.start();
     members.start();
@@ -323,6 +334,15 @@
     versions.start();
 }
 
+void edge_node::edge_components::startRollouts()
+{
+    if (!settings.hasRollouts())
+        return;
+    autoscaler.followRollouts(callRollouts.gate());
+    rolloutControl.start({settings.exposureShare, static_cast<std::uint64_t>(settings.exposureTolerance),
+                          settings.rollbackTime});
+}
+
 void edge_node::edge_components::handleCall(http::incoming_request incoming,
                                             const std::shared_ptr<http::reply> &to)
 {
@@ -384,6 +404,10 @@
         handleQuarantine(incoming, to);
         return;
     }
+    if (incoming.head.path().starts_with("/rollouts")) {
+        rolloutControl.handleRequest(incoming, to);
+        return;
+    }
     if (incoming.head.path() != "/metrics") {
         to.send(status_not_found, {}, {});
         return;
@@ -409,6 +433,7 @@
     metrics.set("ivypier_quarantine_datagrams", {}, static_cast<double>(quarantine.datagramsSent()));
     metrics.set("ivypier_answer_buffer_bytes", {}, static_cast<double>(answerBuffers.totalBytes()));
     metrics.set("ivypier_answer_buffers_dropped", {}, static_cast<double>(answerBuffers.dropped()));
+    rolloutControl.exportTo(metrics);
     for (const auto &[service, listed] : versions.listed())
         metrics.set("ivypier_software_versions", {{"service", service}}, static_cast<double>(listed.size()));
     for (const relay::upstream *each : upstreams.all())
