--- a/libraries/duties/tests/capacity_test.cpp
+++ b/libraries/duties/tests/capacity_test.cpp
@@ -318,6 +318,27 @@
     CHECK(scenario.cloud.orderCount == before);
 }
 
+TEST_CASE("a rollout causes no orders: its target does not count, and the old upstreams are kept")
+{
+    fixture scenario;
+    seeded_random randomness{3};
+    delivery::rollout_gate gate{scenario.time, randomness};
+    scenario.autoscaler.followRollouts(gate);
+    scenario.runFor(60s, 1.5);
+    const int before = scenario.cloud.orderCount;
+    const std::uint32_t old = scenario.cloud.ready();
+    gate.setOrders({{"s", "v2", 60s, 5, scenario.time.now()}});
+    gate.setStatus({"s", "v2", 5, delivery::rollout_state::in_progress, 0.5, {1, 1}, 0}, scenario.time.now());
+    for (std::uint32_t index = 0; index < old; ++index)
+        scenario.upstreams.put(
+            {"n" + std::to_string(index), "s", {}, index % 2 == 0 ? "a" : "b", 64, false, false, {}, "v2"});
+    // Also with half of the load nothing is released.
+    scenario.runFor(30s, 1.5);
+    scenario.runFor(60s, 0.7);
+    CHECK(scenario.cloud.orderCount == before);
+    CHECK(scenario.cloud.ready() == 2 * old);
+}
+
 TEST_CASE("a node without the lease places no orders")
 {
     fixture scenario;
