--- a/services/ctl/commands.h
+++ b/services/ctl/commands.h
@@ -94,6 +94,15 @@
     int run(const command_options &options, const std::string &argument) const override;
 };
 
+/// Prints the rollouts that an ivypier-edge node knows, or has the fleet roll one back.
+class rollout_command final : public command
+{
+public:
+    std::string_view name() const override;
+    std::string_view argumentName() const override;
+    int run(const command_options &options, const std::string &argument) const override;
+};
+
 /// Prints the status of one node, or of every node that the platform lists.
 class status_command final : public command
 {
--- a/services/ctl/main.cpp
+++ b/services/ctl/main.cpp
@@ -30,8 +30,9 @@
     static const quarantine_command quarantine;
     static const lift_command lift;
     static const convict_command convict;
+    static const rollout_command rollout;
     return {&check,  &submit,    &show,       &diff, &entries, &drain,
-            &status, &upstreams, &quarantine, &lift, &convict};
+            &status, &upstreams, &quarantine, &lift, &convict, &rollout};
 }
 
 namespace {
@@ -52,6 +53,10 @@
   ivypierctl lift ENTRY         send the calls of an entry again, on all nodes
   ivypierctl convict SERVICE/PART
                                 refuse calls with a part of a prompt, likewise
+  ivypierctl rollout show       the rollouts that --node (metrics address) knows;
+                                the holder of the duties shows the evidence
+  ivypierctl rollout stop SERVICE
+                                roll the one of a service back, on all nodes
 
 DOCUMENT is a TOML file (docs/CONFIGURATION.md), or - for standard input.
 A first try:  ivypierctl --platform=10.0.0.9:9000 submit configuration.toml
@@ -90,8 +95,14 @@
         if (each->name() != arguments.front())
             continue;
         const std::size_t expectedCount = each->argumentName().empty() ? 1 : 2;
-        if (arguments.size() == expectedCount)
-            return each->run(readOptions(), expectedCount == 2 ? arguments[1] : "");
+        // An argument of several words is passed as one text.
+        const bool hasWords = each->argumentName().find(' ') != std::string_view::npos;
+        if (arguments.size() == expectedCount || (hasWords && arguments.size() > expectedCount)) {
+            std::string argument;
+            for (std::size_t index = 1; index < arguments.size(); ++index)
+                argument += (index == 1 ? "" : " ") + arguments[index];
+            return each->run(readOptions(), argument);
+        }
         return usageError(expectedCount == 2
                               ? arguments.front() + " takes one " + std::string(each->argumentName())
                               : arguments.front() + " takes no argument");
--- a/tests/scenarios/lib/edge_deployment.lua
+++ b/tests/scenarios/lib/edge_deployment.lua
@@ -6,10 +6,11 @@
 local DOMAINS = { "ridge-hall", "osu-hall", "tema-hall" }
 
 -- Starts the platform, upstreams and nodes, and waits until the nodes are complete. options: versions (software
--- version of each upstream; "" states none), nodes.
+-- version of each upstream; "" states none), nodes, more_settings (lines of the nodes' settings).
 function edge_deployment.new(options)
     local self = setmetatable({ nodes = {}, upstreams = {}, requests = 0 }, edge_deployment)
     self.node_count = options.nodes or 3
+    self.more_settings = options.more_settings
     self.store = network .. "200:9000"
     self.control_address = network .. "200:9001"
     self.platform = start { program = "standin-edge-platform", name = "platform",
@@ -35,11 +36,14 @@
     return json_decode(deployment.request { address = self.control_address, path = "/control/record" }.body)
 end
 
-function edge_deployment:put_upstream(index, version)
+-- behaviour: failing_one_in (one in so many calls is answered 500), delay_ms (of plain answers).
+function edge_deployment:put_upstream(index, version, behaviour)
     local upstream = { id = "u-" .. index, address = network .. (100 + index) .. ":9100", version = version }
     self.upstreams[index] = upstream
     self:control("upstream", { id = upstream.id, address = upstream.address, version = version,
-        failure_domain = DOMAINS[(index - 1) % #DOMAINS + 1] })
+        failure_domain = DOMAINS[(index - 1) % #DOMAINS + 1],
+        failing_one_in = behaviour and behaviour.failing_one_in or 0,
+        delay_ms = behaviour and behaviour.delay_ms or 0 })
 end
 
 -- Starts or restarts node number `index`.
@@ -60,7 +64,7 @@
         'store = "' .. self.store .. '"', 'cloud = "' .. self.store .. '"',
         "descriptors = 1000", "stop_within_ms = 1500", "lookup_lifetime_ms = 300", "lease_term_ms = 1000",
         "usage_window_ms = 2000", "repeat_ratio = 0.2", "repeat_slack = 50", "repeat_window_ms = 10000",
-        "limit_tolerance = 0", "" }, "\n"))
+        "limit_tolerance = 0", self.more_settings or "", "" }, "\n"))
     local node = { name = name, callers = host .. ":8221", ready = host .. ":8224", metrics = host .. ":9464" }
     node.process = start { program = "ivypier-edge", name = name, arguments = { "--settings=" .. settings } }
     self.nodes[index] = node
