--- a/libraries/relay/attempt_evidence.cpp
+++ b/libraries/relay/attempt_evidence.cpp
@@ -2,22 +2,29 @@
 
 namespace ivypier::relay {
 
-attempt_evidence::attempt_evidence(call_rollouts *rollouts, const clock &time, const std::string &service,
+attempt_evidence::attempt_evidence(call_environment &environment, const std::string &service,
                                    const std::string &softwareVersion, const route &matched)
-    : m_rollouts(rollouts)
-    , m_time(time)
+    : m_rollouts(environment.rollouts)
+    , m_metrics(environment.metrics)
+    , m_time(environment.tasks)
     , m_version(softwareVersion)
     , m_targetLatency(matched.targetLatency)
     , m_targetGap(matched.targetGap)
-    , m_sentAt(time.now())
+    , m_sentAt(environment.tasks.now())
 {
-    const std::uint64_t order = rollouts ? rollouts->gate().orderInProgress(service) : 0;
+    const std::uint64_t order = m_rollouts ? m_rollouts->gate().orderInProgress(service) : 0;
     if (order == 0)
         return;
-    const bool isTarget = rollouts->gate().withoutTarget(service).targetVersion == softwareVersion;
+    const bool isTarget = m_rollouts->gate().withoutTarget(service).targetVersion == softwareVersion;
     m_key = {service, order, isTarget ? delivery::version_class::target : delivery::version_class::other,
              matched.name};
-    rollouts->evidence().recordStart(*m_key);
+    m_rollouts->evidence().recordStart(*m_key);
+    count("ivypier_rollout_calls_total");
+}
+
+void attempt_evidence::count(const char *metric) const
+{
+    m_metrics.add(metric, {{"service", m_key->service}, {"version", m_version}});
 }
 
 void attempt_evidence::recordEvents()
@@ -41,6 +48,7 @@
     if (!m_key)
         return;
     m_rollouts->evidence().recordFailure(*m_key, m_hasEvents);
+    count("ivypier_rollout_failures_total");
     m_rollouts->gate().recordAnswer(m_key->service, m_version, true);
     m_key.reset();
 }
--- a/libraries/relay/attempt_evidence.h
+++ b/libraries/relay/attempt_evidence.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "relay/call_rollouts.h"
+#include "relay/call_environment.h"
 #include "relay/service_map.h"
 
 #include <optional>
@@ -16,8 +16,8 @@
 class attempt_evidence
 {
 public:
-    /// Records that the call was sent. `rollouts` may be null.
-    attempt_evidence(call_rollouts *rollouts, const clock &time, const std::string &service,
+    /// Records that the call was sent to an upstream of this version.
+    attempt_evidence(call_environment &environment, const std::string &service,
                      const std::string &softwareVersion, const route &matched);
 
     /// Records that events of the stream arrived, or the whole good response to a plain call.
@@ -31,7 +31,10 @@
     void recordAbandoned();
 
 private:
-    call_rollouts *m_rollouts;
+    void count(const char *metric) const;
+
+    call_rollouts *m_rollouts; ///< null: the deployment has no rollouts
+    metrics_registry &m_metrics;
     const clock &m_time;
     std::string m_version;
     duration m_targetLatency;
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -163,9 +163,8 @@
     if (m_call.size)
         m_environment.work.recordSent(m_serviceName, uncachedTokens());
     m_attempt = std::make_unique<upstream_attempt>(m_environment, m_call, chosen, uncachedTokens());
-    m_evidence
-        = std::make_unique<attempt_evidence>(m_environment.rollouts, m_environment.tasks, m_serviceName,
-                                             m_attempt->to().softwareVersion, *m_admission.matched);
+    m_evidence = std::make_unique<attempt_evidence>(m_environment, m_serviceName,
+                                                    m_attempt->to().softwareVersion, *m_admission.matched);
     const attempt details = attemptDetails(m_attempt->to());
     if (details.lastEvent)
         m_resumption->logContinuation(m_attempt->to(), *details.lastEvent, m_answer.hasBegun());
--- a/libraries/relay/tests/rollout_choice_test.cpp
+++ b/libraries/relay/tests/rollout_choice_test.cpp
@@ -127,6 +127,9 @@
     CHECK(target.started == 1);
     CHECK(target.failed == 1);
     CHECK(target.served() == 0);
+    CHECK(fixture.metrics.value("ivypier_rollout_failures_total", {{"service", "s"}, {"version", "v2"}})
+          == 1.0);
+    CHECK(fixture.metrics.value("ivypier_rollout_calls_total", {{"service", "s"}, {"version", "v1"}}) == 1.0);
     const auto other = fixture.totals(delivery::version_class::other);
     CHECK(other.started == 1);
     CHECK(other.failures() == 0);
--- a/services/edge/rollout_control.cpp
+++ b/services/edge/rollout_control.cpp
@@ -258,15 +258,6 @@
                          {"target", each.targetVersion},
                          {"state", std::string(delivery::name(state))}},
                         isKnown && heard->second.state == state ? 1.0 : 0.0);
-        for (const delivery::version_class kind :
-             {delivery::version_class::target, delivery::version_class::other}) {
-            const std::string name = kind == delivery::version_class::target ? "target" : "other";
-            const delivery::evidence_totals totals
-                = m_calls.evidence().sum(each.service, each.rowVersion, kind);
-            const metric_labels labels{{"service", each.service}, {"version", name}};
-            metrics.set("ivypier_rollout_calls", labels, static_cast<double>(totals.started));
-            metrics.set("ivypier_rollout_failures", labels, static_cast<double>(totals.failures()));
-        }
     }
 }
 
