--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -6,6 +6,7 @@
 #include "peer_feed_codec.h"
 #include "platform_tables.h"
 #include "quarantine_control.h"
+#include "rollout_control.h"
 #include "upstream_report.h"
 
 #include "base/hash.h"
@@ -116,7 +117,8 @@
     relay::unit_quota quota{tasks, randomness};
     relay::run_counter runCounter{milliseconds(settings.usageWindow)};
     relay::work_meter workMeter{tasks};
-    fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter};
+    relay::call_rollouts callRollouts{tasks, randomness};
+    fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter, rolloutsOfCalls()};
     fleet::fleet_exchange fleetExchange;
     fleet::permit_exchange permits;
     fleet::origin_recorder originRecorder{tasks, store, randomness.index(fleet::origin_shards::max_rows),
@@ -153,7 +155,8 @@
                                        upstreamEnds,
                                        crashKeys,
                                        [this] { return wallClock.milliseconds(); },
-                                       [this](const relay::service &of) { return connectionsFor(of); }}};
+                                       [this](const relay::service &of) { return connectionsFor(of); },
+                                       rolloutsOfCalls()}};
 
     platform_tables tables{
         tasks,
@@ -163,7 +166,8 @@
         platformCalls,
         settings.control.port,
         upstreams,
-        [this](std::shared_ptr<const relay::route_table> table) { applyConfiguration(std::move(table)); }};
+        [this](std::shared_ptr<const relay::route_table> table) { applyConfiguration(std::move(table)); },
+        [this](const std::vector<delivery::rollout_order> &orders) { rolloutControl.setOrders(orders); }};
 
     /// Only one process at a time runs on a VM, so the VM's name identifies the lease holder.
     placement::lease_manager lease{
@@ -174,6 +178,7 @@
                                          lease,
                                          fleetExchange.aggregator(),
                                          {.windowMilliseconds = milliseconds(settings.usageWindow)}};
+    rollout_control rolloutControl{tasks, callRollouts, members, store, lease, fleetExchange, upstreams};
     duties::upstream_autoscaler autoscaler{tasks, cloud, lease, upstreams, duties::capacity_policy({}), {}};
 
     std::unique_ptr<http::listener> callListener;
@@ -193,6 +198,12 @@
     void handleMetrics(const http::incoming_request &incoming, http::reply &to);
     void handleQuarantine(const http::incoming_request &incoming, http::reply &to);
     void startVersions();
+    void startRollouts();
+    /// Returns null if the deployment has no rollouts.
+    relay::call_rollouts *rolloutsOfCalls()
+    {
+        return settings.hasRollouts() ? &callRollouts : nullptr;
+    }
     void applyConfiguration(std::shared_ptr<const relay::route_table> table);
     void update();
     void readFleetSize();
@@ -294,6 +305,7 @@
 void edge_node::edge_components::start()
 {
     startedAt = tasks.now();
+    startRollouts();
     quota.setTolerance(settings.limitTolerance);
     tables.start();
     members.start();
@@ -329,6 +341,15 @@
     versions.start();
 }
 
+void edge_node::edge_components::startRollouts()
+{
+    if (!settings.hasRollouts())
+        return;
+    autoscaler.followRollouts(callRollouts.gate());
+    rolloutControl.start({settings.exposureShare, static_cast<std::uint64_t>(settings.exposureTolerance),
+                          settings.rollbackTime});
+}
+
 void edge_node::edge_components::handleCall(http::incoming_request incoming,
                                             const std::shared_ptr<http::reply> &to)
 {
@@ -390,6 +411,10 @@
         handleQuarantine(incoming, to);
         return;
     }
+    if (incoming.head.path().starts_with("/rollouts")) {
+        rolloutControl.handleRequest(incoming, to);
+        return;
+    }
     if (incoming.head.path() != "/metrics") {
         to.send(status_not_found, {}, {});
         return;
@@ -416,6 +441,7 @@
     metrics.set("ivypier_quarantine_datagrams", {}, static_cast<double>(quarantine.datagramsSent()));
     metrics.set("ivypier_answer_buffer_bytes", {}, static_cast<double>(answerBuffers.totalBytes()));
     metrics.set("ivypier_answer_buffers_dropped", {}, static_cast<double>(answerBuffers.dropped()));
+    rolloutControl.exportTo(metrics);
     for (const auto &[service, listed] : versions.listed())
         metrics.set("ivypier_software_versions", {{"service", service}}, static_cast<double>(listed.size()));
     for (const relay::upstream *each : upstreams.all())
