--- a/libraries/fleet/domain_sums.cpp
+++ b/libraries/fleet/domain_sums.cpp
@@ -95,6 +95,7 @@
         return;
     case metric_kind::upstream_speed: // kept by fleet_aggregator
     case metric_kind::upstream_slowdown:
+    case metric_kind::rollout_evidence: // summed by the aggregator
         return;
     }
 }
--- a/libraries/fleet/local_metrics.cpp
+++ b/libraries/fleet/local_metrics.cpp
@@ -22,12 +22,13 @@
 
 local_metrics::local_metrics(const relay::unit_quota &quota, const relay::run_counter &runs,
                              const relay::upstream_directory &upstreams, const relay::work_meter &work,
-                             const relay::upstream_speed &speeds)
+                             const relay::upstream_speed *speeds, relay::call_rollouts *rollouts)
     : m_quota(quota)
     , m_runs(runs)
     , m_upstreams(upstreams)
     , m_work(work)
     , m_speeds(speeds)
+    , m_rollouts(rollouts)
 {
 }
 
@@ -59,13 +60,19 @@
         for (const auto &[account, count] : m_runs.countsOf(each))
             metricSamples.push_back({metric_kind::runs, account, each, count});
     }
+    if (m_rollouts) {
+        for (auto &[name, value] : m_rollouts->takeSamples(round % rounds_per_resend == 0))
+            metricSamples.push_back({metric_kind::rollout_evidence, std::move(name), 0, value});
+    }
     return metricSamples;
 }
 
 void local_metrics::addSpeeds(std::vector<metric_sample> &to, std::uint64_t round) const
 {
-    for (const std::string &each : m_speeds.known()) {
-        const relay::remote_speed own = m_speeds.ownSums(each);
+    if (!m_speeds)
+        return;
+    for (const std::string &each : m_speeds->known()) {
+        const relay::remote_speed own = m_speeds->ownSums(each);
         const std::string digest = upstreamDigest(each);
         if (own.steady.expected > 0.0 && isSpeedDue(digest, round, speed_report_rounds))
             to.push_back(toSample(metric_kind::upstream_speed, digest, own.steady));
--- a/libraries/fleet/tests/test_cluster.h
+++ b/libraries/fleet/tests/test_cluster.h
@@ -36,6 +36,7 @@
         , upstreams(time)
         , work(time)
         , speeds(time)
+        , rollouts(time, randomness)
         , exchange(
               time, *channel, fleetKey(), view, port, "duty", localMetrics, quota,
               [this, &time] { return runs.windowAt(time.wallMilliseconds()); }, maxSingleLevelNodes)
@@ -49,7 +50,8 @@
     relay::upstream_directory upstreams;
     relay::work_meter work;
     relay::upstream_speed speeds;
-    local_metrics localMetrics{quota, runs, upstreams, work, speeds};
+    relay::call_rollouts rollouts;
+    local_metrics localMetrics{quota, runs, upstreams, work, &speeds, &rollouts};
     fleet_exchange exchange;
 };
 
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -164,12 +164,17 @@
         answered.push_back(keys);
         lastEvidence = evidence;
     }
+    void recordLeftAnswer(const std::string &, const crash_key_list &keys, const left_answer &answer) override
+    {
+        left.emplace_back(keys, answer);
+    }
 
     std::map<crash_key_list, quarantine_decision> decisions;
     bool isWatchingCalls = false;
     bool isTrialGranted = false;
     std::vector<upstream_end> ends;
     std::vector<crash_key_list> answered;
+    std::vector<std::pair<crash_key_list, left_answer>> left;
     answer_evidence lastEvidence = answer_evidence::whole;
 };
 
@@ -288,6 +293,7 @@
     fake_reachability_check reachability{time};
     upstream_end_detector ends{time, upstreams, reachability, quarantine};
     crash_key_deriver crashKeys{testFleetKey()};
+    call_rollouts rollouts{time, randomness};
     duration callerTimeout = std::chrono::seconds(2);
     route defaultRoute;
     client_account account;
@@ -311,7 +317,8 @@
                          ends,
                          crashKeys,
                          [this] { return time.wallMilliseconds(); },
-                         [](const service &) { return std::size_t{8}; }}};
+                         [](const service &) { return std::size_t{8}; },
+                         &rollouts}};
     int callCount = 0;
 };
 
--- a/services/ctl/main.cpp
+++ b/services/ctl/main.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/flags/flag.h>
 
+#include <algorithm>
 #include <iostream>
 
 ABSL_FLAG(std::string, platform, "127.0.0.1:9000", "address of the platform's services");
@@ -13,6 +14,11 @@
 ABSL_FLAG(std::string, ca, "", "PEM file of certificates to trust; speaks TLS to nodes");
 ABSL_FLAG(std::string, operator, "ivypierctl", "your name, recorded with a submission");
 ABSL_FLAG(std::int64_t, base, -1, "submit only if this version is in force; -1: whichever is");
+ABSL_FLAG(std::string, against, "", "for check: a version, a file or in-force to compare with");
+ABSL_FLAG(std::string, format, "auto",
+          "for check: document, platform (the platform's own format) or auto, by content");
+ABSL_FLAG(std::int64_t, caller_wait_ms, 0, "for check: how long callers wait; 0: not known, not checked");
+ABSL_FLAG(bool, strict, false, "for check: warnings are failures");
 ABSL_FLAG(bool, json, false, "print JSON");
 
 namespace ivypier::ctl {
@@ -30,15 +36,18 @@
     static const quarantine_command quarantine;
     static const lift_command lift;
     static const convict_command convict;
+    static const rollout_command rollout;
     return {&check,  &submit,    &show,       &diff, &entries, &drain,
-            &status, &upstreams, &quarantine, &lift, &convict};
+            &status, &upstreams, &quarantine, &lift, &convict, &rollout};
 }
 
 namespace {
 
 constexpr const char *usage = R"(Operates an ivypier deployment.
 
-  ivypierctl check DOCUMENT     say what is wrong with a document; asks nobody
+  ivypierctl check FILE         say what is wrong with a document, or with the
+                                platform's configuration, and with --against
+                                what it changes; sends nothing
   ivypierctl diff DOCUMENT      what it would change of what is in force
   ivypierctl submit DOCUMENT    put it in force, whole or not at all
   ivypierctl show               the document in force
@@ -52,13 +61,18 @@
   ivypierctl lift ENTRY         send the calls of an entry again, on all nodes
   ivypierctl convict SERVICE/PART
                                 refuse calls with a part of a prompt, likewise
+  ivypierctl rollout show       the rollouts that --node (metrics address) knows;
+                                the holder of the duties shows the evidence
+  ivypierctl rollout stop SERVICE
+                                roll the one of a service back, on all nodes
 
 DOCUMENT is a TOML file (docs/CONFIGURATION.md), or - for standard input.
 A first try:  ivypierctl --platform=10.0.0.9:9000 submit configuration.toml
 
 Exit codes: 0 done, 1 a flag is wrong, 2 an argument or file is missing,
 3 the document has faults, 5 another operator was first, 6 not reached,
-7 the key is refused, 8 there are differences (diff), 9 not known whether accepted.)";
+7 the key is refused, 8 there are differences (diff), 9 not known whether accepted.
+Of check: 0 no errors, 1 warnings with --strict, 2 errors.)";
 
 int usageError(const std::string &message)
 {
@@ -74,6 +88,11 @@
     options.keyFile = absl::GetFlag(FLAGS_key_file);
     options.certificateAuthority = absl::GetFlag(FLAGS_ca);
     options.operatorName = absl::GetFlag(FLAGS_operator);
+    options.against = absl::GetFlag(FLAGS_against);
+    options.format = absl::GetFlag(FLAGS_format);
+    options.callerWait = std::chrono::milliseconds(
+        std::clamp<std::int64_t>(absl::GetFlag(FLAGS_caller_wait_ms), 0, INT32_MAX));
+    options.strict = absl::GetFlag(FLAGS_strict);
     options.json = absl::GetFlag(FLAGS_json);
     if (absl::GetFlag(FLAGS_base) >= 0)
         options.expectedVersion = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_base));
@@ -90,8 +109,14 @@
         if (each->name() != arguments.front())
             continue;
         const std::size_t expectedCount = each->argumentName().empty() ? 1 : 2;
-        if (arguments.size() == expectedCount)
-            return each->run(readOptions(), expectedCount == 2 ? arguments[1] : "");
+        // An argument of several words is passed as one text.
+        const bool hasWords = each->argumentName().find(' ') != std::string_view::npos;
+        if (arguments.size() == expectedCount || (hasWords && arguments.size() > expectedCount)) {
+            std::string argument;
+            for (std::size_t index = 1; index < arguments.size(); ++index)
+                argument += (index == 1 ? "" : " ") + arguments[index];
+            return each->run(readOptions(), argument);
+        }
         return usageError(expectedCount == 2
                               ? arguments.front() + " takes one " + std::string(each->argumentName())
                               : arguments.front() + " takes no argument");
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -1,10 +1,12 @@
 #include "edge_node.h"
 
 #include "caller_lookup.h"
+#include "configuration_findings.h"
 #include "origin_metrics.h"
 #include "peer_feed_codec.h"
 #include "platform_tables.h"
 #include "quarantine_control.h"
+#include "rollout_control.h"
 #include "upstream_report.h"
 
 #include "base/hash.h"
@@ -115,7 +117,9 @@
     relay::unit_quota quota{tasks, randomness};
     relay::run_counter runCounter{milliseconds(settings.usageWindow)};
     relay::work_meter workMeter{tasks};
-    fleet::local_metrics localMetrics{quota, runCounter, upstreams, workMeter, upstreamSpeeds};
+    relay::call_rollouts callRollouts{tasks, randomness};
+    fleet::local_metrics localMetrics{quota,     runCounter,       upstreams,
+                                      workMeter, speedsToReport(), rolloutsOfCalls()};
     fleet::fleet_exchange fleetExchange;
     fleet::permit_exchange permits;
     fleet::origin_recorder originRecorder{tasks, store, randomness.index(fleet::origin_shards::max_rows),
@@ -153,7 +157,8 @@
                                        upstreamEnds,
                                        crashKeys,
                                        [this] { return wallClock.milliseconds(); },
-                                       [this](const relay::service &of) { return connectionsFor(of); }}};
+                                       [this](const relay::service &of) { return connectionsFor(of); },
+                                       rolloutsOfCalls()}};
 
     platform_tables tables{
         tasks,
@@ -163,7 +168,8 @@
         platformCalls,
         settings.control.port,
         upstreams,
-        [this](std::shared_ptr<const relay::route_table> table) { applyConfiguration(std::move(table)); }};
+        [this](std::shared_ptr<const relay::route_table> table) { applyConfiguration(std::move(table)); },
+        [this](const std::vector<delivery::rollout_order> &orders) { rolloutControl.setOrders(orders); }};
 
     /// Only one process at a time runs on a VM, so the VM's name identifies the lease holder.
     placement::lease_manager lease{
@@ -174,6 +180,7 @@
                                          lease,
                                          fleetExchange.aggregator(),
                                          {.windowMilliseconds = milliseconds(settings.usageWindow)}};
+    rollout_control rolloutControl{tasks, callRollouts, members, store, lease, fleetExchange, upstreams};
     duties::upstream_autoscaler autoscaler{tasks, cloud, lease, upstreams, duties::capacity_policy({}), {}};
 
     std::unique_ptr<http::listener> callListener;
@@ -193,7 +200,18 @@
     void handleMetrics(const http::incoming_request &incoming, http::reply &to);
     void handleQuarantine(const http::incoming_request &incoming, http::reply &to);
     std::unique_ptr<relay::upstream_selector> makeSelector();
+    /// Returns null if this node does not use the speeds.
+    const relay::upstream_speed *speedsToReport() const
+    {
+        return settings.selection == upstream_selection::expected_time ? &upstreamSpeeds : nullptr;
+    }
     void startVersions();
+    void startRollouts();
+    /// Returns null if the deployment has no rollouts.
+    relay::call_rollouts *rolloutsOfCalls()
+    {
+        return settings.hasRollouts() ? &callRollouts : nullptr;
+    }
     void applyConfiguration(std::shared_ptr<const relay::route_table> table);
     void update();
     void readFleetSize();
@@ -295,6 +313,7 @@
 void edge_node::edge_components::start()
 {
     startedAt = tasks.now();
+    startRollouts();
     quota.setTolerance(settings.limitTolerance);
     upstreamSpeeds.setRemote([this](const std::string &id) { return fleetExchange.remoteSpeed(id); });
     tables.start();
@@ -341,6 +360,15 @@
     versions.start();
 }
 
+void edge_node::edge_components::startRollouts()
+{
+    if (!settings.hasRollouts())
+        return;
+    autoscaler.followRollouts(callRollouts.gate());
+    rolloutControl.start({settings.exposureShare, static_cast<std::uint64_t>(settings.exposureTolerance),
+                          settings.rollbackTime});
+}
+
 void edge_node::edge_components::handleCall(http::incoming_request incoming,
                                             const std::shared_ptr<http::reply> &to)
 {
@@ -402,6 +430,10 @@
         handleQuarantine(incoming, to);
         return;
     }
+    if (incoming.head.path().starts_with("/rollouts")) {
+        rolloutControl.handleRequest(incoming, to);
+        return;
+    }
     if (incoming.head.path() != "/metrics") {
         to.send(status_not_found, {}, {});
         return;
@@ -428,6 +460,7 @@
     metrics.set("ivypier_quarantine_datagrams", {}, static_cast<double>(quarantine.datagramsSent()));
     metrics.set("ivypier_answer_buffer_bytes", {}, static_cast<double>(answerBuffers.totalBytes()));
     metrics.set("ivypier_answer_buffers_dropped", {}, static_cast<double>(answerBuffers.dropped()));
+    rolloutControl.exportTo(metrics);
     for (const auto &[service, listed] : versions.listed())
         metrics.set("ivypier_software_versions", {{"service", service}}, static_cast<double>(listed.size()));
     for (const relay::upstream *each : upstreams.all())
@@ -477,7 +510,9 @@
     }
     versions.setServices(std::move(resumableServices));
     versions.poll(lease.held().has_value(), nodeCount());
+    const std::shared_ptr<const relay::route_table> applied = table;
     relayService.setTable(std::move(table));
+    logConfigurationFindings(applied->content());
 }
 
 void edge_node::edge_components::readFleetSize()
--- a/services/edge/edge_settings.cpp
+++ b/services/edge/edge_settings.cpp
@@ -60,11 +60,14 @@
     result.retrySlack = root.requiredNumber("repeat_slack", 0.0, 1e6);
     result.retryWindow = requiredMilliseconds(root, "repeat_window_ms", 100, 600'000);
     result.limitTolerance = root.requiredNumber("limit_tolerance", 0.0, 1e12);
-    const std::string selection = root.optionalString("upstream_selection", expected_time_name);
-    if (selection == prefix_affinity_name)
-        result.selection = upstream_selection::prefix_affinity;
-    else if (selection != expected_time_name)
+    const std::string selection = root.optionalString("upstream_selection", prefix_affinity_name);
+    if (selection == expected_time_name)
+        result.selection = upstream_selection::expected_time;
+    else if (selection != prefix_affinity_name)
         root.fault("upstream_selection", "expected \"expected_time\" or \"prefix_affinity\"");
+    result.exposureShare = root.optionalNumber("exposure_share", 0.0, 0.0, 1.0);
+    result.exposureTolerance = root.optionalNumber("exposure_tolerance", 0.0, 0.0, 1e9);
+    result.rollbackTime = std::chrono::milliseconds(root.optionalInteger("rollback_ms", 0, 0, 600'000));
     root.finish();
     std::vector<settings_error> faults = root.faults();
     if (!faults.empty())
--- a/services/edge/edge_settings.h
+++ b/services/edge/edge_settings.h
@@ -13,8 +13,8 @@
 
 /// How an edge node selects upstreams.
 enum class upstream_selection {
-    expected_time, ///< relay::expected_time_selector
     prefix_affinity, ///< relay::prefix_affinity_selector
+    expected_time, ///< relay::expected_time_selector
 };
 
 /// Settings of an edge node.
@@ -48,7 +48,16 @@
     duration retryWindow{};
     double limitTolerance = 0.0; ///< units by which an account may exceed its limit, across all nodes
 
-    upstream_selection selection = upstream_selection::expected_time;
+    upstream_selection selection = upstream_selection::prefix_affinity;
+    double exposureShare = 0.0; ///< of a service's calls that a bad version of a rollout may get at most
+    double exposureTolerance = 0.0; ///< calls that it may get in addition, across all nodes
+    duration rollbackTime{}; ///< time from the decisive bad answer until no call goes to the version
+
+    /// Returns whether the deployment has rollouts. Without bounds nothing of rollouts takes effect.
+    bool hasRollouts() const
+    {
+        return exposureShare > 0.0 && rollbackTime > duration::zero();
+    }
 
     bool operator==(const edge_settings &) const = default;
 };
