A node that knows only the order of a rollout uses its target once no other version is listed

Cause: the order of a completed rollout stays in its row, and no node remembers the completion after all were restarted; each node then excluded the only version that is left until the holder of the duties had stated the completion, and for good with a silent platform. Ruled out: reading the status row at start (not there with a silent platform); trusting the order (a rollout may be in progress). Change: the target is used without a permission while every listed upstream of the service, draining ones included, is of it: the platform stops the old ones only when a rollout was completed.

--- a/libraries/relay/tests/rollout_choice_test.cpp
+++ b/libraries/relay/tests/rollout_choice_test.cpp
@@ -102,6 +102,20 @@
     }
 }
 
+// Guards against a fleet that serves nothing after all nodes were restarted: the order of a rollout that was
+// completed is still in its row, no node remembers the completion, and only upstreams of the target are left.
+TEST_CASE("a node that knows only the order uses the target once no other version is listed")
+{
+    rollout_fixture fixture;
+    fixture.upstreams.remove("a");
+    const std::size_t before = fixture.startedExchanges();
+    fixture.upstreams.markDraining("b"); // still listed, so the rollout may be in progress
+    CHECK(fixture.startCall()->status == 503);
+    CHECK(fixture.startedExchanges() == before);
+    fixture.upstreams.remove("b");
+    CHECK(fixture.serveMany(10)["n"] == 10);
+}
+
 TEST_CASE("a call that is admitted goes to the old version if the target has no upstream")
 {
     rollout_fixture fixture;
--- a/libraries/relay/upstream_choice.cpp
+++ b/libraries/relay/upstream_choice.cpp
@@ -59,11 +59,31 @@
     exclude(id);
 }
 
+bool upstream_choice::isTargetAlone(const std::string &service) const
+{
+    const delivery::version_filter filter = m_environment.rollouts->gate().withoutTarget(service);
+    if (filter.orderVersion == 0)
+        return false;
+    bool hasTarget = false;
+    for (const upstream *each : m_environment.upstreams.all()) {
+        if (each->record.service != service)
+            continue;
+        if (each->record.softwareVersion != filter.targetVersion)
+            return false;
+        hasTarget = true;
+    }
+    return hasTarget;
+}
+
 delivery::version_filter upstream_choice::filterFor(const std::string &service,
                                                     const std::optional<stream_origin> &origin)
 {
     if (!m_environment.rollouts)
         return {};
+    // The platform stops the old upstreams only when a rollout was completed. A node that has just started
+    // knows the order before it hears of the completion.
+    if (isTargetAlone(service))
+        return {};
     delivery::rollout_gate &gate = m_environment.rollouts->gate();
     if (origin) {
         // A stream stays at the version that began it, also at the target of a rollout, unless that was
@@ -92,7 +112,7 @@
 
 bool upstream_choice::mayStillUse(const upstream_record &chosen, const std::optional<stream_origin> &origin)
 {
-    if (!m_environment.rollouts)
+    if (!m_environment.rollouts || isTargetAlone(chosen.service))
         return true;
     if (origin)
         return filterFor(chosen.service, origin).mayUse(chosen.softwareVersion);
--- a/libraries/relay/upstream_choice.h
+++ b/libraries/relay/upstream_choice.h
@@ -41,6 +41,9 @@
     void excludeUnavailable(const std::string &service, const std::optional<stream_origin> &origin);
     version_reserve reserved(const std::string &service, const std::optional<stream_origin> &origin) const;
     /// Returns the versions at which the call may run by the rollouts.
+    /// Returns whether a rollout is in progress, as far as this node knows, and every listed upstream of the
+    /// service is of its target.
+    bool isTargetAlone(const std::string &service) const;
     delivery::version_filter filterFor(const std::string &service,
                                        const std::optional<stream_origin> &origin);
     const upstream *select(const std::string &service, const delivery::version_filter &filter,
