--- a/libraries/relay/unit_quota.h
+++ b/libraries/relay/unit_quota.h
@@ -42,8 +42,8 @@
 inline constexpr double expected_unreported_calls = 0.5;
 
 /// The fraction of an account's units that is admitted while its bucket does not cover a call on one of many
-/// nodes. It admits the shortest calls, which matter little to the limit: the estimate of what other nodes
-/// used swings by more than this.
+/// nodes. It admits the shortest calls, which matter little to the limit: the error of the estimate of what
+/// other nodes used is larger.
 inline constexpr double short_call_fraction = 0.05;
 
 /// What a decision about an account's quota was based on.
