--- a/review/tests/deployment.cpp
+++ b/review/tests/deployment.cpp
@@ -119,6 +119,7 @@
 
 platform::~platform()
 {
+    m_stopping = true;
     m_store.stop();
     m_cloud.stop();
     for (const auto &each : m_machineClouds)
@@ -215,8 +216,27 @@
     return result;
 }
 
+void platform::setSilent(bool silent)
+{
+    m_record.add(silent ? "the store falls silent" : "the store answers again");
+    m_silent = silent;
+}
+
+bool platform::waitWhileSilent()
+{
+    if (!m_silent)
+        return false;
+    while (m_silent && !m_stopping)
+        sleepSeconds(0.01);
+    return true;
+}
+
 void platform::answer(const http_message &request, connection &to)
 {
+    if (waitWhileSilent()) {
+        to.shutDown();
+        return;
+    }
     const std::string target = request.target();
     const std::string path = target.substr(0, target.find('?'));
     if (path == "/api/rows-feed") {
@@ -254,11 +274,15 @@
         std::unique_lock lock(m_mutex);
         isKnown = after <= m_version;
         rows = rowsOf(table, "", after, true, 500);
-        while (isKnown && rows["rows"].empty() && secondsNow() < end && !to.isEnded()) {
+        while (isKnown && !m_silent && rows["rows"].empty() && secondsNow() < end && !to.isEnded()) {
             m_changed.wait_for(lock, std::chrono::milliseconds(100));
             rows = rowsOf(table, "", after, true, 500);
         }
     }
+    if (waitWhileSilent()) {
+        to.shutDown();
+        return;
+    }
     reply(to, isKnown ? 200 : 410, isKnown ? rows : Json::Value(Json::objectValue));
 }
 
--- a/review/tests/deployment.h
+++ b/review/tests/deployment.h
@@ -56,6 +56,9 @@
     /// Opens an address of its own for the duty calls of one machine, so that the record tells who called.
     bool serveDutiesFor(const std::string &machine, const std::string &host, int port);
     bool isFenced = true; ///< `fencing-enforced`
+    /// While the store is silent it answers nothing and does nothing; connections of that time are cut
+    /// afterwards.
+    void setSilent(bool silent);
 
 private:
     struct row
@@ -66,6 +69,8 @@
     };
 
     void answer(const http_message &request, connection &to);
+    /// Waits while the store is silent. Returns whether the call fell into that time.
+    bool waitWhileSilent();
     void answerDuty(const http_message &request, connection &to, const std::string &peer);
     void answerFeed(const http_message &request, connection &to);
     void answerWrite(const http_message &request, connection &to);
@@ -74,6 +79,8 @@
     static void reply(connection &to, int status, const Json::Value &body);
 
     record_file &m_record;
+    std::atomic<bool> m_silent = false;
+    std::atomic<bool> m_stopping = false;
     http_server m_store;
     http_server m_cloud;
     std::vector<std::unique_ptr<http_server>> m_machineClouds;
