Retries and the estimate of the fleet's size are logged with their inputs

The logs told neither the budget that allowed a retry nor how many nodes a node took its share of. The estimate moves from edge_node to fleet_size, unchanged, so that it can be tested without a network; the line call.repeated tells first attempts, retries and slack of the window, fleet.discovered tells what the estimate rests on, ivypier_retries_refused_total counts.

--- /dev/null
+++ b/libraries/fleet/fleet_size.cpp
@@ -0,0 +1,49 @@
+#include "fleet/fleet_size.h"
+
+#include "base/log_event.h"
+#include "relay/unit_quota.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivypier::fleet {
+
+fleet_size::fleet_size(const clock &time, const membership::membership_view &members)
+    : m_time(time)
+    , m_census(time, members)
+    , m_startedAt(time.now())
+{
+}
+
+void fleet_size::update(bool hasRemoteCollector)
+{
+    m_census.update();
+    m_hasRemoteCollector = hasRemoteCollector;
+    if (!isDiscovered() || std::exchange(m_isDiscoveryLogged, true))
+        return;
+    log_event(log_level::info, "fleet.discovered")
+        .with("nodes", static_cast<std::int64_t>(count()))
+        .with("census", static_cast<std::int64_t>(m_census.count()))
+        .with("stored", static_cast<std::int64_t>(m_stored.value_or(0)))
+        .with("has_collector", m_hasRemoteCollector ? "yes" : "no")
+        .write();
+}
+
+void fleet_size::setStored(std::size_t nodes)
+{
+    m_stored = nodes;
+}
+
+bool fleet_size::isDiscovered() const
+{
+    const duration age = m_time.now() - m_startedAt;
+    return age > discovery_timeout || (age > min_discovery_time && m_hasRemoteCollector);
+}
+
+std::size_t fleet_size::count() const
+{
+    const std::size_t known = m_census.count();
+    return isDiscovered() ? known : std::max(known, m_stored.value_or(relay::assumed_node_count));
+}
+
+} // namespace ivypier::fleet
--- a/libraries/relay/call_log.cpp
+++ b/libraries/relay/call_log.cpp
@@ -54,13 +54,16 @@
 }
 
 void logRepeatedCall(const call &request, const std::string &upstream, const char *reason,
-                     std::uint32_t attempts)
+                     std::uint32_t attempts, const retry_budget_state &budget)
 {
     log_event(log_level::info, "call.repeated")
         .with("request", request.id)
         .with("upstream", upstream)
         .with("reason", reason)
         .with("sendings", static_cast<std::int64_t>(attempts))
+        .with("first_attempts", budget.firstAttempts)
+        .with("retries", budget.retries)
+        .with("slack", budget.slack)
         .write();
 }
 
--- a/libraries/relay/call_log.h
+++ b/libraries/relay/call_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/exchange_transport.h"
+#include "relay/retry_budget.h"
 #include "relay/upstream_attempt.h"
 
 #include <string>
@@ -26,8 +27,8 @@
 void logFailedAttempt(const call &request, const upstream_attempt &failed, crash_key callKey,
                       const http::exchange_failure &failure, time_point now);
 
-/// Writes a line about a call that is sent once more.
+/// Writes a line about a call that is sent once more. `budget` is the state after the retry was counted.
 void logRepeatedCall(const call &request, const std::string &upstream, const char *reason,
-                     std::uint32_t attempts);
+                     std::uint32_t attempts, const retry_budget_state &budget);
 
 } // namespace ivypier::relay
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -238,9 +238,14 @@
 
 bool relayed_call::retryAfterFailure(const char *reason)
 {
-    if (!canRetry() || !m_environment.retries.take(m_serviceName))
+    if (!canRetry())
         return false;
-    logRepeatedCall(m_call, upstreamId(), reason, m_attemptCount);
+    if (!m_environment.retries.take(m_serviceName)) {
+        m_environment.metrics.add("ivypier_retries_refused_total", {{"service", m_serviceName}});
+        return false;
+    }
+    logRepeatedCall(m_call, upstreamId(), reason, m_attemptCount,
+                    m_environment.retries.stateOf(m_serviceName));
     m_environment.metrics.add("ivypier_repeats_total", {{"service", m_serviceName}});
     m_answer.restartStream();
     startAttempt();
--- a/libraries/relay/retry_budget.cpp
+++ b/libraries/relay/retry_budget.cpp
@@ -13,10 +13,14 @@
     m_options.slack = slack;
 }
 
+std::int64_t retry_budget::currentNumber() const
+{
+    return m_time.now().time_since_epoch() / (m_options.window / slot_count);
+}
+
 retry_budget::slot &retry_budget::currentSlot(const std::string &service)
 {
-    const duration width = m_options.window / slot_count;
-    const std::int64_t number = m_time.now().time_since_epoch() / width;
+    const std::int64_t number = currentNumber();
     slot &current = m_services[service][static_cast<std::size_t>(number) % slot_count];
     if (current.number != number)
         current = {number, 0.0, 0.0};
@@ -30,19 +34,26 @@
 
 bool retry_budget::take(const std::string &service)
 {
-    slot &current = currentSlot(service);
-    double firstAttempts = 0.0;
-    double retries = 0.0;
-    for (const slot &each : m_services[service]) {
-        if (each.number <= current.number - static_cast<std::int64_t>(slot_count))
-            continue;
-        firstAttempts += each.firstAttempts;
-        retries += each.retries;
-    }
-    if (retries + 1.0 > m_options.ratio * firstAttempts + m_options.slack)
+    const retry_budget_state state = stateOf(service);
+    if (state.retries + 1.0 > m_options.ratio * state.firstAttempts + state.slack)
         return false;
-    current.retries += 1.0;
+    currentSlot(service).retries += 1.0;
     return true;
 }
 
+retry_budget_state retry_budget::stateOf(const std::string &service) const
+{
+    retry_budget_state result{.slack = m_options.slack};
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return result;
+    for (const slot &each : found->second) {
+        if (each.number <= currentNumber() - static_cast<std::int64_t>(slot_count))
+            continue;
+        result.firstAttempts += each.firstAttempts;
+        result.retries += each.retries;
+    }
+    return result;
+}
+
 } // namespace ivypier::relay
--- a/libraries/relay/retry_budget.h
+++ b/libraries/relay/retry_budget.h
@@ -19,6 +19,16 @@
     auto operator<=>(const retry_budget_options &) const = default;
 };
 
+/// What a decision about a retry was based on.
+struct retry_budget_state
+{
+    double firstAttempts = 0.0; ///< in the window
+    double retries = 0.0; ///< in the window
+    double slack = 0.0; ///< this node's share
+
+    auto operator<=>(const retry_budget_state &) const = default;
+};
+
 /// Limits the retries of each service, so that retries do not amplify an overload. Counts only this node's
 /// attempts, in a sliding window.
 class retry_budget
@@ -35,6 +45,9 @@
     /// Returns true and counts a retry if the budget allows one more.
     bool take(const std::string &service);
 
+    /// Returns the present state of a service's budget.
+    retry_budget_state stateOf(const std::string &service) const;
+
 private:
     static constexpr std::size_t slot_count = 10;
 
@@ -46,6 +59,7 @@
     };
     using slots = std::array<slot, slot_count>;
 
+    std::int64_t currentNumber() const;
     slot &currentSlot(const std::string &service);
 
     const clock &m_time;
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -18,8 +18,8 @@
 #include "duties/upstream_autoscaler.h"
 #include "duties/usage_reporter.h"
 #include "fleet/crash_exchange.h"
-#include "fleet/fleet_census.h"
 #include "fleet/fleet_exchange.h"
+#include "fleet/fleet_size.h"
 #include "fleet/origin_exchange.h"
 #include "fleet/origin_recorder.h"
 #include "fleet/origin_shard.h"
@@ -52,10 +52,6 @@
 /// A window's usage counts are complete after this margin, the delay of a report and one more report, if one
 /// was lost.
 constexpr duration count_delivery_margin = std::chrono::milliseconds(800);
-/// The membership counts as complete after `discovery_timeout`, or after `min_discovery_time` once a
-/// collector has answered. Until then the assumed node count is a lower bound.
-constexpr duration discovery_timeout = std::chrono::seconds(3);
-constexpr duration min_discovery_time = std::chrono::seconds(1);
 /// Number of nodes that compete for the lease.
 constexpr std::size_t lease_candidate_count = 3;
 /// Callers may cache a look-up response for up to three times its lifetime.
@@ -135,7 +131,7 @@
     relay::upstream_end_detector upstreamEnds{tasks, upstreams, reachability, quarantine};
     relay::version_register versions{tasks, randomness, store, upstreams,
                                      [this] { return wallClock.milliseconds(); }};
-    fleet::fleet_census census{tasks, members};
+    fleet::fleet_size fleetSize{tasks, members};
     relay::answer_buffers answerBuffers{settings.answerBufferBytes};
     relay::relay_service relayService{{tasks,
                                        randomness,
@@ -189,7 +185,6 @@
     std::unique_ptr<http::listener> controlListener;
     std::unique_ptr<http::listener> metricsListener;
     time_point startedAt{};
-    std::size_t assumedNodeCount = relay::assumed_node_count; ///< lower bound until discovery is complete
     time_point stopDeadline{}; ///< latest time at which the process exits
     bool stopping = false;
 
@@ -215,7 +210,6 @@
     void applyConfiguration(std::shared_ptr<const relay::route_table> table);
     void update();
     void readFleetSize();
-    std::size_t nodeCount() const;
     std::size_t connectionsFor(const relay::service &service) const;
     bool isReady() const;
 };
@@ -509,7 +503,7 @@
         }
     }
     versions.setServices(std::move(resumableServices));
-    versions.poll(lease.held().has_value(), nodeCount());
+    versions.poll(lease.held().has_value(), fleetSize.count());
     const std::shared_ptr<const relay::route_table> applied = table;
     relayService.setTable(std::move(table));
     logConfigurationFindings(applied->content());
@@ -524,35 +518,27 @@
             .with("nodes", nodes ? static_cast<std::int64_t>(*nodes) : 0)
             .with("reason", read ? "" : read.error().message)
             .write();
-        assumedNodeCount = nodes.value_or(assumedNodeCount);
+        if (nodes)
+            fleetSize.setStored(*nodes);
     });
 }
 
-std::size_t edge_node::edge_components::nodeCount() const
-{
-    const std::size_t known = census.count();
-    const duration age = tasks.now() - startedAt;
-    const bool joined
-        = age > discovery_timeout || (age > min_discovery_time && fleetExchange.hasRemoteCollector());
-    return joined ? known : std::max(known, assumedNodeCount);
-}
-
 std::size_t edge_node::edge_components::connectionsFor(const relay::service &service) const
 {
-    return std::max(service.maxConnections / nodeCount(), min_connections_per_upstream);
+    return std::max(service.maxConnections / fleetSize.count(), min_connections_per_upstream);
 }
 
 void edge_node::edge_components::update()
 {
     tasks.after(update_interval, [this] { update(); });
-    census.update();
+    fleetSize.update(fleetExchange.hasRemoteCollector());
     upstreamSpeeds.forgetIdle();
-    quota.setNodes(nodeCount());
+    quota.setNodes(fleetSize.count());
     quota.setRemoteReporting(fleetExchange.hasRemoteCollector(), fleetExchange.reportAge());
-    quota.setSilentFraction(fleetExchange.silentFraction(nodeCount()), fleet::silent_node_age);
-    retryBudget.setSlack(node_retry_share * settings.retrySlack / static_cast<double>(nodeCount()));
-    versions.poll(lease.held().has_value(), nodeCount());
-    originRecorder.setNodes(nodeCount());
+    quota.setSilentFraction(fleetExchange.silentFraction(fleetSize.count()), fleet::silent_node_age);
+    retryBudget.setSlack(node_retry_share * settings.retrySlack / static_cast<double>(fleetSize.count()));
+    versions.poll(lease.held().has_value(), fleetSize.count());
+    originRecorder.setNodes(fleetSize.count());
     originRecorder.poll();
     origins.setStoredServices(versions.servicesWithSeveral());
     quarantineRows.poll(lease.held().has_value());
@@ -570,7 +556,7 @@
         fleetExchange.announceHolder(held->tenure);
     usageReporter.setSettleTime(count_delivery_margin + fleetExchange.reportDelay()
                                 + fleetExchange.interval());
-    usageReporter.setNodes(nodeCount());
+    usageReporter.setNodes(fleetSize.count());
     usageReporter.poll(now);
     if (const auto &table = relayService.table())
         autoscaler.poll(table->content(), fleetExchange.aggregator().work());
