--- a/libraries/relay/retry_budget.cpp
+++ b/libraries/relay/retry_budget.cpp
@@ -1,5 +1,7 @@
 #include "relay/retry_budget.h"
 
+#include <algorithm>
+
 namespace ivypier::relay {
 
 retry_budget::retry_budget(const clock &time, retry_budget_options options)
@@ -13,6 +15,11 @@
     m_options.slack = slack;
 }
 
+void retry_budget::setNodes(std::size_t count)
+{
+    m_nodes = std::max<std::size_t>(count, 1);
+}
+
 std::int64_t retry_budget::currentNumber() const
 {
     return m_time.now().time_since_epoch() / (m_options.window / slot_count);
@@ -43,7 +50,7 @@
 
 retry_budget_state retry_budget::stateOf(const std::string &service) const
 {
-    retry_budget_state result{.slack = m_options.slack};
+    retry_budget_state result{.slack = m_options.slack / static_cast<double>(m_nodes)};
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return result;
--- a/libraries/relay/retry_budget.h
+++ b/libraries/relay/retry_budget.h
@@ -10,10 +10,14 @@
 
 namespace ivypier::relay {
 
+/// Fraction of a fleet's retry budget that its nodes use. It is below 1 because the nodes do not share their
+/// retry counts.
+inline constexpr double used_retry_fraction = 0.7;
+
 struct retry_budget_options
 {
     double ratio = 0.15; ///< allowed retries for each first attempt
-    double slack = 4.0; ///< retries allowed in addition in each window
+    double slack = 4.0; ///< retries that all nodes together are allowed in addition in each window
     duration window = std::chrono::seconds(10);
 
     auto operator<=>(const retry_budget_options &) const = default;
@@ -36,9 +40,12 @@
 public:
     retry_budget(const clock &time, retry_budget_options options);
 
-    /// Sets the slack, for example when the number of nodes that share it changes.
+    /// Sets the slack of all nodes together.
     void setSlack(double slack);
 
+    /// Sets the number of nodes that share the slack, at least 1.
+    void setNodes(std::size_t count);
+
     /// Records the first attempt of a call.
     void recordFirstAttempt(const std::string &service);
 
@@ -64,6 +71,7 @@
 
     const clock &m_time;
     retry_budget_options m_options;
+    std::size_t m_nodes = 1;
     std::map<std::string, slots> m_services;
 };
 
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -59,9 +59,6 @@
 /// The process exits this long before the platform would kill it.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
-/// Fraction of the retry budget that the nodes use. It is below 1 because the nodes do not share their retry
-/// counts.
-constexpr double node_retry_share = 0.7;
 /// Minimum connection limit of a node for one upstream, however many nodes share the upstream.
 constexpr std::size_t min_connections_per_upstream = 4;
 /// File descriptors reserved for upstreams, the store and files; the others are for caller connections.
@@ -109,7 +106,8 @@
     relay::upstream_speed upstreamSpeeds{tasks};
     std::unique_ptr<relay::upstream_selector> upstreamSelector = makeSelector();
     relay::retry_budget retryBudget{tasks,
-                                    {node_retry_share * settings.retryRatio, 0.0, settings.retryWindow}};
+                                    {relay::used_retry_fraction * settings.retryRatio,
+                                     relay::used_retry_fraction *settings.retrySlack, settings.retryWindow}};
     relay::unit_quota quota{tasks, randomness};
     relay::run_counter runCounter{milliseconds(settings.usageWindow)};
     relay::work_meter workMeter{tasks};
@@ -536,7 +534,7 @@
     quota.setNodes(fleetSize.count());
     quota.setRemoteReporting(fleetExchange.hasRemoteCollector(), fleetExchange.reportAge());
     quota.setSilentFraction(fleetExchange.silentFraction(fleetSize.count()), fleet::silent_node_age);
-    retryBudget.setSlack(node_retry_share * settings.retrySlack / static_cast<double>(fleetSize.count()));
+    retryBudget.setNodes(fleetSize.count());
     versions.poll(lease.held().has_value(), fleetSize.count());
     originRecorder.setNodes(fleetSize.count());
     originRecorder.poll();
@@ -569,6 +567,7 @@
     settings.lookupCacheDuration = changed.lookupCacheDuration;
     settings.retrySlack = changed.retrySlack;
     settings.limitTolerance = changed.limitTolerance;
+    retryBudget.setSlack(relay::used_retry_fraction * settings.retrySlack);
     quota.setTolerance(settings.limitTolerance);
     members.setSeeds(gossipSeeds(settings));
     log_event(log_level::info, "edge.reloaded")
