A node that starts while it is cut off keeps to the stored size of the fleet

What callers saw: while upstreams rejected calls, repeats piled up on them beyond the budget of the service (BUDGET).

Cause: the number of nodes by which limits are shared was the membership's alone from 3 s after the start on, and a node that is cut off sees only itself. A node that was cut off without a restart remembers the others for 30 s (fleet_census); the restart lost that memory. The number that it read from the table counted only for the 3 s. Class: knowledge that a process has in memory is taken for absent facts after its restart.

The same number divides the limits of accounts while a node is cut off, and the connections to an upstream: both were exposed alike, both are mended by the same estimate. The holder of the duties also wrote the number back: a holder that was restarted in a cut stored 1.

Change: the stored number counts for as long as a node that vanished would (30 s); a read that failed is repeated; a node that has read nothing assumes a large fleet for that time, unless another node answers. A table without a number is a new fleet: as before.

--- a/libraries/fleet/fleet_size.cpp
+++ b/libraries/fleet/fleet_size.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet_size.h"
 
 #include "base/log_event.h"
+#include "fleet/report_lifetime.h"
 #include "relay/unit_quota.h"
 
 #include <algorithm>
@@ -29,15 +30,20 @@
         .write();
 }
 
-void fleet_size::setStored(std::size_t nodes)
+void fleet_size::setStored(std::optional<std::size_t> nodes)
 {
     m_stored = nodes;
+    m_isTableRead = true;
 }
 
 bool fleet_size::isDiscovered() const
 {
     const duration age = m_time.now() - m_startedAt;
-    return age > discovery_timeout || (age > min_discovery_time && m_hasRemoteCollector);
+    if (age > silent_node_retention)
+        return true;
+    if (m_stored)
+        return false;
+    return (m_isTableRead && age > discovery_timeout) || (m_hasRemoteCollector && age > min_discovery_time);
 }
 
 std::size_t fleet_size::count() const
--- a/libraries/fleet/fleet_size.h
+++ b/libraries/fleet/fleet_size.h
@@ -7,13 +7,15 @@
 
 namespace ivypier::fleet {
 
-/// Estimates the number of nodes that share the limits of the fleet. The census is a lower bound until the
-/// membership has been discovered; until then the number that the fleet stored in a table counts as well.
+/// Estimates the number of nodes that share the limits of the fleet. A node that has just started may see
+/// only some of them, or none if it is cut off, so the census is a lower bound: the number that the fleet
+/// stored in a table counts for as long as a node that vanished would.
 class fleet_size
 {
 public:
-    /// The membership counts as complete after `discovery_timeout`, or after `min_discovery_time` once a
-    /// collector has answered.
+    /// Without a stored number the membership counts as complete once another node has answered, but not
+    /// before `min_discovery_time`. If the table has none because the fleet is new, it does after
+    /// `discovery_timeout` in any case.
     static constexpr duration discovery_timeout = std::chrono::seconds(3);
     static constexpr duration min_discovery_time = std::chrono::seconds(1);
 
@@ -22,8 +24,8 @@
     /// Takes over the present members. Must be called a few times per second.
     void update(bool hasRemoteCollector);
 
-    /// Sets the number of nodes that the fleet stored in a table.
-    void setStored(std::size_t nodes);
+    /// Sets the number of nodes that the fleet stored in a table, or nothing if the table has none.
+    void setStored(std::optional<std::size_t> nodes);
 
     /// Returns the number of nodes, this one included.
     std::size_t count() const;
@@ -35,6 +37,7 @@
     fleet_census m_census;
     time_point m_startedAt;
     std::optional<std::size_t> m_stored;
+    bool m_isTableRead = false;
     bool m_hasRemoteCollector = false;
     bool m_isDiscoveryLogged = false;
 };
--- a/libraries/fleet/tests/retry_budget_at_scale_test.cpp
+++ b/libraries/fleet/tests/retry_budget_at_scale_test.cpp
@@ -176,7 +176,7 @@
 
 } // namespace
 
-TEST_CASE("retries stay within the budget of the fleet after nodes were restarted while cut off", "[red]")
+TEST_CASE("retries stay within the budget of the fleet after nodes were restarted while cut off")
 {
     const std::size_t size = GENERATE(8U, 73U, 295U);
     const std::uint64_t seed = GENERATE(1U, 2U, 3U);
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -52,6 +52,7 @@
 /// A window's usage counts are complete after this margin, the delay of a report and one more report, if one
 /// was lost.
 constexpr duration count_delivery_margin = std::chrono::milliseconds(800);
+constexpr duration fleet_size_retry_interval = std::chrono::seconds(1);
 /// Number of nodes that compete for the lease.
 constexpr std::size_t lease_candidate_count = 3;
 /// Callers may cache a look-up response for up to three times its lifetime.
@@ -516,8 +517,10 @@
             .with("nodes", nodes ? static_cast<std::int64_t>(*nodes) : 0)
             .with("reason", read ? "" : read.error().message)
             .write();
-        if (nodes)
-            fleetSize.setStored(*nodes);
+        if (read)
+            fleetSize.setStored(nodes);
+        else
+            tasks.after(fleet_size_retry_interval, [this] { readFleetSize(); });
     });
 }
 
