--- a/libraries/relay/tcp_reachability_check.cpp
+++ b/libraries/relay/tcp_reachability_check.cpp
@@ -1,7 +1,5 @@
 #include "relay/tcp_reachability_check.h"
 
-#include "http/byte_stream.h"
-
 #include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 
@@ -37,16 +35,16 @@
 
 } // namespace
 
-tcp_reachability_check::tcp_reachability_check(event_loop &loop)
+tcp_reachability_check::tcp_reachability_check(event_loop &loop, http::stream_factory streams)
     : m_loop(loop)
+    , m_streams(std::move(streams))
 {
 }
 
 void tcp_reachability_check::check(const endpoint &address, completion done)
 {
     auto &context = *static_cast<boost::asio::io_context *>(m_loop.nativeContext());
-    const auto pending
-        = std::make_shared<pending_check>(pending_check{http::makePlainStream(context), std::move(done)});
+    const auto pending = std::make_shared<pending_check>(pending_check{m_streams(context), std::move(done)});
     pending->connection->connect(
         address, [pending](const boost::system::error_code &failure) { pending->end(resultOf(failure)); });
     m_loop.after(timeout, [weak = std::weak_ptr(pending)] {
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -84,6 +84,7 @@
 struct edge_node::edge_components
 {
     edge_components(event_loop &loop, const edge_settings &initialSettings, secret_key key,
+                    http::stream_factory upstreamStreams,
                     std::unique_ptr<membership::udp_channel> gossipUdpChannel,
                     std::unique_ptr<membership::udp_channel> fleetUdpChannel,
                     std::unique_ptr<membership::udp_channel> permitUdpChannel,
@@ -101,13 +102,14 @@
     seeded_random randomness = seeded_random::fromSystem();
     metrics_registry metrics;
     steady_wall_clock wallClock{tasks};
+    http::stream_factory streamsToUpstreams;
     std::unique_ptr<membership::udp_channel> gossipChannel;
     std::unique_ptr<membership::udp_channel> fleetChannel;
     std::unique_ptr<membership::udp_channel> permitChannel;
     std::unique_ptr<membership::udp_channel> originChannel;
     std::unique_ptr<membership::udp_channel> crashChannel;
     membership::gossip_membership members;
-    http::connection_pool upstreamConnections{tasks};
+    http::connection_pool upstreamConnections{tasks, streamsToUpstreams};
     http::connection_pool platformConnections{tasks};
     http::fetcher platformCalls{tasks, platformConnections};
     adapter::store_client store{platformCalls, settings.store};
@@ -134,7 +136,7 @@
         tasks, randomness, store, quarantine.entries(),
         [this](const relay::quarantine_entry &entry) { quarantine.publish(entry); }};
     quarantine_control quarantineControl{tasks, quarantine, crashKeys};
-    relay::tcp_reachability_check reachability{tasks};
+    relay::tcp_reachability_check reachability{tasks, streamsToUpstreams};
     relay::upstream_end_detector upstreamEnds{tasks, upstreams, reachability, quarantine};
     relay::version_register versions{tasks, randomness, store, upstreams,
                                      [this] { return wallClock.milliseconds(); }};
@@ -246,7 +248,7 @@
 } // namespace
 
 edge_node::edge_components::edge_components(event_loop &loop, const edge_settings &initialSettings,
-                                            secret_key key,
+                                            secret_key key, http::stream_factory upstreamStreams,
                                             std::unique_ptr<membership::udp_channel> gossipUdpChannel,
                                             std::unique_ptr<membership::udp_channel> fleetUdpChannel,
                                             std::unique_ptr<membership::udp_channel> permitUdpChannel,
@@ -254,6 +256,7 @@
                                             std::unique_ptr<membership::udp_channel> crashUdpChannel)
     : tasks(loop)
     , settings(initialSettings)
+    , streamsToUpstreams(std::move(upstreamStreams))
     , gossipChannel(std::move(gossipUdpChannel))
     , fleetChannel(std::move(fleetUdpChannel))
     , permitChannel(std::move(permitUdpChannel))
@@ -625,7 +628,8 @@
     tasks.stop();
 }
 
-outcome<std::unique_ptr<edge_node>> edge_node::start(event_loop &loop, const edge_settings &settings)
+outcome<std::unique_ptr<edge_node>> edge_node::start(event_loop &loop, const edge_settings &settings,
+                                                     http::stream_factory upstreamStreams)
 {
     const outcome<secret_key> key = secret_key::fromPassphrase(settings.fleetKey);
     if (!key)
@@ -650,9 +654,9 @@
     if (!crashUdpChannel)
         return crashUdpChannel.error();
     auto assembled = std::make_unique<edge_components>(
-        loop, settings, key.value(), std::move(gossipUdpChannel.value()), std::move(fleetUdpChannel.value()),
-        std::move(permitUdpChannel.value()), std::move(originUdpChannel.value()),
-        std::move(crashUdpChannel.value()));
+        loop, settings, key.value(), std::move(upstreamStreams), std::move(gossipUdpChannel.value()),
+        std::move(fleetUdpChannel.value()), std::move(permitUdpChannel.value()),
+        std::move(originUdpChannel.value()), std::move(crashUdpChannel.value()));
     if (const outcome<void> listening = assembled->listen(); !listening)
         return listening.error();
     assembled->start();
--- a/services/edge/edge_node.h
+++ b/services/edge/edge_node.h
@@ -3,6 +3,7 @@
 #include "base/event_loop.h"
 #include "base/outcome.h"
 #include "edge_settings.h"
+#include "http/byte_stream.h"
 
 #include <memory>
 
@@ -13,8 +14,11 @@
 {
 public:
     /// Opens the listeners, joins the cluster and starts to follow the platform's tables. Returns an error
-    /// when the fleet key is invalid or an address cannot be bound.
-    static outcome<std::unique_ptr<edge_node>> start(event_loop &loop, const edge_settings &settings);
+    /// when the fleet key is invalid or an address cannot be bound. `upstreamStreams` creates the connections
+    /// to upstreams.
+    static outcome<std::unique_ptr<edge_node>> start(event_loop &loop, const edge_settings &settings,
+                                                     http::stream_factory upstreamStreams
+                                                     = http::makePlainStream);
 
     ~edge_node();
 
