Calls of a node that reaches no upstream go through another node

Cause: the only way to an upstream was the node's own connection. Nothing told a lost path from upstreams that ended, so each was set aside in turn and callers were refused, while other nodes reached all of them. Class: the failure of a node's own network is taken for the failure of what is behind it.

Change: relay/upstream_paths marks addresses to which no connection can be opened; from two on, calls go through another node (forwarding_transport, call_forwarder), in the same exchange where a connection was refused. Silence of all upstreams is probed.

--- a/libraries/http/exchange_transport.h
+++ b/libraries/http/exchange_transport.h
@@ -24,6 +24,8 @@
     std::string reason;
     /// The limit of connections to the server was reached, which tells nothing about the server.
     bool isConnectionLimit = false;
+    /// No connection to the server could be opened.
+    bool isUnconnected = false;
 
     auto operator<=>(const exchange_failure &) const = default;
 };
@@ -58,6 +60,7 @@
     std::size_t maxConnections = 64; ///< maximum number of connections to this address, idle ones included
     bool isHeadRequest = false; ///< the request's method is HEAD
     bool useNewConnection = false; ///< don't reuse a connection, since the server may just have closed it
+    std::string callId; ///< of the call that the request carries, for a transport that needs it; may be empty
     /// Returns false for a response that belongs to another request; such a response is skipped. May be
     /// empty.
     std::function<bool(const response_head &)> isMatchingResponse = {};
--- a/libraries/http/pooled_connection.cpp
+++ b/libraries/http/pooled_connection.cpp
@@ -260,7 +260,8 @@
 {
     const auto alive = shared_from_this();
     exchange_observer *observer = std::exchange(m_observer, nullptr);
-    const exchange_failure failure{m_stage, reason};
+    exchange_failure failure{m_stage, reason};
+    failure.isUnconnected = !m_connected;
     close();
     if (observer)
         observer->onFailed(failure);
--- a/libraries/relay/upstream_attempt.cpp
+++ b/libraries/relay/upstream_attempt.cpp
@@ -39,6 +39,7 @@
     http::exchange_options options;
     options.maxConnections = maxConnections;
     options.isHeadRequest = m_call.method == "HEAD";
+    options.callId = m_call.id;
     options.isMatchingResponse
         = [this](const http::response_head &head) { return m_environment.protocol.isAnswerTo(m_call, head); };
     m_exchange = m_environment.transport.start(m_to.address, m_environment.protocol.encode(m_call, details),
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -125,6 +125,14 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+const upstream *upstream_directory::findByAddress(const endpoint &address) const
+{
+    const auto found = std::find_if(m_upstreams.begin(), m_upstreams.end(), [&](const auto &each) {
+        return each.second.record.address == address && !each.second.record.draining;
+    });
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
 std::vector<const upstream *> upstream_directory::ready(const std::string &service) const
 {
     std::vector<const upstream *> result;
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -86,6 +86,15 @@
     /// Returns the upstream, including a draining one, or null if it is unknown or was removed.
     const upstream *find(const std::string &id) const;
 
+    /// Returns the upstream that is listed at an address, or null if there is none.
+    const upstream *findByAddress(const endpoint &address) const;
+
+    /// Returns the number of listed upstreams.
+    std::size_t size() const
+    {
+        return m_upstreams.size();
+    }
+
     /// Returns the upstreams of a service that accept new calls, including ejected ones.
     std::vector<const upstream *> ready(const std::string &service) const;
 
--- a/services/edge/caller_lookup.h
+++ b/services/edge/caller_lookup.h
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "membership/membership_view.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,8 +16,10 @@
 inline constexpr std::size_t min_local_nodes = 2;
 
 /// Returns the nodes that a caller in a failure domain may connect to: those of its own domain while there
-/// are enough of them, otherwise all nodes of its region.
+/// are enough of them, otherwise all nodes of its region. Nodes in `impaired`, which reach upstreams through
+/// other nodes only, are left out unless there are no others.
 std::vector<endpoint> addressesFor(const std::vector<membership::member> &members,
-                                   const std::string &failureDomain);
+                                   const std::string &failureDomain,
+                                   const std::set<std::string> &impaired = {});
 
 } // namespace ivypier::edge
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -23,6 +23,7 @@
 #include "fleet/origin_exchange.h"
 #include "fleet/origin_recorder.h"
 #include "fleet/origin_shard.h"
+#include "fleet/peer_paths.h"
 #include "fleet/permit_exchange.h"
 #include "http/connection_pool.h"
 #include "http/fetcher.h"
@@ -36,7 +37,10 @@
 #include "platform/lookup_codec.h"
 #include "platform/runner_protocol.h"
 #include "platform/store_client.h"
+#include "relay/call_forwarder.h"
 #include "relay/expected_time_selector.h"
+#include "relay/forwarded_call.h"
+#include "relay/forwarding_transport.h"
 #include "relay/prefix_affinity_selector.h"
 #include "relay/quarantine_register.h"
 #include "relay/relay_service.h"
@@ -62,6 +66,8 @@
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 /// Minimum connection limit of a node for one upstream, however many nodes share the upstream.
 constexpr std::size_t min_connections_per_upstream = 4;
+/// Bytes that the request for an upstream has beyond the headers and the body of the caller's.
+constexpr std::uint64_t forwarded_head_bytes = std::uint64_t{16} * 1024;
 /// File descriptors reserved for upstreams, the store and files; the others are for caller connections.
 constexpr std::size_t reserved_descriptors = 900;
 /// Key prefix of the gossip facts that announce the software versions of a service.
@@ -110,6 +116,7 @@
     std::unique_ptr<membership::udp_channel> crashChannel;
     membership::gossip_membership members;
     http::connection_pool upstreamConnections{tasks, streamsToUpstreams};
+    http::connection_pool peerConnections{tasks};
     http::connection_pool platformConnections{tasks};
     http::fetcher platformCalls{tasks, platformConnections};
     adapter::store_client store{platformCalls, settings.store};
@@ -137,6 +144,11 @@
         [this](const relay::quarantine_entry &entry) { quarantine.publish(entry); }};
     quarantine_control quarantineControl{tasks, quarantine, crashKeys};
     relay::tcp_reachability_check reachability{tasks, streamsToUpstreams};
+    relay::upstream_paths paths{tasks, randomness, upstreams, reachability};
+    fleet::peer_paths peerPaths{tasks, randomness, members, settings.control.port,
+                                [this] { return wallClock.milliseconds(); }};
+    relay::forwarding_transport upstreamTransport{tasks,           metrics, upstreamConnections,
+                                                  peerConnections, paths,   peerPaths};
     relay::upstream_end_detector upstreamEnds{tasks, upstreams, reachability, quarantine};
     relay::version_register versions{tasks, randomness, store, upstreams,
                                      [this] { return wallClock.milliseconds(); }};
@@ -145,7 +157,7 @@
     relay::relay_service relayService{{tasks,
                                        randomness,
                                        metrics,
-                                       upstreamConnections,
+                                       upstreamTransport,
                                        protocol,
                                        upstreams,
                                        *upstreamSelector,
@@ -165,6 +177,15 @@
                                        [this](const relay::service &of) { return connectionsFor(of); },
                                        rolloutsOfCalls()}};
 
+    relay::call_forwarder forwarder{
+        tasks,
+        upstreamConnections,
+        protocol,
+        upstreams,
+        paths,
+        answerBuffers,
+        [this](const relay::upstream_record &to) { return connectionsFor(to.service); }};
+
     platform_tables tables{
         tasks,
         randomness,
@@ -220,6 +241,7 @@
     void update();
     void readFleetSize();
     std::size_t connectionsFor(const relay::service &service) const;
+    std::size_t connectionsFor(const std::string &serviceName) const;
     bool isReady() const;
 };
 
@@ -404,7 +426,8 @@
         to.send(status_not_found, {}, {});
         return;
     }
-    const std::vector<endpoint> addresses = addressesFor(members.members(), request->failureDomain);
+    const std::vector<endpoint> addresses
+        = addressesFor(members.members(), request->failureDomain, peerPaths.impairedNodes());
     if (addresses.empty()) {
         to.send(status_service_unavailable, {}, {});
         return;
@@ -418,6 +441,8 @@
 {
     if (incoming.head.path() == peer_feed_path)
         tables.handleRequest(incoming, to);
+    else if (incoming.head.path() == relay::forwarded_call_path)
+        forwarder.handle(incoming, to);
     else
         to->send(status_not_found, {}, {});
 }
@@ -455,6 +480,8 @@
     metrics.set("ivypier_table_bytes_sent", {}, static_cast<double>(tables.bytesSentToNodes()));
     metrics.set("ivypier_store_restores", {}, static_cast<double>(store.restoresSeen()));
     metrics.set("ivypier_duty_held", {}, lease.held() ? 1.0 : 0.0);
+    metrics.set("ivypier_upstream_paths_failed", {}, static_cast<double>(paths.failedCount()));
+    metrics.set("ivypier_calls_forwarding", {}, static_cast<double>(forwarder.running()));
     metrics.set("ivypier_upstream_limits", {}, static_cast<double>(permits.limits().size()));
     metrics.set("ivypier_permits_refused", {}, static_cast<double>(permits.refusals()));
     metrics.set("ivypier_stream_origins", {}, static_cast<double>(origins.recordCount()));
@@ -505,6 +532,7 @@
         ? settings.maxDescriptors - reserved_descriptors
         : settings.maxDescriptors / 2;
     callListener->setLimits(connectionLimits);
+    controlListener->setLimits({.bodyBytes = limits.bodyBytes + limits.headerBytes + forwarded_head_bytes});
     std::set<std::string> resumableServices;
     for (const relay::route &each : table->content().routes) {
         for (const relay::route_target &target : each.targets) {
@@ -540,10 +568,18 @@
     return std::max(service.maxConnections / fleetSize.count(), min_connections_per_upstream);
 }
 
+std::size_t edge_node::edge_components::connectionsFor(const std::string &serviceName) const
+{
+    const auto &table = relayService.table();
+    const relay::service *known = table ? table->content().findService(serviceName) : nullptr;
+    return known ? connectionsFor(*known) : min_connections_per_upstream;
+}
+
 void edge_node::edge_components::update()
 {
     tasks.after(update_interval, [this] { update(); });
     fleetSize.update(fleetExchange.hasRemoteCollector());
+    peerPaths.update(paths.isImpaired());
     upstreamSpeeds.forgetIdle();
     quota.setNodes(fleetSize.count());
     quota.setRemoteReporting(fleetExchange.hasRemoteCollector(), fleetExchange.reportAge());
@@ -613,7 +649,8 @@
 void edge_node::edge_components::finishStop()
 {
     callListener->closeIdleConnections();
-    if (callListener->unansweredRequestCount() > 0 && tasks.now() < stopDeadline) {
+    const bool hasCalls = callListener->unansweredRequestCount() > 0 || forwarder.running() > 0;
+    if (hasCalls && tasks.now() < stopDeadline) {
         tasks.after(stop_check_interval, [this] { finishStop(); });
         return;
     }
--- a/services/edge/tests/edge_parts_test.cpp
+++ b/services/edge/tests/edge_parts_test.cpp
@@ -118,6 +118,19 @@
     CHECK(addressesFor({}, "a").empty());
 }
 
+TEST_CASE("a look-up leaves out nodes that reach no upstream, unless there are no others")
+{
+    std::vector<membership::member> members{nodeIn("a", 1), nodeIn("a", 2), nodeIn("b", 3)};
+    std::set<std::string> all;
+    for (membership::member &each : members) {
+        each.name = each.address.text();
+        all.insert(each.name);
+    }
+    const std::string first = members.front().name;
+    CHECK(addressesFor(members, "a", {first}) == std::vector{members[1].address, members[2].address});
+    CHECK(addressesFor(members, "a", all).size() == 3);
+}
+
 TEST_CASE("rows of a table survive an encode and decode round trip")
 {
     const transferred_rows rows{{{{"a", 3, "{\"x\":1}", false}, {"b", 9, "", true}, {"c", 4, "", false}}, 12},
--- a/tests/support/fake_transport.h
+++ b/tests/support/fake_transport.h
@@ -46,6 +46,12 @@
             if (auto *to = std::exchange(observer, nullptr))
                 to->onFailed({stage, "failure injected by the test", isConnectionLimit});
         }
+        /// Fails as if no connection could be opened.
+        void failToConnect()
+        {
+            if (auto *to = std::exchange(observer, nullptr))
+                to->onFailed({.reason = "failure injected by the test", .isUnconnected = true});
+        }
     };
 
     std::unique_ptr<http::outgoing_exchange> start(const endpoint &to, std::string bytes,
