A refused connection is no end of an upstream while the node is cut off from all

Cause: the check of a broken connection takes a refusal for the end of the process. In a partition the refusal comes from the way.

Change: path_aware_check tells a refusal as unknown while the node is cut off, and records failed checks as failed paths. The first of them still counts as an end: one failure tells nothing about the path.

Measured: relay: a refusal does not tell the end of an upstream while the node is cut off from all (fails without the change).

--- a/libraries/relay/tests/upstream_paths_test.cpp
+++ b/libraries/relay/tests/upstream_paths_test.cpp
@@ -1,3 +1,4 @@
+#include "relay/path_aware_check.h"
 #include "relay/upstream_paths.h"
 #include "relay_fixture.h"
 
@@ -131,3 +132,22 @@
     node.time.advance(10ms);
     CHECK(node.paths.isCutOff());
 }
+
+TEST_CASE("a refusal does not tell the end of an upstream while the node is cut off from all")
+{
+    four_paths node;
+    node.setAll(result::refused);
+    path_aware_check check(node.check, node.paths);
+    std::vector<result> seen;
+    const auto checkUpstream = [&](int index) {
+        check.check(addressOf(index), [&](result outcome) { seen.push_back(outcome); });
+        node.time.advance(1ms);
+    };
+    node.time.advance(1s);
+    checkUpstream(0);
+    checkUpstream(1);
+    node.time.advance(1ms);
+    node.paths.recordAnswer(node.time.now());
+    checkUpstream(2);
+    CHECK(seen == std::vector{result::refused, result::unknown, result::refused});
+}
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -41,6 +41,7 @@
 #include "relay/expected_time_selector.h"
 #include "relay/forwarded_call.h"
 #include "relay/forwarding_transport.h"
+#include "relay/path_aware_check.h"
 #include "relay/prefix_affinity_selector.h"
 #include "relay/quarantine_register.h"
 #include "relay/relay_service.h"
@@ -149,7 +150,8 @@
                                 [this] { return wallClock.milliseconds(); }};
     relay::forwarding_transport upstreamTransport{tasks,           metrics, upstreamConnections,
                                                   peerConnections, paths,   peerPaths};
-    relay::upstream_end_detector upstreamEnds{tasks, upstreams, reachability, quarantine};
+    relay::path_aware_check endCheck{reachability, paths};
+    relay::upstream_end_detector upstreamEnds{tasks, upstreams, endCheck, quarantine};
     relay::version_register versions{tasks, randomness, store, upstreams,
                                      [this] { return wallClock.milliseconds(); }};
     fleet::fleet_size fleetSize{tasks, members};
