An attempt that was never sent takes nothing from the retry budget

What callers saw: 503 after a single refused connection while other upstreams could be reached (outcome not_sent, sendings=1).

Cause: the budget protects upstreams from repeats, but was charged for connections that carried nothing; a partition or the end of a few upstreams used it up within a second, and calls that a second upstream would have served were refused.

Change: a failure before the first byte is retried without the budget, within the attempts and the deadline of the call. Upstreams see no repeat by it: the retry is the first sending that can arrive.

--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -244,12 +244,25 @@
         m_environment.metrics.add("ivypier_retries_refused_total", {{"service", m_serviceName}});
         return false;
     }
+    m_environment.metrics.add("ivypier_repeats_total", {{"service", m_serviceName}});
+    restartAttempt(reason);
+    return true;
+}
+
+bool relayed_call::retryUnsent()
+{
+    if (!canRetry())
+        return false;
+    restartAttempt("not_sent");
+    return true;
+}
+
+void relayed_call::restartAttempt(const char *reason)
+{
     logRepeatedCall(m_call, upstreamId(), reason, m_attemptCount,
                     m_environment.retries.stateOf(m_serviceName));
-    m_environment.metrics.add("ivypier_repeats_total", {{"service", m_serviceName}});
     m_answer.restartStream();
     startAttempt();
-    return true;
 }
 
 void relayed_call::onHead(http::response_head head)
@@ -452,7 +465,8 @@
     logFailedAttempt(m_call, *m_attempt, m_suspicion->callKey(), failure, m_environment.tasks.now());
     m_answer.drop();
     endAttempt(false);
-    if (retryAfterFailure("sending_failed"))
+    const bool isUnsent = failure.stage == http::exchange_stage::not_sent;
+    if (isUnsent ? retryUnsent() : retryAfterFailure("sending_failed"))
         return;
     if (m_mayHaveRun)
         fail(status_bad_gateway, "upstream_broke_off");
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -53,6 +53,10 @@
     void endQuarantined();
     bool canRetry();
     bool retryAfterFailure(const char *reason);
+    /// Retries an attempt of which the upstream received nothing. Takes nothing from the retry budget, which
+    /// protects the upstreams.
+    bool retryUnsent();
+    void restartAttempt(const char *reason);
 
     void onHead(http::response_head head) override;
     void onBody(std::string_view data) override;
--- a/libraries/relay/tests/relayed_call_test.cpp
+++ b/libraries/relay/tests/relayed_call_test.cpp
@@ -121,6 +121,23 @@
     }
 }
 
+TEST_CASE("an attempt that was never sent takes nothing from the retry budget")
+{
+    relay_fixture fixture(call_kind::at_most_once);
+    const auto answer = fixture.startCall();
+    while (fixture.retries.take("s")) { }
+    fixture.last().failToConnect();
+    REQUIRE(fixture.startedExchanges() == 2);
+    fixture.last().head(200, {{"Signature", "s"}});
+    fixture.last().end();
+    CHECK(answer->status == 200);
+    const auto rejected = fixture.startCall();
+    REQUIRE(fixture.startedExchanges() == 3);
+    fixture.last().head(503, {{"Meaning", "not_run"}});
+    CHECK(fixture.startedExchanges() == 3);
+    CHECK(rejected->status == 503);
+}
+
 TEST_CASE("a call that may have run is never reported as not run")
 {
     relay_fixture fixture(call_kind::idempotent, 2);
