Test: a node that was out of step while another version joined proves nothing by what it knew

It can't happen here: the proof that one version serves is a read of the table that starts after the caller came back, and a stream begins at a version only once that is listed.

--- a/libraries/relay/tests/version_register_test.cpp
+++ b/libraries/relay/tests/version_register_test.cpp
@@ -174,6 +174,26 @@
     CHECK_FALSE(fleet.find(1).onlyVersion);
 }
 
+TEST_CASE("a node that was out of step while another version joined proves nothing by what it knew")
+{
+    register_fleet fleet(3);
+    fleet.serve("v1");
+    fleet.time.advance(4s);
+    REQUIRE(fleet.find(2).onlyVersion == "v1");
+    // Node 2 stands still: it hears of no upstream and of no announcement, the others begin streams at v2.
+    fleet.announcements = false;
+    for (const std::size_t index : {0U, 1U})
+        fleet.nodes[index]->upstreams.put(register_fleet::recordOf("v2"));
+    fleet.time.advance(4s);
+    REQUIRE(fleet.mayBegin(0, "v2"));
+    CHECK_FALSE(fleet.find(2).onlyVersion);
+    fleet.table.faults.down = true; // cut off from the table as well
+    CHECK_FALSE(fleet.find(2).onlyVersion);
+    fleet.table.faults.down = false;
+    fleet.time.advance(10s);
+    CHECK(fleet.find(2) == version_lookup{std::nullopt, 2});
+}
+
 TEST_CASE("nothing is proved while the platform does not respond, and the lookup ends")
 {
     register_fleet fleet(2);
