An answer without an id on a reused connection tells nothing about the call

With its id such an answer was skipped already, on an idle connection it closes it. Without an id it was taken for the refusal of the call that followed: the caller was told 'not run', or the call was sent to a second upstream, while the first ran it.

Cause: a failure without an id counted as the answer to whatever call was on the connection.

Change: the head tells whether its connection carried an earlier exchange; a failure without an id there is unattributed: the call may have run (502, outcome unattributed_answer), and is repeated only if its kind may be. On a new connection nothing came before it.

--- a/libraries/http/incoming_head.h
+++ b/libraries/http/incoming_head.h
@@ -36,6 +36,7 @@
     field_list fields;
     bool endsWithConnection
         = false; ///< the body has no stated length, and ends when the connection is closed
+    bool isOnReusedConnection = false; ///< it may be a late answer to an earlier request
 
     bool operator==(const response_head &) const = default;
 };
--- a/libraries/http/pooled_connection.cpp
+++ b/libraries/http/pooled_connection.cpp
@@ -233,6 +233,7 @@
     m_keepAliveTime = parseKeepAliveTime(head.fields);
     response_head delivered = m_parser->takeHead();
     delivered.endsWithConnection = m_parser->endsAtEof();
+    delivered.isOnReusedConnection = m_exchangeId > 1;
     m_observer->onHead(std::move(delivered));
     return m_open && m_observer != nullptr;
 }
--- a/libraries/http/tests/connection_pool_test.cpp
+++ b/libraries/http/tests/connection_pool_test.cpp
@@ -27,6 +27,7 @@
     void onHead(http::response_head head) override
     {
         status = head.status;
+        isOnReusedConnection = head.isOnReusedConnection;
     }
     void onBody(std::string_view data) override
     {
@@ -48,6 +49,7 @@
     }
 
     int status = 0;
+    bool isOnReusedConnection = false;
     std::string body;
     std::promise<std::optional<http::exchange_failure>> ended;
 };
@@ -96,6 +98,7 @@
         accepted.send(makeResponse("one"));
         CHECK_FALSE(first.result());
         CHECK(first.body == "one");
+        CHECK_FALSE(first.isOnReusedConnection);
         fixture.end(exchange);
         return accepted;
     }();
@@ -105,6 +108,7 @@
     connection.send(makeResponse("two"));
     CHECK_FALSE(second.result());
     CHECK(second.body == "two");
+    CHECK(second.isOnReusedConnection);
     fixture.end(exchange);
     CHECK(fixture.thread.run([&] { return fixture.pool->counts(); }) == http::pool_counts{1, 1, 1});
 }
--- a/libraries/relay/forwarded_call.cpp
+++ b/libraries/relay/forwarded_call.cpp
@@ -12,11 +12,13 @@
 constexpr const char *method_field = "Forward-Method";
 constexpr const char *status_field = "Forwarded-Status";
 constexpr const char *end_field = "Forwarded-End";
+constexpr const char *connection_field = "Forwarded-Connection";
 constexpr const char *failure_field = "Forwarding-Failure";
 constexpr const char *reason_field = "Forwarding-Reason";
 
 constexpr const char *head_method = "HEAD";
 constexpr const char *ends_with_connection = "connection";
+constexpr const char *reused = "reused";
 constexpr const char *no_path = "no-path";
 constexpr const char *impaired = "impaired";
 constexpr const char *connection_limit = "connection-limit";
@@ -25,8 +27,9 @@
 
 /// Fields that concern one connection only, and those of this protocol.
 constexpr std::array fields_of_one_hop
-    = {"Connection", "Keep-Alive",     "Proxy-Connection", "TE",      "Trailer",     "Transfer-Encoding",
-       "Upgrade",    "Content-Length", status_field,       end_field, failure_field, reason_field};
+    = {"Connection",        "Keep-Alive",  "Proxy-Connection", "TE",         "Trailer",
+       "Transfer-Encoding", "Upgrade",     "Content-Length",   status_field, end_field,
+       connection_field,    failure_field, reason_field};
 
 const char *nameOf(const forwarding_failure &failure)
 {
@@ -70,6 +73,8 @@
     result.add(status_field, std::to_string(head.status));
     if (head.endsWithConnection)
         result.add(end_field, ends_with_connection);
+    if (head.isOnReusedConnection)
+        result.add(connection_field, reused);
     return result;
 }
 
@@ -87,6 +92,7 @@
         return std::nullopt;
     result.fields = response.fields;
     result.endsWithConnection = response.fields.find(end_field) == ends_with_connection;
+    result.isOnReusedConnection = response.fields.find(connection_field) == reused;
     for (const char *each : fields_of_one_hop)
         result.fields.remove(each);
     return result;
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -286,20 +286,23 @@
         handleFailedHead(std::move(head), statement.wait.has_value());
         return;
     case answer_class::unsigned_success:
-        handleUnsignedSuccess();
+        handleUnusableAnswer("unsigned_success");
+        return;
+    case answer_class::unattributed:
+        handleUnusableAnswer("unattributed_answer");
         return;
     }
 }
 
-void relayed_call::handleUnsignedSuccess()
+void relayed_call::handleUnusableAnswer(const char *reason)
 {
     m_mayHaveRun = true;
     ++m_possibleRuns;
     m_environment.upstreams.recordFailure(upstreamId());
     m_evidence->recordFailure();
     endAttempt(false);
-    if (!retryAfterFailure("unsigned_success"))
-        fail(status_bad_gateway, "unsigned_success");
+    if (!retryAfterFailure(reason))
+        fail(status_bad_gateway, reason);
 }
 
 void relayed_call::handleNotRun(answer_class answer)
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -66,7 +66,7 @@
     void handleNotRun(answer_class answer);
     void handleServedHead(http::response_head head);
     void handleFailedHead(http::response_head head, bool asksToWait);
-    void handleUnsignedSuccess();
+    void handleUnusableAnswer(const char *reason);
     void onAnswerDropped();
     void recordEvents();
     void endBrokenStream();
--- a/libraries/relay/tests/forwarding_transport_test.cpp
+++ b/libraries/relay/tests/forwarding_transport_test.cpp
@@ -133,12 +133,12 @@
     CHECK_FALSE(second.failure);
     REQUIRE(node.toPeers.startedExchanges.size() == 1);
     CHECK(node.lastToPeer().to == peerAddress(1));
-    http::response_head answer{503, {{"Retry-After", "1"}, {"Keep-Alive", "timeout=5"}}, true};
+    http::response_head answer{503, {{"Retry-After", "1"}, {"Keep-Alive", "timeout=5"}}, true, true};
     node.lastToPeer().head(200, encodeForwardedHead(answer));
     node.lastToPeer().body("part");
     node.lastToPeer().end();
     REQUIRE(second.head);
-    CHECK(*second.head == http::response_head{503, {{"Retry-After", "1"}}, true});
+    CHECK(*second.head == http::response_head{503, {{"Retry-After", "1"}}, true, true});
     CHECK(second.body == "part");
     CHECK(second.hasEnded);
 }
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -32,6 +32,8 @@
             return answer_class::not_run;
         if (meaning == "moved")
             return answer_class::other_instance;
+        if (meaning == "unattributed")
+            return answer_class::unattributed;
         if (meaning == "unsigned")
             return answer_class::unsigned_success;
         return head.status == 200 ? answer_class::served : answer_class::failed;
--- a/libraries/relay/tests/relayed_call_test.cpp
+++ b/libraries/relay/tests/relayed_call_test.cpp
@@ -112,6 +112,13 @@
         CHECK(answer->status == 500);
         CHECK(answer->body == "why");
     }
+    SECTION("an answer that may be an earlier refusal tells nothing")
+    {
+        const auto answer = fixture.startCall();
+        fixture.last().head(503, {{"Meaning", "unattributed"}});
+        CHECK(fixture.startedExchanges() == 1);
+        CHECK(answer->status == 502);
+    }
     SECTION("an unsigned success is rejected")
     {
         const auto answer = fixture.startCall();
--- a/libraries/relay/upstream_protocol.h
+++ b/libraries/relay/upstream_protocol.h
@@ -13,6 +13,8 @@
     other_instance, ///< another incarnation now has this address; the call did not run
     failed, ///< an error of the upstream; the call may have run
     unsigned_success, ///< a success without a signature; not accepted as an answer
+    unattributed, ///< it may be a late answer to an earlier call on the connection; tells nothing about this
+                  ///< one
 };
 
 /// Encodes calls for upstreams and interprets their answers.
