--- a/libraries/relay/retry_budget.cpp
+++ b/libraries/relay/retry_budget.cpp
@@ -23,7 +23,8 @@
 
 std::int64_t retry_budget::currentNumber() const
 {
-    return m_time.now().time_since_epoch() / (m_options.window / slot_count);
+    const duration width = m_options.window / slot_count;
+    return m_time.now().time_since_epoch() / width;
 }
 
 retry_budget::slot &retry_budget::currentSlot(const std::string &service)
--- a/libraries/relay/tests/forwarding_transport_test.cpp
+++ b/libraries/relay/tests/forwarding_transport_test.cpp
@@ -273,7 +273,7 @@
     auto &sent = *node.direct.startedExchanges.back();
     CHECK(sent.to == upstreamAddress(0));
     CHECK(sent.bytes == "request");
-    sent.head(200, {{"Request-Id", "id1"}});
+    sent.head(200, {{"Id", "id1"}});
     sent.body("event");
     const auto head = decodeForwardedHead({response->status, response->fields});
     REQUIRE(head);
@@ -299,7 +299,7 @@
     serving_node node;
     const auto response = node.forward(0);
     auto &sent = *node.direct.startedExchanges.back();
-    sent.head(200, {{"Request-Id", "id1"}});
+    sent.head(200, {{"Id", "id1"}});
     response->unsentByteCount = std::size_t{64} * 1024 * 1024;
     sent.body("event");
     CHECK(sent.isPaused);
