--- a/libraries/membership/membership_view.h
+++ b/libraries/membership/membership_view.h
@@ -18,7 +18,8 @@
 /// `epoch/<incarnation>` (the version is the epoch of its tickets), `share/<account>/<node>` (limit shares),
 /// `domain/<region>/<failure domain>` (a domain_summary), `versions/<service>` (the row of its software
 /// versions, by the version of the row), `rollout/<service>` (the newest statement on its rollout),
-/// `rollout-stop/<service>` (an operator's wish to stop it; the version is that of the order).
+/// `rollout-stop/<service>` (an operator's wish to stop it; the version is that of the order), `path/<node>`
+/// (whether the node reaches the upstreams itself).
 struct fact
 {
     std::string key;
