A call is sent directly after all if no other node is left

Without another node, a node that was cut off refused its calls until a probe was accepted, up to 0.5 s after the upstreams were back; it now tries its own connection, as before there was another way. A node of an earlier version answers 404 to a forwarded call: it has not sent it, and another one is tried.

--- a/libraries/relay/forwarded_call.cpp
+++ b/libraries/relay/forwarded_call.cpp
@@ -1,5 +1,7 @@
 #include "relay/forwarded_call.h"
 
+#include "base/status_codes.h"
+
 #include <array>
 #include <charconv>
 
@@ -103,7 +105,8 @@
     const std::string_view name = response.fields.find(failure_field);
     forwarding_failure result;
     result.isImpaired = name == impaired;
-    result.hasNoPath = result.isImpaired || name == no_path;
+    // A node of an earlier version does not know the path of the request.
+    result.hasNoPath = result.isImpaired || name == no_path || response.status == status_not_found;
     result.failure.isConnectionLimit = name == connection_limit;
     const bool isNotSent = result.hasNoPath || result.failure.isConnectionLimit || name == not_sent;
     result.failure.stage = isNotSent ? http::exchange_stage::not_sent : http::exchange_stage::sent;
--- a/libraries/relay/forwarding_transport.cpp
+++ b/libraries/relay/forwarding_transport.cpp
@@ -185,7 +185,8 @@
                                                                      http::exchange_observer &observer)
 {
     auto started = std::make_unique<exchange>(*this, to, std::move(options), observer);
-    if (m_paths.isDirect(to))
+    // Without another node the call may still succeed here: the path may just have come back.
+    if (m_paths.isDirect(to) || !m_peers.choose({}))
         started->startDirectly(std::move(bytes));
     else
         started->startThroughPeer(
