--- a/libraries/relay/path_aware_check.cpp
+++ b/libraries/relay/path_aware_check.cpp
@@ -12,10 +12,10 @@
 
 void path_aware_check::check(const endpoint &address, completion done)
 {
-    m_check.check(address, [this, address, done = std::move(done)](result outcome) {
-        if (outcome != result::accepted)
+    m_check.check(address, [this, address, done = std::move(done)](result found) {
+        if (found != result::accepted)
             m_paths.recordFailure(address);
-        done(outcome == result::refused && m_paths.isCutOff() ? result::unknown : outcome);
+        done(found == result::refused && m_paths.isCutOff() ? result::unknown : found);
     });
 }
 
--- a/libraries/relay/tests/upstream_paths_test.cpp
+++ b/libraries/relay/tests/upstream_paths_test.cpp
@@ -140,7 +140,7 @@
     path_aware_check check(node.check, node.paths);
     std::vector<result> seen;
     const auto checkUpstream = [&](int index) {
-        check.check(addressOf(index), [&](result outcome) { seen.push_back(outcome); });
+        check.check(addressOf(index), [&](result found) { seen.push_back(found); });
         node.time.advance(1ms);
     };
     node.time.advance(1s);
