The slack of retries goes by the greatest number of nodes of the last minutes

Cause: the same number serves two purposes. For the limits of accounts, which a sole survivor must be able to use, nodes that vanished are forgotten after 30 s. For the slack of retries a smaller share costs little, and the sum over the sides of a cut must hold.

Change: fleet_size remembers the greatest number that was known for 10 minutes; the slack is divided by it.

--- a/libraries/fleet/fleet_size.cpp
+++ b/libraries/fleet/fleet_size.cpp
@@ -20,6 +20,7 @@
 {
     m_census.update();
     m_hasRemoteCollector = hasRemoteCollector;
+    updatePeak();
     if (!isDiscovered() || std::exchange(m_isDiscoveryLogged, true))
         return;
     log_event(log_level::info, "fleet.discovered")
@@ -30,6 +31,20 @@
         .write();
 }
 
+void fleet_size::updatePeak()
+{
+    const std::size_t known = std::max(m_census.count(), isDiscovered() ? 0 : m_stored.value_or(0));
+    if (known < m_peak && m_time.now() - m_peakSeenAt <= peak_retention)
+        return;
+    m_peak = known;
+    m_peakSeenAt = m_time.now();
+}
+
+std::size_t fleet_size::peak() const
+{
+    return std::max(m_peak, count());
+}
+
 void fleet_size::setStored(std::optional<std::size_t> nodes)
 {
     m_stored = nodes;
--- a/libraries/fleet/fleet_size.h
+++ b/libraries/fleet/fleet_size.h
@@ -19,6 +19,9 @@
     static constexpr duration discovery_timeout = std::chrono::seconds(3);
     static constexpr duration min_discovery_time = std::chrono::seconds(1);
 
+    /// How long the peak counts after nodes were seen last.
+    static constexpr duration peak_retention = std::chrono::minutes(10);
+
     fleet_size(const clock &time, const membership::membership_view &members);
 
     /// Takes over the present members. Must be called a few times per second.
@@ -30,8 +33,13 @@
     /// Returns the number of nodes, this one included.
     std::size_t count() const;
 
+    /// Returns the greatest number of nodes that was known within `peak_retention`, for limits of which a
+    /// smaller share costs little: nodes that were forgotten in a long cut may still use theirs.
+    std::size_t peak() const;
+
 private:
     bool isDiscovered() const;
+    void updatePeak();
 
     const clock &m_time;
     fleet_census m_census;
@@ -40,6 +48,8 @@
     bool m_isTableRead = false;
     bool m_hasRemoteCollector = false;
     bool m_isDiscoveryLogged = false;
+    std::size_t m_peak = 1;
+    time_point m_peakSeenAt{};
 };
 
 } // namespace ivypier::fleet
--- a/libraries/fleet/tests/fleet_size_test.cpp
+++ b/libraries/fleet/tests/fleet_size_test.cpp
@@ -54,6 +54,25 @@
     CHECK(node.countAfter(2s) == 1);
 }
 
+TEST_CASE("the greatest number of nodes of the last minutes is remembered, and then forgotten")
+{
+    started_node node;
+    node.size.setStored(8);
+    CHECK(node.countAfter(1s) == 8);
+    CHECK(node.size.peak() == 8);
+    CHECK(node.countAfter(60s) == 1);
+    CHECK(node.size.peak() == 8);
+    node.view.unseen.clear();
+    CHECK(node.countAfter(1s) == 73);
+    CHECK(node.size.peak() == 73);
+    for (membership::incarnation id = 2; id <= 73; ++id)
+        node.view.unseen.insert(id);
+    CHECK(node.countAfter(60s) == 1);
+    CHECK(node.size.peak() == 73);
+    CHECK(node.countAfter(fleet_size::peak_retention) == 1);
+    CHECK(node.size.peak() == 1);
+}
+
 TEST_CASE("a node that was restarted in a small part of a divided fleet counts the stored nodes")
 {
     started_node node;
--- a/libraries/fleet/tests/retry_budget_at_scale_test.cpp
+++ b/libraries/fleet/tests/retry_budget_at_scale_test.cpp
@@ -135,7 +135,7 @@
             return;
         node &each = *m_nodes[index];
         each.size.update(!m_isCutOff.contains(index));
-        each.budget.setNodes(each.size.count());
+        each.budget.setNodes(each.size.peak());
     }
 
     void sendCall(node &at, double rejectedFraction)
@@ -190,6 +190,20 @@
     CHECK(fleet.worst() <= 1.0);
 }
 
+TEST_CASE("retries stay within the budget of the fleet in a cut that outlasts the memory of vanished nodes")
+{
+    const std::size_t size = GENERATE(8U, 73U, 295U);
+    INFO(size << " nodes");
+    retrying_fleet fleet(size, 1);
+    fleet.advance(15s, 0.0);
+    fleet.cutOff(0.8);
+    fleet.advance(5s, 0.0);
+    fleet.restart(0.3);
+    fleet.advance(60s, 0.0);
+    fleet.advance(15s, 0.85);
+    CHECK(fleet.worst() <= 1.0);
+}
+
 TEST_CASE("retries stay within the budget of the fleet after all nodes were killed in the middle of them")
 {
     const std::size_t size = GENERATE(8U, 73U, 295U);
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -586,7 +586,7 @@
     quota.setNodes(fleetSize.count());
     quota.setRemoteReporting(fleetExchange.hasRemoteCollector(), fleetExchange.reportAge());
     quota.setSilentFraction(fleetExchange.silentFraction(fleetSize.count()), fleet::silent_node_age);
-    retryBudget.setNodes(fleetSize.count());
+    retryBudget.setNodes(fleetSize.peak());
     versions.poll(lease.held().has_value(), fleetSize.count());
     originRecorder.setNodes(fleetSize.count());
     originRecorder.poll();
