--- a/libraries/relay/call.h
+++ b/libraries/relay/call.h
@@ -52,7 +52,7 @@
 /// One attempt to have an upstream process a call.
 struct attempt
 {
-    std::string instance; ///< incarnation id of the upstream; any other incarnation must reject the call
+    std::string instance; ///< name of the upstream; any other upstream must reject the call
     std::string account;
     duration timeLeft{};
     std::optional<std::uint32_t> priority;
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -144,7 +144,7 @@
 
 attempt relayed_call::attemptDetails(const upstream_record &to) const
 {
-    attempt result{to.id, accountName(), timeLeft(), std::nullopt, m_call.lastEvent};
+    attempt result{to.stableName(), accountName(), timeLeft(), std::nullopt, m_call.lastEvent};
     const client_account *account = m_admission.account;
     if (m_call.size)
         result.priority = account && account->priority ? *account->priority : m_admission.matched->priority;
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -4,13 +4,15 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
+#include <utility>
 
 namespace ivypier::relay {
 
 namespace {
 
-/// How long it is remembered that an upstream drained and was removed. A store that is restored from a copy
-/// of before may list it once more, until its row expires.
+/// How long it is remembered that an upstream drained and was removed, or started again. A store that is
+/// restored from a copy of before may list it once more, until its row expires.
 constexpr duration left_retention = std::chrono::seconds(60);
 /// How long the software version of an upstream is remembered that is not listed any more, and may come back
 /// with a row that can't be read whole.
@@ -18,6 +20,17 @@
 
 } // namespace
 
+std::string incarnationId(const std::string &name, std::int64_t startedAt)
+{
+    static constexpr std::string_view digits
+        = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+    std::string start;
+    for (std::int64_t left = startedAt; left > 0; left /= static_cast<std::int64_t>(digits.size()))
+        start.push_back(digits[static_cast<std::size_t>(left) % digits.size()]);
+    std::reverse(start.begin(), start.end());
+    return name + '@' + start;
+}
+
 duration upstream::waitLeft(time_point now) const
 {
 #ifdef IVYPIER_MUTANT_STATED_WAIT
@@ -35,8 +48,9 @@
 
 void upstream_directory::put(const upstream_record &record)
 {
-    if (m_left.contains(record.id))
+    if (hasLeft(record.id))
         return;
+    removeFormerIncarnation(record);
     auto [found, isNew] = m_upstreams.try_emplace(record.id);
     upstream &each = found->second;
     if (const auto wait = m_waits.extract(record.id); !wait.empty())
@@ -58,6 +72,7 @@
         .with("address", record.address.text())
         .with("failure_domain", record.failureDomain)
         .with("software", each.record.softwareVersion)
+        .with("started_ms", record.startedAt)
         .write();
     for (const auto &observer : m_unavailableObservers) {
         if (startsDraining)
@@ -65,6 +80,27 @@
     }
 }
 
+bool upstream_directory::hasLeft(const std::string &id) const
+{
+    return m_left.contains(id);
+}
+
+void upstream_directory::removeFormerIncarnation(const upstream_record &record)
+{
+    const auto [listed, isNew] = m_listedIncarnations.try_emplace(record.stableName(), record.id);
+    if (isNew || listed->second == record.id)
+        return;
+    const std::string former = std::exchange(listed->second, record.id);
+    log_event(log_level::info, "upstream.restarted")
+        .with("id", record.id)
+        .with("former", former)
+        .with("service", record.service)
+        .with("started_ms", record.startedAt)
+        .write();
+    remove(former);
+    m_left[former] = m_time.now();
+}
+
 std::string upstream_directory::softwareVersionOf(const upstream_record &record)
 {
     known_version &known = m_softwareVersions[record.id];
@@ -84,6 +120,9 @@
     m_waits[id] = found->second.waitUntil;
     m_softwareVersions[id].listedAt = m_time.now();
     m_upstreams.erase(found);
+    if (const auto listed = m_listedIncarnations.find(record.stableName());
+        listed != m_listedIncarnations.end() && listed->second == id)
+        m_listedIncarnations.erase(listed);
     ++m_revision;
     forgetLeft();
     if (record.draining)
@@ -125,6 +164,12 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+const upstream *upstream_directory::findByName(const std::string &name) const
+{
+    const auto found = m_listedIncarnations.find(name);
+    return found == m_listedIncarnations.end() ? nullptr : find(found->second);
+}
+
 const upstream *upstream_directory::findByAddress(const endpoint &address) const
 {
     const auto found = std::find_if(m_upstreams.begin(), m_upstreams.end(), [&](const auto &each) {
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -26,8 +26,16 @@
     bool reclaimable = false; ///< the VM may be reclaimed, together with its whole failure domain
     duration remainingWarmUp{}; ///< warm-up time left after a start, when the record was written
     std::string softwareVersion; ///< compared only for equality; empty if the upstream states none
+    std::string name; ///< kept by an upstream when it starts again; empty if its id is
+    std::int64_t startedAt = 0; ///< milliseconds since 1970 by the upstream's clock; 0 if not stated
 
     auto operator<=>(const upstream_record &) const = default;
+
+    /// Returns what the incarnations of one upstream have in common.
+    const std::string &stableName() const
+    {
+        return name.empty() ? id : name;
+    }
 };
 
 /// Pending prefill tokens that weigh as much as one call in progress. Engines process this many tokens in 40
@@ -63,6 +71,13 @@
     duration waitLeft(time_point now) const;
 };
 
+/// Returns the id of the incarnation of an upstream that started at `startedAt`, in milliseconds since 1970.
+/// It is at most eight bytes longer than the name.
+std::string incarnationId(const std::string &name, std::int64_t startedAt);
+
+/// Latest start that an incarnation's id can hold, in 2081.
+inline constexpr std::int64_t max_incarnation_start = 3'521'614'606'207;
+
 /// The known upstreams, by id.
 class upstream_directory
 {
@@ -71,6 +86,9 @@
 
     /// Adds or updates a record. An upstream that drains stays draining, and one that drained and was removed
     /// is not added again. The software version of an incarnation never changes; the first one stated holds.
+    ///
+    /// An incarnation takes the place of the former one with its name, which ended and is not added again.
+    /// The order of their starts does not matter, because the clock of an upstream may be set back.
     void put(const upstream_record &record);
 
     /// Removes an upstream that the platform no longer lists. Calls in progress may still complete; new calls
@@ -86,6 +104,9 @@
     /// Returns the upstream, including a draining one, or null if it is unknown or was removed.
     const upstream *find(const std::string &id) const;
 
+    /// Returns the listed incarnation of the upstream with this name, or null if there is none.
+    const upstream *findByName(const std::string &name) const;
+
     /// Returns the upstream that is listed at an address, or null if there is none.
     const upstream *findByAddress(const endpoint &address) const;
 
@@ -140,13 +161,16 @@
     };
 
     std::string softwareVersionOf(const upstream_record &record);
+    bool hasLeft(const std::string &id) const;
+    void removeFormerIncarnation(const upstream_record &record);
     static void startWait(upstream &of, time_point until);
     void forgetLeft();
 
     const clock &m_time;
     std::uint64_t m_revision = 1;
     std::map<std::string, upstream> m_upstreams;
-    std::map<std::string, time_point> m_left; ///< upstreams that drained, and when they were removed
+    std::map<std::string, std::string> m_listedIncarnations; ///< ids of listed upstreams, by name
+    std::map<std::string, time_point> m_left; ///< upstreams that ended, and when they were removed
     std::map<std::string, time_point> m_waits; ///< ends of the waits of upstreams that are not listed now
     std::map<std::string, known_version> m_softwareVersions; ///< first stated version, by upstream
     std::vector<std::function<void(const upstream_record &)>> m_unavailableObservers;
--- a/libraries/relay/upstream_rows.cpp
+++ b/libraries/relay/upstream_rows.cpp
@@ -14,6 +14,8 @@
 std::optional<upstream_record> upstream_rows::read(const cloud::feed_row &row) const
 {
     outcome<upstream_record> decoded = m_decode(row.key, row.value);
+    if (decoded && lacksKnownStart(row.key, decoded.value()))
+        decoded = error{error_code::invalid_argument, "the row does not state when the upstream started"};
     if (decoded)
         return std::move(decoded.value());
     log_event(log_level::warning, "upstream.unreadable")
@@ -23,9 +25,15 @@
     return std::nullopt;
 }
 
-void upstream_rows::cancelRemoval(const std::string &id)
+bool upstream_rows::lacksKnownStart(const std::string &key, const upstream_record &record) const
 {
-    const auto found = m_pendingRemovals.find(id);
+    const auto known = m_lastRecords.find(key);
+    return record.startedAt == 0 && known != m_lastRecords.end() && known->second.startedAt > 0;
+}
+
+void upstream_rows::cancelRemoval(const std::string &key)
+{
+    const auto found = m_pendingRemovals.find(key);
     if (found == m_pendingRemovals.end())
         return;
     m_tasks.cancel(found->second);
@@ -35,10 +43,10 @@
 bool upstream_rows::onChange(const cloud::feed_row &row, duration uncertainFor)
 {
     if (row.removed) {
-        if (uncertainFor > duration::zero() && m_upstreams.find(row.key))
+        if (uncertainFor > duration::zero() && m_upstreams.findByName(row.key))
             scheduleRemoval(row.key, uncertainFor);
         else
-            m_upstreams.remove(row.key);
+            remove(row.key);
         return m_lastRecords.erase(row.key) > 0;
     }
     cancelRemoval(row.key);
@@ -47,21 +55,27 @@
         return false;
     const auto [known, isNew] = m_lastRecords.try_emplace(row.key, *record);
     // A heartbeat writes the row without changing the record.
-    if (!isNew && known->second == *record && m_upstreams.find(row.key))
+    if (!isNew && known->second == *record && m_upstreams.find(record->id))
         return false;
     known->second = *record;
     m_upstreams.put(*record);
     return true;
 }
 
-void upstream_rows::scheduleRemoval(const std::string &id, duration after)
+void upstream_rows::scheduleRemoval(const std::string &key, duration after)
 {
-    if (m_pendingRemovals.contains(id))
+    if (m_pendingRemovals.contains(key))
         return;
-    m_pendingRemovals[id] = m_tasks.after(after, [this, id] {
-        m_pendingRemovals.erase(id);
-        m_upstreams.remove(id);
+    m_pendingRemovals[key] = m_tasks.after(after, [this, key] {
+        m_pendingRemovals.erase(key);
+        remove(key);
     });
 }
 
+void upstream_rows::remove(const std::string &key)
+{
+    if (const upstream *listed = m_upstreams.findByName(key))
+        m_upstreams.remove(std::string(listed->record.id));
+}
+
 } // namespace ivypier::relay
