--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -82,7 +82,8 @@
 
 bool upstream_directory::hasLeft(const std::string &id) const
 {
-    return m_left.contains(id);
+    const auto found = m_left.find(id);
+    return found != m_left.end() && m_time.now() - found->second <= left_retention;
 }
 
 void upstream_directory::removeFormerIncarnation(const upstream_record &record)
