--- a/libraries/http/listener.cpp
+++ b/libraries/http/listener.cpp
@@ -134,10 +134,11 @@
     m_state->connectionContext->closeAfterResponse = true;
 }
 
-void listener::closeIdleConnections()
+void listener::closeIdleConnections(duration idleFor)
 {
+    const time_point now = bootClockNow();
     for (const auto &each : m_state->connections) {
-        if (each->isIdle())
+        if (each->isIdle() && !each->wasUsedWithin(idleFor, now))
             each->close();
     }
 }
@@ -160,4 +161,13 @@
         connections.begin(), connections.end(), [](const auto &each) { return each->hasPendingResponse(); }));
 }
 
+std::size_t listener::recentlyUsedConnectionCount(duration within) const
+{
+    const time_point now = bootClockNow();
+    const auto &connections = m_state->connections;
+    return static_cast<std::size_t>(
+        std::count_if(connections.begin(), connections.end(),
+                      [&](const auto &each) { return each->isOpen() && each->wasUsedWithin(within, now); }));
+}
+
 } // namespace ivypier::http
--- a/libraries/http/listener.h
+++ b/libraries/http/listener.h
@@ -42,8 +42,8 @@
     /// Makes every response that starts after this call close its connection and announce this in its header.
     void closeAfterResponses();
 
-    /// Closes the connections that have neither a request in progress nor unsent output.
-    void closeIdleConnections();
+    /// Closes the connections that have had neither a request in progress nor unsent output for this long.
+    void closeIdleConnections(duration idleFor = duration::zero());
 
     /// Stops accepting connections. Open connections stay open.
     void stopAccepting();
@@ -55,6 +55,10 @@
     /// yet.
     std::size_t unansweredRequestCount() const;
 
+    /// Returns the number of connections on which a request may be about to arrive: a response was sent, or
+    /// bytes of a request were received, within this time.
+    std::size_t recentlyUsedConnectionCount(duration within) const;
+
 private:
     struct state;
     explicit listener(std::shared_ptr<state> newState);
--- a/libraries/http/listener_connection.h
+++ b/libraries/http/listener_connection.h
@@ -40,6 +40,13 @@
         return m_phase == phase::idle && m_input.empty() && !hasUnsentOutput();
     }
 
+    /// Returns whether the connection entered its present phase, or a request made progress, within this
+    /// time.
+    bool wasUsedWithin(duration time, time_point now) const
+    {
+        return now - m_phaseSince < time;
+    }
+
     /// Returns true while there are response bytes that the operating system hasn't accepted yet.
     bool hasUnsentOutput() const
     {
--- a/libraries/relay/call_forwarder.cpp
+++ b/libraries/relay/call_forwarder.cpp
@@ -122,6 +122,8 @@
 
 std::optional<std::string> call_forwarder::obstacle(const upstream *to) const
 {
+    if (!m_isAccepting)
+        return "the node stops";
     if (!to)
         return "the upstream is not listed";
     if (to->record.draining)
@@ -134,6 +136,11 @@
     return std::nullopt;
 }
 
+void call_forwarder::stopAccepting()
+{
+    m_isAccepting = false;
+}
+
 void call_forwarder::handle(const http::incoming_request &incoming, const std::shared_ptr<http::reply> &to)
 {
     outcome<forwarded_call> decoded = decodeForwardedCall(incoming);
--- a/libraries/relay/call_forwarder.h
+++ b/libraries/relay/call_forwarder.h
@@ -28,6 +28,9 @@
 
     void handle(const http::incoming_request &incoming, const std::shared_ptr<http::reply> &to);
 
+    /// Refuses calls from now on. The nodes that sent them choose another node.
+    void stopAccepting();
+
     /// Returns the number of calls in progress.
     std::size_t running() const
     {
@@ -48,6 +51,7 @@
     const answer_buffers &m_buffers;
     connection_limit m_connectionsTo;
     std::set<std::shared_ptr<forwarding>> m_running;
+    bool m_isAccepting = true;
 };
 
 } // namespace ivypier::relay
--- a/libraries/relay/relay_service.cpp
+++ b/libraries/relay/relay_service.cpp
@@ -28,7 +28,22 @@
         m_environment, m_table, std::move(request), std::move(caller),
         [this](const std::shared_ptr<relayed_call> &each) { m_running.erase(each); });
     m_running.insert(started);
-    started->start();
+    if (m_isAccepting)
+        started->start();
+    else
+        started->endForStop();
+}
+
+void relay_service::stopAccepting()
+{
+    m_isAccepting = false;
+}
+
+void relay_service::endUnanswered()
+{
+    const std::set<std::shared_ptr<relayed_call>> running = m_running;
+    for (const std::shared_ptr<relayed_call> &each : running)
+        each->endForStop();
 }
 
 } // namespace ivypier::relay
--- a/libraries/relay/relay_service.h
+++ b/libraries/relay/relay_service.h
@@ -24,6 +24,13 @@
 
     void handle(call request, std::shared_ptr<http::reply> caller);
 
+    /// Refuses calls from now on, because the node stops and could not wait for their answers.
+    void stopAccepting();
+
+    /// Ends the calls whose answers have not begun: with "not run" if they were not sent to an upstream, with
+    /// a failure otherwise.
+    void endUnanswered();
+
     /// Returns the number of calls in progress.
     std::size_t running() const
     {
@@ -34,6 +41,7 @@
     call_environment m_environment;
     std::shared_ptr<const route_table> m_table;
     std::set<std::shared_ptr<relayed_call>> m_running;
+    bool m_isAccepting = true;
 };
 
 } // namespace ivypier::relay
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -494,12 +494,25 @@
 {
     const auto alive = shared_from_this();
     m_timer.reset();
+    abandon(status_gateway_timeout, "time_over", duration::zero());
+}
+
+void relayed_call::endForStop()
+{
+    const auto alive = shared_from_this();
+    if (!m_completed && !m_answer.hasBegun())
+        abandon(status_bad_gateway, "node_stopping",
+                spreadReturn(m_environment.randomness, retry_after_stop));
+}
+
+void relayed_call::abandon(int failureStatus, const char *reason, duration retryAfter)
+{
     const bool mayHaveRun = m_mayHaveRun || (m_attempt && m_attempt->isRunning());
     abandonAttempt();
     if (mayHaveRun)
-        fail(status_gateway_timeout, "time_over");
+        fail(failureStatus, reason);
     else
-        refuse(status_service_unavailable, "time_over", duration::zero());
+        refuse(status_service_unavailable, reason, retryAfter);
 }
 
 void relayed_call::onCallerDisconnected()
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -34,6 +34,9 @@
     /// Checks route, API key, deadline and quota, then starts the first attempt.
     void start();
 
+    /// Ends the call because the node stops, unless its answer has begun.
+    void endForStop();
+
 private:
     std::string accountName() const;
     duration timeLeft() const;
@@ -48,6 +51,7 @@
     attempt attemptDetails(const upstream_record &to) const;
     void endAttempt(bool succeeded);
     void abandonAttempt();
+    void abandon(int failureStatus, const char *reason, duration retryAfter);
     void endWithoutUpstream();
     bool isQuarantined();
     void endQuarantined();
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -65,6 +65,10 @@
 /// The process exits this long before the platform would kill it.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
+/// Before its end, the process sends the answers of the calls that it gave up for this long.
+constexpr duration last_answers_time = std::chrono::milliseconds(200);
+/// A caller that has not used its connection for this long while the node stops is not about to use it.
+constexpr duration idle_connection_time = std::chrono::milliseconds(500);
 /// Minimum connection limit of a node for one upstream, however many nodes share the upstream.
 constexpr std::size_t min_connections_per_upstream = 4;
 /// Bytes that the request for an upstream has beyond the headers and the body of the caller's.
@@ -644,15 +648,20 @@
         max_lookup_cache_durations * settings.lookupCacheDuration, settings.stopTimeout / 3);
     tasks.after(acceptPeriod, [this] {
         callListener->stopAccepting();
+        relayService.stopAccepting();
+        forwarder.stopAccepting();
         finishStop();
     });
 }
 
 void edge_node::edge_components::finishStop()
 {
-    callListener->closeIdleConnections();
-    const bool hasCalls = callListener->unansweredRequestCount() > 0 || forwarder.running() > 0;
-    if (hasCalls && tasks.now() < stopDeadline) {
+    callListener->closeIdleConnections(idle_connection_time);
+    const bool hasCalls = callListener->unansweredRequestCount() > 0 || forwarder.running() > 0
+        || callListener->recentlyUsedConnectionCount(idle_connection_time) > 0;
+    if (tasks.now() >= stopDeadline)
+        relayService.endUnanswered();
+    if (hasCalls && tasks.now() < stopDeadline + last_answers_time) {
         tasks.after(stop_check_interval, [this] { finishStop(); });
         return;
     }
