--- a/libraries/relay/answer_delivery.cpp
+++ b/libraries/relay/answer_delivery.cpp
@@ -70,9 +70,12 @@
     if (isBroken)
         return progress::broken_stream;
     m_buffer.resize(m_scanner->partialEventBytes());
+    if (!events.empty() && m_caller)
+        m_caller->write(events);
+    if (m_scanner->hasForeignText())
+        return progress::broken_stream;
     if (events.empty() || !m_caller)
         return progress::kept;
-    m_caller->write(events);
     return m_caller->unsentBytes() > m_environment.buffers.readAheadLimit() ? progress::delivered_too_much
                                                                             : progress::delivered;
 }
--- a/libraries/relay/event_scanner.cpp
+++ b/libraries/relay/event_scanner.cpp
@@ -28,6 +28,12 @@
     return std::nullopt;
 }
 
+/// Returns whether an event consists of comments, which upstreams send to keep a connection open.
+bool isComment(std::string_view event)
+{
+    return event.starts_with(':') && event.find("\ndata") == std::string_view::npos;
+}
+
 } // namespace
 
 event_scanner::event_scanner(std::optional<std::uint64_t> last)
@@ -52,6 +58,8 @@
 
 std::string event_scanner::feed(std::string_view bytes)
 {
+    if (m_foreign)
+        return {};
     m_partial.append(bytes);
     std::string whole;
     std::size_t eventStart = 0;
@@ -59,6 +67,12 @@
         const std::string_view event = std::string_view(m_partial).substr(eventStart, end - eventStart);
         eventStart = end;
         const std::optional<std::uint64_t> number = eventNumber(event);
+        if (m_isResumed && !number && !isComment(event)) {
+            m_foreign = true;
+            discardPartialEvent();
+            return whole;
+        }
+        m_hasEventSinceRestart = m_hasEventSinceRestart || number.has_value();
         if (number && m_last && *number <= *m_last)
             continue;
         if (number && m_last && *number != *m_last + 1)
@@ -74,6 +88,13 @@
 }
 
 void event_scanner::restart()
+{
+    discardPartialEvent();
+    m_isResumed = true;
+    m_hasEventSinceRestart = m_foreign = false;
+}
+
+void event_scanner::discardPartialEvent()
 {
     m_partial.clear();
     m_lineStart = m_searchedTo = 0;
--- a/libraries/relay/event_scanner.h
+++ b/libraries/relay/event_scanner.h
@@ -47,6 +47,19 @@
         return m_partial.size() > max_partial_event_bytes;
     }
 
+    /// Returns true if the upstream at which the stream resumed sent something that is no event of it: an
+    /// event without a number. That and all that follows is discarded.
+    bool hasForeignText() const
+    {
+        return m_foreign;
+    }
+
+    /// Returns true if the stream resumed and no event has arrived since.
+    bool awaitsContinuation() const
+    {
+        return m_isResumed && !m_hasEventSinceRestart;
+    }
+
     /// Returns the size of the incomplete event in bytes.
     std::size_t partialEventBytes() const
     {
@@ -55,12 +68,16 @@
 
 private:
     std::size_t nextEventEnd();
+    void discardPartialEvent();
 
     std::string m_partial;
     std::size_t m_lineStart = 0; ///< start of the last line in m_partial, which is incomplete
     std::size_t m_searchedTo = 0; ///< there is no end of a line between m_lineStart and here
     std::optional<std::uint64_t> m_last;
     bool m_gap = false;
+    bool m_isResumed = false;
+    bool m_hasEventSinceRestart = false;
+    bool m_foreign = false;
 };
 
 } // namespace ivypier::relay
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -408,7 +408,9 @@
 void relayed_call::endBrokenStream()
 {
     const bool hasGap = m_answer.events()->hasGap();
-    const char *reason = hasGap ? "missing_event" : "event_too_long";
+    const char *reason = hasGap               ? "missing_event"
+        : m_answer.events()->hasForeignText() ? "event_without_number"
+                                              : "event_too_long";
     m_environment.upstreams.recordFailure(upstreamId());
     m_evidence->recordFailure();
     endAttempt(false);
@@ -433,14 +435,25 @@
     complete(m_answer.sendKept(), "answered");
 }
 
+const char *relayed_call::endFault() const
+{
+    const event_scanner *events = m_answer.events();
+    if (!events)
+        return nullptr;
+    if (events->hasPartialEvent())
+        return "torn_event";
+    // The end of a connection states no end of the stream if nothing came before it.
+    return events->awaitsContinuation() && m_attempt->answerEndsWithConnection ? "no_event" : nullptr;
+}
+
 void relayed_call::endStream()
 {
-    if (m_answer.events() && m_answer.events()->hasPartialEvent()) {
+    if (const char *fault = endFault()) {
         m_suspicion->recordBroken(upstreamId(), m_attempt->answerBeganAt());
         m_evidence->recordFailure();
         endAttempt(false);
-        if (!retryAfterFailure("torn_event"))
-            fail(status_bad_gateway, "torn_event");
+        if (!retryAfterFailure(fault))
+            fail(status_bad_gateway, fault);
         return;
     }
     if (m_attempt->answerBeganAt())
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -74,6 +74,8 @@
     void onAnswerDropped();
     void recordEvents();
     void endBrokenStream();
+    /// Returns why the end of an answer is not the end of the stream, or null if it is.
+    const char *endFault() const;
     void endStream();
     void countRun();
 
