Test: a response that ends inside its head is no response

It can't happen here: for a head with a length, with chunks and with neither, cut after each of its bytes, the exchange fails without a head or a body. No change of the product; the test passes on the code of before as well as with it.

--- a/libraries/http/tests/connection_pool_test.cpp
+++ b/libraries/http/tests/connection_pool_test.cpp
@@ -222,6 +222,28 @@
     fixture.end(exchange);
 }
 
+// Guards against an empty or short answer that looks whole (MIXED, ORDER).
+TEST_CASE("a response that ends inside its head is no response, wherever it was cut")
+{
+    const std::string fields = GENERATE("Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "");
+    const std::string head = "HTTP/1.1 200 OK\r\nSignature: s\r\n" + fields + "\r\n";
+    pool_fixture fixture(9014);
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        INFO("cut after " << length << " bytes of " << head);
+        collecting_observer observer;
+        auto exchange = fixture.start(observer);
+        {
+            raw_peer connection = fixture.upstream.accept();
+            connection.readUntil(head_end);
+            connection.send(head.substr(0, length));
+        }
+        CHECK(observer.result().has_value());
+        CHECK(observer.status == 0);
+        CHECK(observer.body.empty());
+        fixture.end(exchange);
+    }
+}
+
 TEST_CASE("dropping an exchange closes its connection")
 {
     pool_fixture fixture(9008);
