--- a/libraries/relay/event_scanner.cpp
+++ b/libraries/relay/event_scanner.cpp
@@ -31,7 +31,14 @@
 /// Returns whether an event consists of comments, which upstreams send to keep a connection open.
 bool isComment(std::string_view event)
 {
-    return event.starts_with(':') && event.find("\ndata") == std::string_view::npos;
+    char previous = '\n';
+    for (const char each : event) {
+        const bool isLineOfComment = each == ':' || each == '\r' || each == '\n';
+        if (previous == '\n' && !isLineOfComment)
+            return false;
+        previous = each;
+    }
+    return true;
 }
 
 } // namespace
--- a/libraries/relay/tests/stream_continuation_test.cpp
+++ b/libraries/relay/tests/stream_continuation_test.cpp
@@ -57,7 +57,8 @@
 
 TEST_CASE("a stream that goes on with text in place of events is cut, without the text")
 {
-    const std::string text = GENERATE("error", "error\n\n", "data: an error\n\n", "id: \ndata: x\n\n");
+    const std::string text
+        = GENERATE("error", "error\n\n", "data: an error\n\n", "id: \ndata: x\n\n", ": c\nerror\n\n");
     continued_stream stream;
     stream.last().head(200, {});
     stream.last().body(text);
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <set>
-#include <string_view>
 #include <utility>
 
 namespace ivypier::relay {
@@ -20,17 +19,6 @@
 
 } // namespace
 
-std::string incarnationId(const std::string &name, std::int64_t startedAt)
-{
-    static constexpr std::string_view digits
-        = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
-    std::string start;
-    for (std::int64_t left = startedAt; left > 0; left /= static_cast<std::int64_t>(digits.size()))
-        start.push_back(digits[static_cast<std::size_t>(left) % digits.size()]);
-    std::reverse(start.begin(), start.end());
-    return name + '@' + start;
-}
-
 duration upstream::waitLeft(time_point now) const
 {
 #ifdef IVYPIER_MUTANT_STATED_WAIT
