--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -7,6 +7,7 @@
 
 #include "failed_runs.h"
 #include "lapsed_rows.h"
+#include "limited_runners.h"
 #include "spaced_ids.h"
 #include "two_versions.h"
 
@@ -22,6 +23,8 @@
         return trial::two_versions::run(argv[2], argv[3], hasTrouble);
     if (name == "lapsed_rows")
         return trial::lapsed_rows::run(argv[2], argv[3], hasTrouble);
+    if (name == "limited_runners")
+        return trial::limited_runners::run(argv[2], argv[3], hasTrouble);
     if (name == "spaced_ids")
         return trial::spaced_ids::run(argv[2], argv[3], hasTrouble);
     if (name == "failed_runs")
--- a/review/standin-2/runner.h
+++ b/review/standin-2/runner.h
@@ -115,6 +115,7 @@
         if (!isCut)
             writeRow();
     }
+    std::atomic<int> limit{0}; ///< requests a second that each answer to a stream names; 0: none
     std::atomic<int> failureStatus{0}; ///< with which two plain calls in five end; 0: none does
     std::function<void(const std::string &)> onRun; ///< called with the id of each plain call that ran
 
@@ -172,6 +173,7 @@
                    + std::to_string(last));
         if (!from.write("HTTP/1.1 200 OK\r\nRequest-Id: " + call + "\r\nResponse-Signature: " + m_what.id
                         + "." + std::to_string(m_born)
+                        + (limit > 0 ? "\r\nServer-Limit: " + std::to_string(limit.load()) : "")
                         + "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
                           "chunked\r\n\r\n"))
             return false;
--- a/review/standin-2/streams.h
+++ b/review/standin-2/streams.h
@@ -216,6 +216,8 @@
             char id[20];
             std::snprintf(id, sizeof(id), "%08x%08x", static_cast<unsigned>(number),
                           static_cast<unsigned>(machines));
+            if (tries > 0)
+                sleepMs(reconnect_ms);
             const bool isNew = got.last == 0;
             if (isNew)
                 got.first = id;
@@ -319,6 +321,7 @@
     }
 
     static constexpr std::int64_t deadline_ms = 15000;
+    static constexpr std::int64_t reconnect_ms = 50; ///< until a broken stream is taken up
 
     directory &m_where;
     fleet &m_nodes;
