--- a/libraries/fleet/origin_exchange.cpp
+++ b/libraries/fleet/origin_exchange.cpp
@@ -26,6 +26,9 @@
     , m_recorder(recorder)
     , m_ranking(tasks, members)
     , m_ledger(tasks)
+    , m_deviations(tasks, [this](const relay::stream_key &stream, duration lifetime) {
+        sendDeviation(stream, lifetime);
+    })
 {
 }
 
@@ -155,6 +158,52 @@
         done({.isComplete = true});
 }
 
+void origin_exchange::findDeviation(const relay::stream_key &stream, deviation_completion done)
+{
+    if (m_recorder)
+        m_recorder->findDeviation(stream, std::move(done));
+    else
+        done({.isComplete = true});
+}
+
+void origin_exchange::storeDeviation(const relay::stream_key &stream, duration lifetime,
+                                     std::function<void()> onStored)
+{
+    m_deviations.add(stream, lifetime, std::move(onStored));
+}
+
+bool origin_exchange::areDeviationsLate() const
+{
+    return !m_recorder || m_deviations.isLate();
+}
+
+void origin_exchange::sendDeviation(const relay::stream_key &stream, duration lifetime)
+{
+    if (!m_recorder)
+        return;
+    const std::size_t shard = origin_shards::ofDeviation(stream);
+    const std::optional<endpoint> recorder = recorderOf(shard);
+    if (!recorder || recorder == endpoint{m_members.self().address.host, m_port}) {
+        m_recorder->storeDeviation(stream, lifetime, [this, stream] { m_deviations.applyStored(stream); });
+        return;
+    }
+    send(*recorder,
+         {.kind = origin_message_kind::deviation,
+          .number = shard,
+          .stream = stream,
+          .entries = {origin_entry{stream, {}, {}, lifetime, false}}});
+}
+
+void origin_exchange::recordDeviation(const endpoint &from, const origin_message &message)
+{
+    if (!m_recorder || message.entries.empty())
+        return;
+    const origin_entry &entry = message.entries.front();
+    m_recorder->storeDeviation(entry.stream, entry.lifetime, [this, from, stream = entry.stream] {
+        send(from, {.kind = origin_message_kind::deviation_stored, .stream = stream, .entries = {}});
+    });
+}
+
 relay::origin_lookup origin_exchange::lookupOf(const origin_entry &entry)
 {
     relay::origin_lookup result{.isConflicting = entry.isConflicting, .isComplete = true, .age = entry.age};
@@ -231,6 +280,12 @@
                 m_recorder->add(static_cast<std::size_t>(message.value().number), each);
         }
         break;
+    case origin_message_kind::deviation:
+        recordDeviation(from, message.value());
+        break;
+    case origin_message_kind::deviation_stored:
+        m_deviations.applyStored(message.value().stream);
+        break;
     case origin_message_kind::question:
         answerQuestion(from, message.value());
         break;
--- a/libraries/fleet/origin_exchange.h
+++ b/libraries/fleet/origin_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/scheduler.h"
+#include "fleet/deviation_sender.h"
 #include "fleet/keeper_ranking.h"
 #include "fleet/origin_ledger.h"
 #include "fleet/origin_message.h"
@@ -34,6 +35,10 @@
                 duration lifetime) override;
     void find(const relay::stream_key &stream, completion done) override;
     void findStored(const relay::stream_key &stream, completion done) override;
+    void findDeviation(const relay::stream_key &stream, deviation_completion done) override;
+    void storeDeviation(const relay::stream_key &stream, duration lifetime,
+                        std::function<void()> onStored) override;
+    bool areDeviationsLate() const override;
 
     /// Sets the services of whose streams records go to the platform's table, because streams may begin at
     /// several software versions. The records of this node's streams of a service that is new among them are
@@ -72,6 +77,8 @@
     void store(const std::vector<origin_entry> &entries);
     void storeOwnRecords(const std::set<std::string> &services, const std::set<std::string> &added,
                          const std::set<std::size_t> &takenOver);
+    void sendDeviation(const relay::stream_key &stream, duration lifetime);
+    void recordDeviation(const endpoint &from, const origin_message &message);
     void answerQuestion(const endpoint &from, const origin_message &question);
     void applyReply(const endpoint &from, const origin_message &reply);
     static relay::origin_lookup lookupOf(const origin_entry &entry);
@@ -86,6 +93,7 @@
     std::map<std::size_t, endpoint> m_knownRecorders; ///< by shard; to notice that another node took over
     keeper_ranking m_ranking;
     origin_ledger m_ledger;
+    deviation_sender m_deviations;
     std::map<std::uint64_t, pending_question> m_pending;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_datagramsSent = 0;
--- a/libraries/fleet/origin_message.cpp
+++ b/libraries/fleet/origin_message.cpp
@@ -70,7 +70,7 @@
     if (!wire)
         return wire.error();
     wire_message &read = wire.value();
-    if (read.kind > static_cast<std::uint8_t>(origin_message_kind::stored))
+    if (read.kind > static_cast<std::uint8_t>(origin_message_kind::deviation_stored))
         return error{error_code::invalid_argument, "an origin message is of an unknown kind"};
     origin_message result{
         static_cast<origin_message_kind>(read.kind), read.number, {read.high, read.low}, {}};
--- a/libraries/fleet/origin_message.h
+++ b/libraries/fleet/origin_message.h
@@ -17,6 +17,8 @@
     question, ///< asks for the record of a stream
     reply, ///< the record that was asked for; without an entry if there is none
     stored, ///< records for the recorder of a shard, which writes them to the platform's table
+    deviation, ///< a deviation for the recorder of a shard, which confirms it once it is written
+    deviation_stored, ///< confirms a deviation
 };
 
 /// A record of where a stream began.
@@ -35,8 +37,8 @@
 struct origin_message
 {
     origin_message_kind kind = origin_message_kind::record;
-    std::uint64_t number = 0; ///< of the question, repeated in the reply; of the shard of stored records
-    relay::stream_key stream; ///< of a question
+    std::uint64_t number = 0; ///< of the question, repeated in the reply; of the shard of what is stored
+    relay::stream_key stream; ///< of a question or a deviation
     std::vector<origin_entry> entries;
 
     auto operator<=>(const origin_message &) const = default;
--- a/libraries/fleet/origin_recorder.h
+++ b/libraries/fleet/origin_recorder.h
@@ -40,6 +40,13 @@
     /// Writes a record to the rows of a shard.
     void add(std::size_t shard, const origin_entry &entry);
 
+    /// Stores the deviation of a stream, and calls `onStored` once it is written. Until then the caller
+    /// repeats it.
+    void storeDeviation(const relay::stream_key &stream, duration lifetime, std::function<void()> onStored);
+
+    /// Finds whether a stream has a deviation. Calls `done` as find() does.
+    void findDeviation(const relay::stream_key &stream, relay::stream_origins::deviation_completion done);
+
     /// Finds the stored record of a stream. Calls `done` once, possibly before it returns, at the latest
     /// after max_stored_lookup_time.
     void find(const relay::stream_key &stream, completion done);
@@ -57,8 +64,7 @@
     }
 
 private:
-    /// Shards above this number are not valid; the design size has 16.
-    static constexpr std::size_t max_shards = 64;
+    origin_shard_writer &writerOf(std::size_t shard);
 
     scheduler &m_tasks;
     cloud::table_service &m_table;
--- a/libraries/fleet/origin_row_reader.cpp
+++ b/libraries/fleet/origin_row_reader.cpp
@@ -46,14 +46,14 @@
         complete(*request);
         return;
     }
-    m_tasks.after(relay::max_stored_lookup_time, [this, request] {
+    m_tasks.after(m_patience.limit(), [this, request] {
         request->result.isComplete = false;
         complete(*request);
     });
     for (const std::size_t each : shards) {
         shard_state &state = m_shards[each];
         // The platform does not respond at present, so waiting would only delay the same response.
-        if (state.isReading && m_tasks.now() - state.readStartedAt >= relay::max_stored_lookup_time) {
+        if (state.isReading && m_tasks.now() - state.readStartedAt >= m_patience.limit()) {
             request->result.isComplete = false;
             --request->awaitedShards;
             continue;
@@ -100,6 +100,10 @@
 {
     shard_state &state = m_shards[shard];
     state.isReading = false;
+    if (rows)
+        m_patience.recordRead(m_tasks.now() - state.readStartedAt);
+    else
+        m_patience.recordFailure();
     auto read = std::make_shared<origin_snapshot>();
     bool isComplete = static_cast<bool>(rows);
     std::size_t bytes = 0;
--- a/libraries/fleet/origin_row_reader.h
+++ b/libraries/fleet/origin_row_reader.h
@@ -4,6 +4,7 @@
 #include "cloud/table_service.h"
 #include "fleet/origin_counters.h"
 #include "fleet/origin_snapshot.h"
+#include "relay/lookup_patience.h"
 #include "relay/stream_origins.h"
 
 #include <functional>
@@ -71,6 +72,7 @@
     cloud::table_service &m_table;
     std::function<std::int64_t()> m_wallMilliseconds;
     origin_counters &m_counters;
+    relay::lookup_patience m_patience{relay::max_stored_lookup_time};
     std::map<std::size_t, shard_state> m_shards;
 };
 
--- a/libraries/fleet/origin_shard.cpp
+++ b/libraries/fleet/origin_shard.cpp
@@ -6,6 +6,16 @@
 
 namespace ivypier::fleet {
 
+std::size_t origin_shards::ofDeviation(const relay::stream_key &stream)
+{
+    return max_shards + stream.low % deviation_shards;
+}
+
+bool origin_shards::isOfDeviations(std::size_t shard)
+{
+    return shard >= max_shards && shard < max_shards + deviation_shards;
+}
+
 std::size_t origin_shards::countFor(std::size_t nodes)
 {
     return std::max<std::size_t>((nodes + nodes_per_shard - 1) / nodes_per_shard, 1);
--- a/libraries/fleet/origin_shard.h
+++ b/libraries/fleet/origin_shard.h
@@ -16,6 +16,16 @@
     /// Rows of a shard in the platform's table.
     static constexpr std::size_t max_rows = 64;
 
+    /// Shards of records above this number are not valid; the design size has 16.
+    static constexpr std::size_t max_shards = 64;
+    /// Shards of deviations. Their number is fixed, because a lookup has to find every deviation, also one
+    /// that was stored when the fleet had another size.
+    static constexpr std::size_t deviation_shards = 4;
+
+    /// Returns the shard of the deviation of a stream.
+    static std::size_t ofDeviation(const relay::stream_key &stream);
+    static bool isOfDeviations(std::size_t shard);
+
     /// Returns the number of shards of a fleet.
     static std::size_t countFor(std::size_t nodes);
 
--- a/libraries/fleet/origin_shard_writer.cpp
+++ b/libraries/fleet/origin_shard_writer.cpp
@@ -38,8 +38,13 @@
     return m_wallMilliseconds();
 }
 
-void origin_shard_writer::add(const stored_origin &record)
+void origin_shard_writer::add(const stored_origin &record, std::function<void()> onStored)
 {
+    const bool isPending = m_awaited.contains(record.stream);
+    if (onStored)
+        m_awaited[record.stream] = {record.endsAt, std::move(onStored)};
+    if (isPending)
+        return;
     m_pending.emplace(record.endsAt, record);
     boundPending();
     const duration sinceWrite = m_tasks.now() - m_lastWriteAt;
@@ -49,6 +54,7 @@
 void origin_shard_writer::boundPending()
 {
     while (m_pending.size() > max_pending) {
+        m_awaited.erase(m_pending.begin()->second.stream);
         m_pending.erase(m_pending.begin());
         ++m_counters.dropped;
     }
@@ -100,6 +106,7 @@
 void origin_shard_writer::dropEnded()
 {
     m_pending.erase(m_pending.begin(), m_pending.lower_bound(now()));
+    std::erase_if(m_awaited, [this](const auto &each) { return each.second.endsAt < now(); });
 }
 
 /// Makes the records of this writer's rows pending again after a restore, and forgets the rows.
@@ -195,7 +202,7 @@
     return std::clamp(live / filled_rows, min_row_target, origin_row::max_bytes);
 }
 
-std::size_t origin_shard_writer::chooseRow()
+std::optional<std::size_t> origin_shard_writer::chooseRow()
 {
     const auto current = m_current ? m_rows.find(*m_current) : m_rows.end();
     if (current != m_rows.end() && current->second.bytes < rowTarget())
@@ -205,13 +212,20 @@
         if (isFree(number))
             return number;
     }
-    // All rows hold records that have not ended; those that end first give way.
-    const auto first
-        = std::min_element(m_rows.begin(), m_rows.end(), [](const auto &left, const auto &right) {
-              return left.second.endsAt < right.second.endsAt;
-          });
     m_current.reset();
-    return first->first;
+    return rowToReplace();
+}
+
+/// Returns the row whose records end first, when all rows hold records that have not ended. A deviation never
+/// gives way: without it, its stream would be taken for one that began at the selected version.
+std::optional<std::size_t> origin_shard_writer::rowToReplace() const
+{
+    if (origin_shards::isOfDeviations(m_shard))
+        return std::nullopt;
+    return std::min_element(
+               m_rows.begin(), m_rows.end(),
+               [](const auto &left, const auto &right) { return left.second.endsAt < right.second.endsAt; })
+        ->first;
 }
 
 /// Moves pending records into the write in progress, and returns the text of the row with them.
@@ -248,15 +262,22 @@
 
 void origin_shard_writer::write()
 {
-    std::size_t number = chooseRow();
-    std::string text = takeBatch(number);
-    if (m_inFlight.empty()) { // nothing more fits into the row that was being filled
-        m_rows[number].bytes = origin_row::max_bytes;
-        number = chooseRow();
-        text = takeBatch(number);
+    std::optional<std::size_t> chosen = chooseRow();
+    std::string text = chosen ? takeBatch(*chosen) : std::string();
+    if (chosen && m_inFlight.empty()) { // nothing more fits into the row that was being filled
+        m_rows[*chosen].bytes = origin_row::max_bytes;
+        chosen = chooseRow();
+        text = chosen ? takeBatch(*chosen) : std::string();
     }
+    if (!chosen) {
+        recordFailure("all rows hold deviations");
+        schedule(retry_interval);
+        return;
+    }
+    const std::size_t number = *chosen;
     if (m_inFlight.empty()) {
         // A record larger than a row can't be written.
+        m_awaited.erase(m_pending.begin()->second.stream);
         m_pending.erase(m_pending.begin());
         ++m_counters.dropped;
         schedule({});
@@ -367,12 +388,23 @@
         .with("era", static_cast<std::int64_t>(m_table.era()))
         .with("took_ms", milliseconds(m_tasks.now() - m_writeStartedAt))
         .write();
-    m_inFlight.clear();
     m_isBusy = false;
+    notifyStored();
     if (!m_pending.empty())
         schedule(std::max<duration>(write_interval - (m_tasks.now() - m_lastWriteAt), {}));
 }
 
+void origin_shard_writer::notifyStored()
+{
+    std::vector<std::function<void()>> handlers;
+    for (const stored_origin &each : std::exchange(m_inFlight, {})) {
+        if (auto awaited = m_awaited.extract(each.stream); !awaited.empty())
+            handlers.push_back(std::move(awaited.mapped().onStored));
+    }
+    for (const auto &each : handlers)
+        each();
+}
+
 void origin_shard_writer::recordFailure(std::string_view reason)
 {
     ++m_counters.failures;
--- a/libraries/fleet/origin_shard_writer.h
+++ b/libraries/fleet/origin_shard_writer.h
@@ -35,8 +35,10 @@
                         std::size_t firstRow, std::function<std::int64_t()> wallMilliseconds,
                         origin_counters &counters);
 
-    /// Adds a record, which is written within write_interval unless the platform is slow.
-    void add(const stored_origin &record);
+    /// Adds a record, which is written within write_interval unless the platform is slow. Calls `onStored`,
+    /// if there is one, once the record is written. A record of a stream that is still to be written is added
+    /// once; the last `onStored` is called.
+    void add(const stored_origin &record, std::function<void()> onStored = nullptr);
 
     /// Writes the records again that a restore of the platform's table may have removed.
     void poll();
@@ -55,11 +57,20 @@
         std::string ownText; ///< set if this writer wrote it last
     };
 
+    struct awaited_record
+    {
+        std::int64_t endsAt = 0;
+        std::function<void()> onStored;
+    };
+
     bool isFree(std::size_t number) const;
     bool isRestored() const;
     std::size_t rowTarget() const;
-    std::size_t chooseRow();
+    /// Returns the row to write to, or nothing if all rows hold records that must not give way.
+    std::optional<std::size_t> chooseRow();
     void boundPending();
+    void notifyStored();
+    std::optional<std::size_t> rowToReplace() const;
     std::int64_t now() const;
     void schedule(duration delay);
     void flush();
@@ -85,6 +96,7 @@
     origin_counters &m_counters;
     std::multimap<std::int64_t, stored_origin> m_pending; ///< by the time at which they end
     std::vector<stored_origin> m_inFlight; ///< records of the write in progress
+    std::map<relay::stream_key, awaited_record> m_awaited; ///< records whose writing is to be told
     std::map<std::size_t, known_row> m_rows;
     std::optional<std::size_t> m_current; ///< the row that is being filled
     std::size_t m_writtenRow = 0; ///< row of the write in progress
--- a/libraries/fleet/tests/released_fleet.h
+++ b/libraries/fleet/tests/released_fleet.h
@@ -51,8 +51,9 @@
                 putUpstreams(each);
         }
 
-        void poll(bool holdsDuties)
+        void poll(bool holdsDuties, bool isSelectionFollowed)
         {
+            versions.setSelectionFollowed(isSelectionFollowed);
             versions.poll(holdsDuties, nodeCount);
             origins.setStoredServices(versions.servicesWithSeveral());
             recorder.poll();
@@ -87,6 +88,7 @@
     struct counts
     {
         std::size_t begun = 0;
+        std::size_t refused = 0; ///< new streams whose selected version has no upstream
         std::size_t resumed = 0; ///< whose version serves when they are taken up
         std::size_t continued = 0;
         std::size_t joined = 0; ///< went on at another version
@@ -96,14 +98,19 @@
     static constexpr duration caller_time = std::chrono::seconds(15);
     static constexpr duration restart_time = std::chrono::seconds(1);
     static constexpr duration caller_retry_time = std::chrono::milliseconds(500);
+    /// Part of the new streams whose selected version has no room.
+    static constexpr double overflow_share = 0.1;
 
-    explicit released_fleet(std::size_t nodeCount, std::uint64_t seed = 1)
+    explicit released_fleet(std::size_t nodeCount, std::uint64_t seed = 1,
+                            const std::set<std::string> &initialVersions = {"v1"},
+                            std::size_t initialFormerNodes = 0)
         : randomness(seed)
+        , formerNodeCount(initialFormerNodes)
     {
         configureLog("tests", log_level::error);
         network.setDelay(std::chrono::milliseconds(1), std::chrono::milliseconds(3));
         network.setLoss(0.01);
-        serving = {"v1"};
+        serving = initialVersions;
         members.resize(nodeCount);
         nodes.resize(nodeCount);
         startAll();
@@ -128,7 +135,7 @@
     {
         for (std::size_t index = 0; index < nodes.size() && areUp; ++index) {
             if (nodes[index]->isUp)
-                nodes[index]->poll(index == 0);
+                nodes[index]->poll(index == 0, formerNodeCount == 0);
         }
         time.after(std::chrono::milliseconds(400), [this] { poll(); });
     }
@@ -188,8 +195,53 @@
         }
         if (!areUp || !at.isUp || possible.empty())
             return;
-        const relay::upstream_record &chosen = *possible[randomness.index(possible.size())];
-        beginAt(at, "one", std::to_string(++result.begun), chosen.softwareVersion, chosen.id);
+        beginSelected(at, std::to_string(++result.begun), possible);
+    }
+
+    /// Begins a stream as a call does: at the selected version unless that has no room, and elsewhere only
+    /// once a deviation is stored.
+    void beginSelected(node &at, const std::string &id,
+                       const std::vector<const relay::upstream_record *> &possible)
+    {
+        const relay::stream_key key = relay::stream_key::of("one", id);
+        const std::optional<std::string> selected
+            = isFormerNode(at) ? std::nullopt : at.versions.selectedVersion("s", key);
+        std::vector<relay::upstream_record> preferred;
+        std::vector<relay::upstream_record> others;
+        for (const relay::upstream_record *each : possible)
+            (!selected || each->softwareVersion == *selected ? preferred : others).push_back(*each);
+        const bool hasRoom = !preferred.empty() && randomness.uniform() >= overflow_share;
+        const bool mayDeviate = !others.empty() && !at.origins.areDeviationsLate();
+        if (hasRoom || !mayDeviate) {
+            beginAtOneOf(at, id, preferred);
+            return;
+        }
+        auto isBegun = std::make_shared<bool>(false);
+        at.origins.storeDeviation(key, caller_time, [this, &at, id, others, isBegun] {
+            if (!std::exchange(*isBegun, true))
+                beginAtOneOf(at, id, others);
+        });
+        at.tasks.after(relay::late_deviation_time, [this, &at, id, preferred, isBegun] {
+            if (!preferred.empty() && !std::exchange(*isBegun, true))
+                beginAtOneOf(at, id, preferred);
+        });
+    }
+
+    /// Returns whether a node runs an earlier build, which begins streams at any version.
+    bool isFormerNode(const node &each) const
+    {
+        return std::any_of(nodes.begin(), nodes.begin() + static_cast<std::ptrdiff_t>(formerNodeCount),
+                           [&](const auto &former) { return former.get() == &each; });
+    }
+
+    void beginAtOneOf(node &at, const std::string &id, const std::vector<relay::upstream_record> &upstreams)
+    {
+        if (upstreams.empty()) {
+            ++result.refused;
+            return;
+        }
+        const relay::upstream_record &chosen = upstreams[randomness.index(upstreams.size())];
+        beginAt(at, "one", id, chosen.softwareVersion, chosen.id);
     }
 
     void beginAt(node &at, const std::string &account, const std::string &id, const std::string &version,
@@ -343,6 +395,7 @@
     table_type table{time, randomness};
     std::vector<membership::member> members;
     std::set<std::string> serving;
+    std::size_t formerNodeCount; ///< the first nodes run an earlier build
     membership::incarnation lastIncarnation = 0;
     std::uint64_t announcedVersion = 0;
     std::vector<std::unique_ptr<node>> former;
--- a/libraries/fleet/tests/stored_origins_at_scale_test.cpp
+++ b/libraries/fleet/tests/stored_origins_at_scale_test.cpp
@@ -106,9 +106,9 @@
     }
 }
 
-TEST_CASE("streams go on after the loss of all nodes while the table is slow or silent", "[red]")
+// Records that wait for the table are lost with the nodes.
+TEST_CASE("streams go on after the loss of all nodes while the table is slow or silent", "[slow]")
 {
-    // Records that wait for the table are lost with the nodes.
     for (const std::size_t nodes : {8U, 73U}) {
         for (const loss each : {loss::slow_table, loss::silent_table}) {
             INFO(nodes << " nodes, " << name(each));
--- a/libraries/fleet/tests/stored_origins_test.cpp
+++ b/libraries/fleet/tests/stored_origins_test.cpp
@@ -303,3 +303,75 @@
     REQUIRE(ended);
     CHECK_FALSE(ended->origin);
 }
+
+TEST_CASE("a deviation is confirmed once it is written, and found by every node", "[stored]")
+{
+    recorders tested(2);
+    std::map<int, int> confirmed;
+    for (int number = 0; number < 40; ++number)
+        tested.all[0]->storeDeviation(keyOf(number), 60s, [&confirmed, number] { ++confirmed[number]; });
+    CHECK(confirmed.empty());
+    // A deviation that is repeated before it is written is written once.
+    tested.all[0]->storeDeviation(keyOf(0), 60s, [&confirmed] { ++confirmed[0]; });
+    tested.time.advance(500ms);
+    CHECK(confirmed.size() == 40);
+    CHECK(confirmed[0] == 1);
+    // The fleet may have had another size when the deviation was stored.
+    tested.all[1]->setNodes(1600);
+    for (int number = 0; number < 60; ++number) {
+        std::optional<relay::deviation_lookup> found;
+        tested.all[1]->findDeviation(keyOf(number),
+                                     [&](const relay::deviation_lookup &response) { found = response; });
+        tested.time.advance(200ms);
+        REQUIRE(found);
+        CHECK(found->isComplete);
+        CHECK(found->isFound == (number < 40));
+        // It is no record of where the stream began.
+        std::optional<origin_lookup> record;
+        tested.all[1]->find(keyOf(number), [&](const origin_lookup &response) { record = response; });
+        tested.time.advance(200ms);
+        REQUIRE(record);
+        CHECK_FALSE(record->origin);
+    }
+}
+
+TEST_CASE("a deviation is not confirmed while the table does not respond, and is when the response is lost",
+          "[stored]")
+{
+    recorders tested(1);
+    int confirmed = 0;
+    tested.table.faults.lostRequest = 1.0;
+    tested.all[0]->storeDeviation(keyOf(1), 60s, [&] { ++confirmed; });
+    tested.time.advance(4s);
+    CHECK(confirmed == 0);
+    std::optional<relay::deviation_lookup> found;
+    tested.all[0]->findDeviation(keyOf(1),
+                                 [&](const relay::deviation_lookup &response) { found = response; });
+    tested.time.advance(relay::max_stored_lookup_time);
+    REQUIRE(found);
+    CHECK_FALSE(found->isComplete);
+    tested.table.faults.lostRequest = 0.0;
+    tested.time.advance(4s);
+    CHECK(confirmed == 1);
+    // The row of the write is read back.
+    tested.table.faults.lostAnswer = 0.7;
+    tested.all[0]->storeDeviation(keyOf(2), 60s, [&] { ++confirmed; });
+    tested.time.advance(20s);
+    CHECK(confirmed == 2);
+}
+
+TEST_CASE("a deviation does not give way to others", "[stored]")
+{
+    recorders tested(1);
+    const std::string full(origin_row::max_bytes, 'x');
+    const std::size_t shard = origin_shards::ofDeviation(keyOf(1));
+    for (std::size_t row = 0; row < origin_shards::max_rows; ++row)
+        (void)tested.table.compareAndSwap(origin_shards::rowKey(shard, row), 0, full);
+    const auto before = tested.table.rows;
+    int confirmed = 0;
+    tested.all[0]->storeDeviation(keyOf(1), 60s, [&] { ++confirmed; });
+    tested.time.advance(10s);
+    CHECK(confirmed == 0);
+    for (const auto &[key, row] : before)
+        CHECK(tested.table.rows.at(key).value == row.value);
+}
--- a/libraries/membership/gossip_codec.cpp
+++ b/libraries/membership/gossip_codec.cpp
@@ -13,7 +13,7 @@
 constexpr std::string_view authenticated_context = "ivypier gossip 1:";
 constexpr std::size_t max_entries = 256;
 constexpr std::size_t member_overhead_bytes = 15; ///< without generation and strings
-constexpr std::size_t details_overhead_bytes = 32;
+constexpr std::size_t details_overhead_bytes = 33;
 constexpr std::size_t fact_overhead_bytes = 7; ///< without version, age and strings
 constexpr std::uint8_t liveness_mask = 3;
 constexpr std::uint8_t leaving_bit = 4;
@@ -32,7 +32,8 @@
     wire_address gossipAddress; ///< port 0: the same as `address`
     std::string failureDomain;
     std::string region;
-    MSGPACK_DEFINE(name, address, gossipAddress, failureDomain, region);
+    std::uint8_t features = 0; ///< missing in the messages of earlier builds, which ignore it
+    MSGPACK_DEFINE(name, address, gossipAddress, failureDomain, region, features);
 };
 
 struct wire_member
@@ -130,7 +131,7 @@
     const bool sameAddress = own.gossipAddress == own.address;
     wire.details.push_back({own.name, toWire(own.address),
                             sameAddress ? wire_address{} : toWire(own.gossipAddress), own.failureDomain,
-                            own.region});
+                            own.region, static_cast<std::uint8_t>(own.features)});
     return wire;
 }
 
@@ -152,6 +153,9 @@
     entry.gossipAddress = details.gossipAddress.port == 0 ? entry.address : fromWire(details.gossipAddress);
     entry.failureDomain = std::move(details.failureDomain);
     entry.region = std::move(details.region);
+    entry.features = details.features >= static_cast<std::uint8_t>(feature_level::version_selection)
+        ? feature_level::version_selection
+        : feature_level::none;
     update.details = std::move(entry);
     return update;
 }
--- a/libraries/membership/member.h
+++ b/libraries/membership/member.h
@@ -22,6 +22,13 @@
 
 std::string_view name(member_state state);
 
+/// What a build of the node does that other nodes have to know. Nodes of several builds run side by side
+/// during an upgrade. Each level includes the earlier ones.
+enum class feature_level : std::uint8_t {
+    none, ///< builds that state no level
+    version_selection, ///< streams begin at the software version that their key selects
+};
+
 /// A node of the fleet.
 struct member
 {
@@ -32,6 +39,7 @@
     std::string failureDomain;
     std::string region;
     member_state state = member_state::alive;
+    feature_level features = feature_level::none;
 
     auto operator<=>(const member &) const = default;
 
--- a/libraries/membership/member_table.cpp
+++ b/libraries/membership/member_table.cpp
@@ -58,6 +58,9 @@
         return update_effect::changed;
     }
     member_record &record = found->second;
+    // A node of an earlier build passes the details on without the features.
+    if (update.details)
+        record.entry.features = std::max(record.entry.features, update.details->features);
     const bool newer = update.generation > record.generation;
     const bool lessAlive = update.generation == record.generation && update.liveness > record.liveness;
     const bool leaves = update.leaving && !record.leaving;
--- a/libraries/membership/tests/gossip_codec_test.cpp
+++ b/libraries/membership/tests/gossip_codec_test.cpp
@@ -1,7 +1,9 @@
+#include "membership/authenticated_datagram.h"
 #include "membership/fact_store.h"
 #include "membership/gossip_sender.h"
 
 #include <catch2/catch.hpp>
+#include <msgpack.hpp>
 #include <rapidcheck/catch.h>
 
 #include <cstdlib>
@@ -28,6 +30,7 @@
     message.target = 11;
     message.targetAddress = {"10.1.2.3", 8080};
     member details{13, "node-1", {"10.0.0.1", 8080}, {"10.0.0.1", 8081}, "hall-a", "accra"};
+    details.features = feature_level::version_selection;
     message.members = {{13, 2, liveness::alive, true, "", details},
                        {17, 3, liveness::suspect, false, "hall-b", std::nullopt}};
     message.facts = {{{"configuration", 4, "digest"}, 5}};
@@ -52,6 +55,27 @@
     CHECK(decoded.value() == sample());
 }
 
+TEST_CASE("a member that an earlier build describes has no features")
+{
+    constexpr std::string_view context = "ivypier gossip 1:";
+    const std::string datagram = gossip_codec(key()).encode(sample());
+    const std::string_view body = verifyDatagram(key(), context, datagram).value();
+    const msgpack::object_handle unpacked = msgpack::unpack(body.data(), body.size());
+    // The details of the first member, without their last field.
+    constexpr std::size_t membersField = 6;
+    constexpr std::size_t detailsField = 4;
+    const msgpack::object &first = unpacked.get().via.array.ptr[membersField].via.array.ptr[0];
+    --first.via.array.ptr[detailsField].via.array.ptr[0].via.array.size;
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, unpacked.get());
+    const outcome<gossip_message> decoded
+        = gossip_codec(key()).decode(authenticateDatagram(key(), context, {buffer.data(), buffer.size()}));
+    REQUIRE(decoded);
+    gossip_message expected = sample();
+    expected.members.front().details->features = feature_level::none;
+    CHECK(decoded.value() == expected);
+}
+
 TEST_CASE("a datagram of another fleet is rejected as unauthenticated")
 {
     const std::string foreign = gossip_codec(key("fleet key of somebody else")).encode(sample());
--- a/libraries/relay/answer_delivery.h
+++ b/libraries/relay/answer_delivery.h
@@ -33,6 +33,9 @@
     /// Calls `handler` when the caller closes its connection; null: no longer.
     void onCallerClosed(std::function<void()> handler);
 
+    /// Expects a stream after the event `lastEvent`, which is not forwarded yet.
+    void expectStream(std::optional<std::uint64_t> lastEvent);
+
     /// Begins or continues a stream after the event `lastEvent`. `onSent` is called when the caller has read
     /// what was delivered.
     void beginStream(const http::response_head &head, std::optional<std::uint64_t> lastEvent,
--- a/libraries/relay/origin_search.cpp
+++ b/libraries/relay/origin_search.cpp
@@ -58,6 +58,13 @@
     ++m_awaited;
     m_origins.findStored(
         *m_stream, [self = shared_from_this()](const origin_lookup &found) { self->applyStored(found); });
+    if (!m_done)
+        return;
+    // Read at the same time, because a slow platform would make the caller wait for both.
+    ++m_awaited;
+    m_origins.findDeviation(*m_stream, [self = shared_from_this()](const deviation_lookup &found) {
+        self->applyDeviation(found);
+    });
 }
 
 void origin_search::applyStored(const origin_lookup &found)
@@ -68,6 +75,14 @@
     completeIfKnown();
 }
 
+void origin_search::applyDeviation(const deviation_lookup &found)
+{
+    --m_awaited;
+    m_foundDeviation = found;
+    m_found.isComplete = m_found.isComplete && found.isComplete;
+    completeIfKnown();
+}
+
 void origin_search::applyVersions(const version_lookup &found)
 {
     m_foundVersions = found;
@@ -77,13 +92,28 @@
     completeIfKnown();
 }
 
+void origin_search::applySelection()
+{
+    // A restore between the two reads may have removed the deviation.
+#ifdef IVYPIER_MUTANT_DEVIATION_IGNORED
+    const bool isAbsent = m_stream.has_value();
+#else
+    const bool isAbsent = m_foundDeviation.isComplete && !m_foundDeviation.isFound;
+#endif
+    if (!isAbsent || m_foundDeviation.era != m_foundVersions.era)
+        return;
+    m_foundVersions.selectedVersion = m_foundVersions.slots.provenVersion(*m_stream, m_foundVersions.readAt);
+}
+
 void origin_search::completeIfKnown()
 {
     const bool isKnown = m_found.origin || m_found.isConflicting || m_foundVersions.onlyVersion;
     if (m_awaited > 0 && !isKnown)
         return;
-    if (const completion done = std::exchange(m_done, nullptr))
+    if (const completion done = std::exchange(m_done, nullptr)) {
+        applySelection();
         done(m_found, m_foundVersions);
+    }
 }
 
 } // namespace ivypier::relay
--- a/libraries/relay/origin_search.h
+++ b/libraries/relay/origin_search.h
@@ -33,8 +33,11 @@
                      const std::vector<route_target> &targets);
     void findStored();
     void applyStored(const origin_lookup &found);
+    void applyDeviation(const deviation_lookup &found);
     void applyVersions(const version_lookup &found);
     void completeIfKnown();
+    /// Finds the version that the key of the stream selects, if that proves where the stream began.
+    void applySelection();
 
     stream_origins &m_origins;
     service_versions &m_versions;
@@ -42,6 +45,7 @@
     completion m_done; ///< null once it was called
     origin_lookup m_found{.isComplete = true};
     version_lookup m_foundVersions;
+    deviation_lookup m_foundDeviation;
     bool m_isStoredStarted = false;
     int m_awaited = 0; ///< lookups in progress
 };
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -1,5 +1,6 @@
 #include "relay/relayed_call.h"
 
+#include "base/log_event.h"
 #include "base/status_codes.h"
 #include "relay/call_log.h"
 #include "relay/return_time.h"
@@ -109,7 +110,7 @@
         endQuarantined();
         return;
     }
-    const upstream *chosen = m_choice->choose(m_serviceName, m_resumption->origin());
+    const upstream *chosen = m_choice->choose(m_serviceName, m_resumption->origin(), selectedVersion());
     if (!chosen) {
         endWithoutUpstream();
         return;
@@ -170,11 +171,88 @@
         m_resumption->logContinuation(m_attempt->to(), *details.lastEvent, m_answer.hasBegun());
     const std::size_t maxConnections
         = m_service ? m_environment.connectionsFor(*m_service) : http::exchange_options().maxConnections;
+    // The selection may change while the attempt runs; what held at its start is what counts.
+    const std::optional<std::string> selected = selectedVersion();
+    m_isDeviating = selected && m_attempt->to().softwareVersion != *selected;
     m_attempt->start(details, maxConnections, *this);
+    if (m_isDeviating)
+        requestDeviation();
+}
+
+std::optional<std::string> relayed_call::selectedVersion() const
+{
+    if (m_admission.matched->kind != call_kind::resumable_stream)
+        return std::nullopt;
+    return m_resumption->selectedVersion(m_serviceName);
+}
+
+bool relayed_call::awaitsDeviation() const
+{
+#ifdef IVYPIER_MUTANT_DEVIATION_HOLD
+    return false;
+#endif
+    return m_isDeviating && !m_resumption->isDeviationStored();
+}
+
+void relayed_call::requestDeviation()
+{
+    const std::weak_ptr<relayed_call> weak = weak_from_this();
+    m_environment.tasks.after(late_deviation_time, [weak, attemptNumber = m_attemptCount] {
+        if (const auto self = weak.lock())
+            self->onDeviationLate(attemptNumber);
+    });
+    if (std::exchange(m_isDeviationRequested, true))
+        return;
+    m_environment.metrics.add("ivypier_stream_deviations_total", {{"service", m_serviceName}});
+    m_resumption->storeDeviation(weak, [this] { onDeviationStored(); });
+}
+
+void relayed_call::onDeviationStored()
+{
+    if (m_completed || !m_hold.isHolding())
+        return;
+    const auto alive = shared_from_this();
+    const held_answer held = m_hold.release();
+    beginStream(held.head);
+    onBody(held.body);
+    if (m_completed || !m_attempt->isRunning())
+        return;
+    if (held.isEnded)
+        onEnd();
+    else
+        m_attempt->exchange()->resume();
+}
+
+/// Sends the call to the selected version, so that the stream need not wait for the platform's table. It
+/// waits on if that is not possible.
+void relayed_call::onDeviationLate(std::uint32_t attemptNumber)
+{
+    if (m_completed || attemptNumber != m_attemptCount || !m_attempt->isRunning() || !awaitsDeviation())
+        return;
+    const std::string selected = selectedVersion().value_or(std::string());
+    const bool mayRepeat = !m_isTrial && m_attemptCount < max_attempts_per_call
+        && m_possibleRuns < m_admission.matched->attempts && timeLeft() >= min_time_for_retry
+        && m_choice->hasUpstreamOf(m_serviceName, selected) && m_environment.retries.take(m_serviceName);
+    log_event(log_level::info, "stream.deviation_late")
+        .with("request", m_call.id)
+        .with("upstream", upstreamId())
+        .with("software", m_attempt->to().softwareVersion)
+        .with("selected", selected)
+        .with("repeated", mayRepeat ? "yes" : "no")
+        .write();
+    if (!mayRepeat)
+        return;
+    m_environment.metrics.add("ivypier_repeats_total", {{"service", m_serviceName}});
+    if (!m_hold.isHolding())
+        ++m_possibleRuns;
+    m_mayHaveRun = true;
+    abandonAttempt();
+    restartAttempt("deviation_not_stored");
 }
 
 void relayed_call::endAttempt(bool succeeded)
 {
+    m_hold.drop();
     if (m_attempt)
         m_attempt->end(succeeded);
 }
@@ -190,6 +268,9 @@
 {
     if (m_mayHaveRun)
         fail(status_bad_gateway, "no_other_upstream");
+    else if (m_choice->wasBoundToSelected())
+        refuse(status_service_unavailable, "no_upstream_of_selected_version",
+               spreadReturn(m_environment.randomness, retry_after_base));
     else if (m_choice->returnAfter())
         refuse(status_service_unavailable, "upstreams_limited", *m_choice->returnAfter());
     else
@@ -333,6 +414,17 @@
         m_answer.keepAnswer(std::move(head));
         return;
     }
+    if (awaitsDeviation()) {
+        m_answer.expectStream(m_call.lastEvent);
+        m_hold.hold(std::move(head));
+        m_attempt->exchange()->pause();
+        return;
+    }
+    beginStream(head);
+}
+
+void relayed_call::beginStream(const http::response_head &head)
+{
     m_answer.beginStream(head, m_call.lastEvent, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && self->m_attempt && self->m_attempt->isRunning())
@@ -364,6 +456,10 @@
 void relayed_call::onBody(std::string_view data)
 {
     const auto alive = shared_from_this();
+    if (m_hold.isHolding()) {
+        m_hold.append(data);
+        return;
+    }
     switch (m_answer.take(data, [this] { recordEvents(); })) {
     case answer_delivery::progress::kept:
     case answer_delivery::progress::delivered:
@@ -422,6 +518,10 @@
 void relayed_call::onEnd()
 {
     const auto alive = shared_from_this();
+    if (m_hold.isHolding()) {
+        m_hold.setEnded();
+        return;
+    }
     if (!m_answer.isKeepingAnswer()) {
         endStream();
         return;
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/answer_delivery.h"
+#include "relay/answer_hold.h"
 #include "relay/attempt_evidence.h"
 #include "relay/call_admission.h"
 #include "relay/call_environment.h"
@@ -48,6 +49,14 @@
     void startAttempt();
     void onPermit(const std::string &id, const permit_decision &decision);
     void startAttemptOn(const upstream_record &chosen);
+    /// Returns the version at which the stream has to begin, or nothing if any will do.
+    std::optional<std::string> selectedVersion() const;
+    /// Returns whether the current attempt may begin the stream only once a deviation is stored.
+    bool awaitsDeviation() const;
+    void requestDeviation();
+    void onDeviationStored();
+    void onDeviationLate(std::uint32_t attemptNumber);
+    void beginStream(const http::response_head &head);
     attempt attemptDetails(const upstream_record &to) const;
     void endAttempt(bool succeeded);
     void abandonAttempt();
@@ -89,6 +98,7 @@
     std::shared_ptr<const route_table> m_table;
     call m_call;
     answer_delivery m_answer;
+    answer_hold m_hold;
     completion_handler m_onCompleted;
     call_admission m_admission;
     const service *m_service = nullptr;
@@ -103,6 +113,8 @@
     std::uint32_t m_attemptCount = 0;
     bool m_mayHaveRun = false;
     bool m_runCounted = false;
+    bool m_isDeviating = false; ///< the current attempt is at a version that the call's key does not select
+    bool m_isDeviationRequested = false;
     bool m_isTrial = false; ///< sent once although it is quarantined
     bool m_completed = false;
 };
--- a/libraries/relay/resumption_decision.cpp
+++ b/libraries/relay/resumption_decision.cpp
@@ -23,6 +23,9 @@
     if (needsVersionLookup(found, targets) && versions.onlyVersion)
         return {.origin = stream_origin{targets.front().service, *versions.onlyVersion, {}},
                 .knownBy = "only_version"};
+    if (needsVersionLookup(found, targets) && versions.selectedVersion)
+        return {.origin = stream_origin{targets.front().service, *versions.selectedVersion, {}},
+                .knownBy = "selected_version"};
     // Once all nodes have replied and the versions are known, a later lookup finds the same.
     return {.reason = "stream_origin_unknown",
             .isFinal = found.isConflicting || (found.isComplete && versions.versionCount > 0)};
--- a/libraries/relay/service_versions.h
+++ b/libraries/relay/service_versions.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "relay/stream_key.h"
 #include "relay/upstream_directory.h"
+#include "relay/version_slots.h"
 
 #include <compare>
 #include <cstddef>
@@ -15,6 +17,11 @@
 {
     std::optional<std::string> onlyVersion; ///< set if every stream that may be resumed began at it
     std::size_t versionCount = 0; ///< versions at which streams can have begun; 0: not known
+    version_slots slots; ///< that hold for streams without a deviation; empty if they prove nothing
+    std::int64_t readAt = 0; ///< wall-clock time in milliseconds at which the slots were read
+    std::uint64_t era = 0; ///< of the platform's table from which the slots were read
+    /// The version at which the stream began, by its slot and because it has no deviation.
+    std::optional<std::string> selectedVersion;
 
     auto operator<=>(const version_lookup &) const = default;
 };
@@ -38,8 +45,17 @@
         return true;
     }
 
+    /// Returns the version at which a new stream has to begin unless a deviation is stored before its first
+    /// event; nothing if it may begin at any version.
+    virtual std::optional<std::string> selectedVersion(const std::string & /*service*/,
+                                                       const stream_key & /*stream*/) const
+    {
+        return std::nullopt;
+    }
+
     /// Finds the versions at which streams of a service can have begun until now. Calls `done` once, possibly
-    /// before it returns, at the latest after max_version_lookup_time.
+    /// before it returns, at the latest after max_version_lookup_time, or lookup_patience::max_limit if the
+    /// platform responds slowly.
     virtual void findOnlyVersion(const std::string &service, completion done) = 0;
 };
 
--- a/libraries/relay/stream_resumption.cpp
+++ b/libraries/relay/stream_resumption.cpp
@@ -4,6 +4,7 @@
 #include "relay/origin_search.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ivypier::relay {
 
@@ -13,6 +14,9 @@
 constexpr duration default_resumption_time = std::chrono::minutes(2);
 /// The caller's time counts from when it sent the call, and its last try may arrive late.
 constexpr duration resumption_margin = std::chrono::seconds(2);
+/// A deviation is kept for this long at least. Without it, a stream of a caller that came back later than it
+/// stated would be taken for one that began at the selected version.
+constexpr duration min_deviation_time = std::chrono::minutes(2);
 
 } // namespace
 
@@ -77,6 +81,25 @@
         m_environment.origins.record(stream_key::of(m_account, m_call.id), origin, resumptionTime());
 }
 
+std::optional<std::string> stream_resumption::selectedVersion(const std::string &service) const
+{
+    if (m_origin || m_isDeviationStored)
+        return std::nullopt;
+    return m_environment.versions.selectedVersion(service, stream_key::of(m_account, m_call.id));
+}
+
+void stream_resumption::storeDeviation(const std::weak_ptr<const void> &owner, std::function<void()> onStored)
+{
+    m_environment.origins.storeDeviation(stream_key::of(m_account, m_call.id),
+                                         std::max(resumptionTime(), min_deviation_time),
+                                         [this, owner, onStored = std::move(onStored)] {
+                                             const auto alive = owner.lock();
+                                             if (!alive || std::exchange(m_isDeviationStored, true))
+                                                 return;
+                                             onStored();
+                                         });
+}
+
 void stream_resumption::logContinuation(const upstream_record &at, std::uint64_t lastEvent,
                                         bool isInOneAnswer) const
 {
--- a/libraries/relay/stream_resumption.h
+++ b/libraries/relay/stream_resumption.h
@@ -26,6 +26,20 @@
     /// Records where the stream of a new call began. With `isResumable`, other nodes can find that.
     void record(const stream_origin &origin, bool isResumable);
 
+    /// Returns the version at which the stream of a new call has to begin, by its key; nothing if it may
+    /// begin at any version, or if a deviation is stored.
+    std::optional<std::string> selectedVersion(const std::string &service) const;
+
+    /// Stores that the stream may begin at another version than its key selects. Calls `onStored` once the
+    /// stream may begin there, unless `owner`, which owns this object, is gone by then.
+    void storeDeviation(const std::weak_ptr<const void> &owner, std::function<void()> onStored);
+
+    /// Returns whether a deviation outlives all nodes.
+    bool isDeviationStored() const
+    {
+        return m_isDeviationStored;
+    }
+
     /// Returns where the stream began; not set while its caller has no events of it.
     const std::optional<stream_origin> &origin() const
     {
@@ -50,6 +64,7 @@
     std::optional<stream_origin> m_origin;
     std::string m_source = "this_answer"; ///< how the origin is known, for the log
     duration m_age{}; ///< of the record from which the origin is known
+    bool m_isDeviationStored = false;
 };
 
 } // namespace ivypier::relay
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -101,7 +101,17 @@
             done({.origin = found == records.end() ? std::nullopt : std::optional(found->second),
                   .isComplete = isComplete});
     }
+    void storeDeviation(const stream_key &stream, duration, std::function<void()> onStored) override
+    {
+        deviations[stream] = std::move(onStored);
+    }
+    bool areDeviationsLate() const override
+    {
+        return deviationsAreLate;
+    }
 
+    std::map<stream_key, std::function<void()>> deviations; ///< that the test stores
+    bool deviationsAreLate = false;
     std::map<stream_key, stream_origin> records;
     std::map<stream_key, duration> lifetimes;
     bool isComplete = true; ///< all keepers reply
@@ -117,6 +127,10 @@
     {
         return !unlisted.contains(upstream.softwareVersion);
     }
+    std::optional<std::string> selectedVersion(const std::string &, const stream_key &) const override
+    {
+        return selected;
+    }
     void findOnlyVersion(const std::string &, completion done) override
     {
         ++lookups;
@@ -124,6 +138,7 @@
     }
 
     std::set<std::string> unlisted;
+    std::optional<std::string> selected; ///< by every key
     version_lookup response{std::nullopt, 2};
     int lookups = 0;
 };
--- a/libraries/relay/tests/version_register_test.cpp
+++ b/libraries/relay/tests/version_register_test.cpp
@@ -66,8 +66,10 @@
 
     void poll()
     {
-        for (std::size_t index = 0; index < nodes.size(); ++index)
+        for (std::size_t index = 0; index < nodes.size(); ++index) {
+            nodes[index]->versions.setSelectionFollowed(isSelectionFollowed);
             nodes[index]->versions.poll(index == dutyHolder, nodes.size());
+        }
         time.after(400ms, [this] { poll(); });
     }
 
@@ -128,6 +130,7 @@
     std::set<std::string> serving;
     std::size_t dutyHolder = 0;
     bool announcements = true;
+    bool isSelectionFollowed = false; ///< no node is of an earlier build
 };
 
 } // namespace
@@ -378,3 +381,150 @@
     fleet.time.advance(500ms);
     CHECK(fleet.mayBegin(0, "v2"));
 }
+
+namespace {
+
+/// A stream that began without a deviation.
+struct selected_stream
+{
+    stream_key key;
+    std::string version;
+    time_point begunAt{};
+};
+
+version_slots slotsOf(const fake_table &table)
+{
+    const auto row = table.find("versions/s");
+    return row ? version_row::decode(row->value).value().slots : version_slots{};
+}
+
+} // namespace
+
+TEST_CASE("a slot proves a version only if its streams without a deviation began there, whatever fails",
+          "[slow]")
+{
+    std::size_t proofs = 0;
+    std::size_t lookups = 0;
+    for (const std::uint64_t seed : promiseSeeds()) {
+        INFO("seed " << seed);
+        register_fleet fleet(4, seed);
+        fleet.isSelectionFollowed = true;
+        fleet.table.startCopies(2s);
+        fleet.table.faults = {0.05, 0.05, 0.05, 40ms, false};
+        fleet.serve("v1");
+        fleet.serve("v2");
+        std::vector<selected_stream> begun;
+        int number = 0;
+        const auto chance = [&](double probability) { return fleet.randomness.uniform() < probability; };
+        const auto begin = [&] {
+            const std::size_t index = fleet.randomness.index(fleet.nodes.size());
+            const stream_key key = stream_key::of("one", std::to_string(++number));
+            const auto selected = fleet.nodes[index]->versions.selectedVersion("s", key);
+            // Without slots a stream begins anywhere, as at a node of an earlier build.
+            const std::string version
+                = selected ? *selected : "v" + std::to_string(1 + fleet.randomness.index(3));
+            if (fleet.nodes[index]->upstreams.find("at " + version) && fleet.mayBegin(index, version))
+                begun.push_back({key, version, fleet.time.now()});
+        };
+        for (int step = 0; step < 1500; ++step) {
+            fleet.time.advance(fromSeconds(2.0 * fleet.randomness.uniform()));
+            begin();
+            if (chance(0.004))
+                fleet.serve("v" + std::to_string(1 + fleet.randomness.index(3)));
+            if (chance(0.006))
+                fleet.withdraw("v" + std::to_string(1 + fleet.randomness.index(3)));
+            if (chance(0.01))
+                fleet.restart(fleet.randomness.index(fleet.nodes.size()));
+            if (chance(0.0005))
+                fleet.table.restore(fromSeconds(6.0 * fleet.randomness.uniform()));
+            if (chance(0.01))
+                fleet.dutyHolder = fleet.randomness.index(fleet.nodes.size());
+            if (chance(0.01))
+                fleet.table.faults.down = !fleet.table.faults.down;
+            if (!chance(0.2))
+                continue;
+            ++lookups;
+            const time_point askedAt = fleet.time.now();
+            const version_lookup found = fleet.find(fleet.randomness.index(fleet.nodes.size()));
+            std::erase_if(
+                begun, [&](const selected_stream &each) { return askedAt - each.begunAt >= max_stream_age; });
+            bool hasProof = false;
+            for (const selected_stream &each : begun) {
+                const auto proven = found.slots.provenVersion(each.key, found.readAt);
+                if (!proven)
+                    continue;
+                hasProof = true;
+                REQUIRE(*proven == each.version);
+            }
+            proofs += hasProof ? 1 : 0;
+        }
+    }
+    // The faults leave enough proofs to check.
+    CHECK(proofs * 10 > lookups);
+}
+
+TEST_CASE("slots are given out with the first row, in proportion to what the upstreams process")
+{
+    register_fleet fleet(3);
+    fleet.isSelectionFollowed = true;
+    fleet.serving = {"v1", "v2"};
+    for (const auto &each : fleet.nodes)
+        for (const std::string version : {"v1", "v2"})
+            each->upstreams.put(register_fleet::recordOf(version));
+    fleet.time.advance(1s);
+    CHECK(slotsOf(fleet.table) == version_slots::inProportion({{"v1", 1.0}, {"v2", 1.0}}, 0));
+    const version_lookup found = fleet.find(2);
+    CHECK_FALSE(found.onlyVersion);
+    CHECK(found.slots == slotsOf(fleet.table));
+    const std::size_t writes = fleet.table.appliedWrites.size();
+    fleet.time.advance(5min);
+    CHECK(fleet.table.appliedWrites.size() == writes);
+}
+
+TEST_CASE("a version that appears later gets few slots at a time, and the others go on to prove theirs")
+{
+    register_fleet fleet(3);
+    fleet.isSelectionFollowed = true;
+    fleet.serve("v1");
+    fleet.time.advance(4s);
+    fleet.serve("v2");
+    fleet.time.advance(10s);
+    const version_slots slots = slotsOf(fleet.table);
+    std::size_t proving = 0;
+    for (const version_slots::run &each : slots.runs())
+        proving += each.provenFrom == 0 ? each.length : 0;
+    CHECK(proving == version_slots::slot_count - max_moving_slots);
+    CHECK(fleet.table.appliedWrites.size() <= 4);
+    // They follow within hours, a few writes for each step.
+    fleet.time.advance(2h);
+    CHECK(slotsOf(fleet.table).runs().size() >= 2);
+    CHECK(fleet.table.appliedWrites.size() <= 40);
+}
+
+TEST_CASE("no slots are given out beside nodes of an earlier build, which also take them away")
+{
+    register_fleet fleet(3);
+    fleet.serve("v1");
+    fleet.serve("v2");
+    fleet.time.advance(4s);
+    CHECK(slotsOf(fleet.table).isEmpty());
+    fleet.isSelectionFollowed = true;
+    fleet.time.advance(4s);
+    REQUIRE_FALSE(slotsOf(fleet.table).isEmpty());
+    const version_lookup early = fleet.find(1);
+    CHECK_FALSE(early.slots.provenVersion(stream_key::of("one", "1"), early.readAt));
+    fleet.time.advance(version_register::version_retention);
+    const version_lookup late = fleet.find(1);
+    CHECK(late.slots.provenVersion(stream_key::of("one", "1"), late.readAt));
+    // A node of an earlier build writes the row without slots.
+    version_row row = version_row::decode(fleet.table.find("versions/s")->value).value();
+    row.slots = {};
+    (void)fleet.table.compareAndSwap("versions/s", fleet.table.find("versions/s")->version, row.encode());
+    CHECK(fleet.find(1).slots.isEmpty());
+    fleet.time.advance(4s);
+    const version_lookup again = fleet.find(1);
+    CHECK_FALSE(again.slots.provenVersion(stream_key::of("one", "1"), again.readAt));
+    fleet.isSelectionFollowed = false;
+    fleet.time.advance(4s);
+    CHECK(slotsOf(fleet.table).isEmpty());
+}
--- a/libraries/relay/upstream_choice.cpp
+++ b/libraries/relay/upstream_choice.cpp
@@ -154,15 +154,67 @@
     });
 }
 
+bool upstream_choice::hasUpstreamOf(const std::string &service, const std::string &version) const
+{
+    const std::vector<const upstream *> ready = m_environment.upstreams.ready(service);
+    return std::any_of(ready.begin(), ready.end(), [&](const upstream *each) {
+        return each->record.softwareVersion == version && !m_excluded.contains(each->record.id)
+            && !each->isEjected(m_environment.tasks.now());
+    });
+}
+
+bool upstream_choice::hasOtherVersion(const std::string &service, const std::string &selected) const
+{
+    const std::vector<const upstream *> ready = m_environment.upstreams.ready(service);
+    return std::any_of(ready.begin(), ready.end(),
+                       [&](const upstream *each) { return each->record.softwareVersion != selected; });
+}
+
+/// Adds the upstreams that are nearly full to those that are closed.
+version_reserve upstream_choice::withRoom(const std::string &service, version_reserve reserve) const
+{
+    reserve.closed.merge(reserve.avoided);
+    for (const upstream *each : m_environment.upstreams.ready(service)) {
+        if (m_environment.selector.loadOf(*each) >= avoided_scarce_load * each->record.slots)
+            reserve.closed.insert(each->record.id);
+    }
+    return reserve;
+}
+
+const upstream *upstream_choice::selectPreferring(const std::string &selected, const std::string &service,
+                                                  const delivery::version_filter &filter,
+                                                  const version_reserve &reserve) const
+{
+    delivery::version_filter atSelected = filter;
+    atSelected.only = {selected};
+    const bool maySelect = filter.mayUse(selected);
+    const bool mayDeviate = !m_environment.origins.areDeviationsLate();
+    const version_reserve room = withRoom(service, reserve);
+    if (const upstream *found = maySelect ? select(service, atSelected, room) : nullptr)
+        return found;
+    if (const upstream *found = mayDeviate ? select(service, filter, room) : nullptr)
+        return found;
+    if (const upstream *found = maySelect ? select(service, atSelected, reserve) : nullptr)
+        return found;
+    return mayDeviate ? select(service, filter, reserve) : nullptr;
+}
+
 const upstream *upstream_choice::choose(const std::string &service,
-                                        const std::optional<stream_origin> &origin)
+                                        const std::optional<stream_origin> &origin,
+                                        const std::optional<std::string> &selected)
 {
     excludeUnavailable(service, origin);
     const version_reserve reserve = reserved(service, origin);
     const delivery::version_filter filter = filterFor(service, origin);
-    const upstream *chosen = select(service, filter, reserve);
+    const bool prefersSelected = selected && hasOtherVersion(service, *selected);
+    m_wasBoundToSelected = prefersSelected && m_environment.origins.areDeviationsLate();
+    const auto selectBy = [&](const delivery::version_filter &wanted) {
+        return prefersSelected ? selectPreferring(*selected, service, wanted, reserve)
+                               : select(service, wanted, reserve);
+    };
+    const upstream *chosen = selectBy(filter);
     if (!chosen && !filter.only.empty()) // the versions that are wanted have no upstream now
-        chosen = select(service, m_environment.rollouts->gate().withoutTarget(service), reserve);
+        chosen = selectBy(m_environment.rollouts->gate().withoutTarget(service));
     if (!chosen && !reserve.closed.empty()) {
         const duration soon = spreadReturn(m_environment.randomness, retry_after_base);
         m_returnAfter = std::min(m_returnAfter.value_or(soon), soon);
--- a/libraries/relay/upstream_choice.h
+++ b/libraries/relay/upstream_choice.h
@@ -18,8 +18,20 @@
     upstream_choice(call_environment &environment, const call &request, const route &matched);
 
     /// Returns an upstream of the service that takes the call now, or null. A call that continues a stream
-    /// goes only where `origin` allows.
-    const upstream *choose(const std::string &service, const std::optional<stream_origin> &origin);
+    /// goes only where `origin` allows. A new stream goes to the `selected` version as long as its upstreams
+    /// have room; while deviations are stored late, it goes to no other.
+    const upstream *choose(const std::string &service, const std::optional<stream_origin> &origin,
+                           const std::optional<std::string> &selected = std::nullopt);
+
+    /// Returns whether an upstream of this version may take the call, as far as is known without choosing it.
+    bool hasUpstreamOf(const std::string &service, const std::string &version) const;
+
+    /// Returns whether only the selected version was looked at, because deviations are stored late. A call
+    /// with another id may be sent elsewhere.
+    bool wasBoundToSelected() const
+    {
+        return m_wasBoundToSelected;
+    }
 
     /// Returns false if the version of an upstream that was chosen has been rolled back since.
     bool mayStillUse(const upstream_record &chosen, const std::optional<stream_origin> &origin);
@@ -40,14 +52,19 @@
     bool canServe(const upstream_record &candidate, const std::optional<stream_origin> &origin) const;
     void excludeUnavailable(const std::string &service, const std::optional<stream_origin> &origin);
     version_reserve reserved(const std::string &service, const std::optional<stream_origin> &origin) const;
-    /// Returns the versions at which the call may run by the rollouts.
     /// Returns whether a rollout is in progress, as far as this node knows, and every listed upstream of the
     /// service is of its target.
     bool isTargetAlone(const std::string &service) const;
+    /// Returns the versions at which the call may run by the rollouts.
     delivery::version_filter filterFor(const std::string &service,
                                        const std::optional<stream_origin> &origin);
     const upstream *select(const std::string &service, const delivery::version_filter &filter,
                            version_reserve reserve) const;
+    bool hasOtherVersion(const std::string &service, const std::string &selected) const;
+    version_reserve withRoom(const std::string &service, version_reserve reserve) const;
+    const upstream *selectPreferring(const std::string &selected, const std::string &service,
+                                     const delivery::version_filter &filter,
+                                     const version_reserve &reserve) const;
 
     call_environment &m_environment;
     const call &m_call;
@@ -57,6 +74,7 @@
     std::optional<delivery::version_filter> m_admitted; ///< by the gate, for the first attempt
     std::string m_admittedService;
     bool m_isSent = false; ///< an attempt was sent
+    bool m_wasBoundToSelected = false;
 };
 
 } // namespace ivypier::relay
--- a/libraries/relay/version_register.cpp
+++ b/libraries/relay/version_register.cpp
@@ -18,6 +18,18 @@
     return result;
 }
 
+/// Returns the numbers of slots that follow one another with the same version, for the log.
+std::string described(const version_slots &slots)
+{
+    std::string result;
+    for (const version_slots::run &each : slots.runs())
+        result.append(result.empty() ? "" : ",")
+            .append(std::to_string(each.length))
+            .append(" ")
+            .append(each.version.empty() ? "?" : each.version);
+    return result;
+}
+
 } // namespace
 
 version_register::version_register(scheduler &tasks, random_source &randomness, cloud::table_service &table,
@@ -54,6 +66,11 @@
     m_services = std::move(services);
 }
 
+void version_register::setSelectionFollowed(bool isFollowed)
+{
+    m_isSelectionFollowed = isFollowed;
+}
+
 void version_register::onRowRead(row_handler handler)
 {
     m_onRowRead = std::move(handler);
@@ -79,6 +96,7 @@
         .with("versions", joined(state.row.versions))
         .with("row_version", static_cast<std::int64_t>(row.version))
         .with("era", static_cast<std::int64_t>(state.row.era))
+        .with("slots", described(state.row.slots))
         .write();
     if (m_onRowRead)
         m_onRowRead(service, row.version, row.value);
@@ -99,6 +117,13 @@
     return found != m_states.end() && found->second.row.versions.contains(upstream.softwareVersion);
 }
 
+std::optional<std::string> version_register::selectedVersion(const std::string &service,
+                                                             const stream_key &stream) const
+{
+    const auto found = m_states.find(service);
+    return found == m_states.end() ? std::nullopt : found->second.row.slots.selectedVersion(stream);
+}
+
 std::map<std::string, std::set<std::string>> version_register::listed() const
 {
     std::map<std::string, std::set<std::string>> result;
@@ -147,6 +172,7 @@
     // A listed version counts as seen when this node learns of it.
     for (const std::string &each : state.row.versions)
         state.seenAt.try_emplace(each, m_tasks.now());
+    noteCapacities(state, service);
 }
 
 std::set<std::string> version_register::expiredVersions(const service_state &state) const
@@ -190,6 +216,62 @@
     return result;
 }
 
+void version_register::noteCapacities(service_state &state, const std::string &service) const
+{
+    std::map<std::string, double> ready;
+    for (const upstream *each : m_upstreams.ready(service))
+        ready[each->record.softwareVersion] += each->record.slots;
+    for (const auto &[version, calls] : ready)
+        state.capacities[version] = {calls, m_tasks.now()};
+    for (const std::string &each : state.row.versions)
+        state.capacities.try_emplace(each, version_capacity{0.0, m_tasks.now()});
+    std::erase_if(state.capacities, [&](const auto &each) { return !state.seenAt.contains(each.first); });
+}
+
+/// Returns the calls that the upstreams of each listed version process concurrently. Versions whose slots are
+/// to move, because no upstream accepts calls, are left out. Empty while a capacity is not known.
+std::map<std::string, double> version_register::capacities(const service_state &state,
+                                                           const std::set<std::string> &listed) const
+{
+    std::map<std::string, double> result;
+    for (const auto &[version, capacity] : state.capacities) {
+        if (!listed.contains(version) || m_tasks.now() - capacity.at >= abandoned_slots_delay)
+            continue;
+        if (capacity.calls == 0.0)
+            return {};
+        result[version] = capacity.calls;
+    }
+    return result;
+}
+
+/// Returns whether all streams so far began at one version.
+bool version_register::isSingleVersionProven(const service_state &state) const
+{
+    return state.row.versions.size() == 1 && state.row.era == m_table.era()
+        && m_wallMilliseconds() >= state.row.completeFrom;
+}
+
+/// Returns the slots that a row with these versions is to have. Nodes other than the holder of the duties
+/// give out slots only with the first row of a service, before any stream began.
+version_slots version_register::slotsDue(const service_state &state, const std::set<std::string> &listed,
+                                         bool isFirstRow, bool holdsDuties) const
+{
+    if (!holdsDuties && !isFirstRow)
+        return state.row.slots;
+    if (!m_isSelectionFollowed)
+        return {};
+    const std::map<std::string, double> capacity = capacities(state, listed);
+    const std::int64_t now = m_wallMilliseconds();
+    const std::int64_t retained = now + milliseconds(version_retention);
+    if (!state.row.slots.isEmpty())
+        return balancedSlots(state.row.slots, capacity, now, retained);
+    if (isFirstRow)
+        return version_slots::inProportion(capacity, 0);
+    if (isSingleVersionProven(state))
+        return version_slots::inProportion({{*state.row.versions.begin(), 1.0}}, 0);
+    return version_slots::inProportion(capacity, retained);
+}
+
 bool version_register::needsUpdate(const std::string &service, const service_state &state,
                                    bool holdsDuties) const
 {
@@ -200,7 +282,9 @@
     if (state.row.era != m_table.era())
         return true;
     const bool isOld = m_wallMilliseconds() - state.row.writtenAt > milliseconds(rewrite_interval);
-    return holdsDuties && (isOld || !expiredVersions(state).empty());
+    return holdsDuties
+        && (isOld || !expiredVersions(state).empty()
+            || slotsDue(state, state.row.versions, false, holdsDuties) != state.row.slots);
 }
 
 void version_register::poll(bool holdsDuties, std::size_t nodes)
@@ -271,6 +355,9 @@
         row.completeFrom = now + milliseconds(version_retention);
     row.era = m_table.era();
     row.writtenAt = now;
+    row.slots = slotsDue(state, row.versions, !current && m_table.era() == 0, holdsDuties);
+    if (!row.slots.isDividedAmong(row.versions))
+        row.slots = {};
     state.isWriting = true;
     m_table.write(keyOf(service), current ? current->version : 0, row.encode(),
                   [this, service](const outcome<cloud::table_row> &written) {
@@ -289,13 +376,13 @@
 {
     service_state &state = m_states[service];
     // The platform does not respond at present, so waiting would only delay the same response.
-    if (state.isReading && m_tasks.now() - state.readStartedAt >= max_version_lookup_time) {
+    if (state.isReading && m_tasks.now() - state.readStartedAt >= state.patience.limit()) {
         done({});
         return;
     }
     auto request = std::make_shared<lookup_request>(lookup_request{std::move(done)});
     state.nextLookups.push_back(request);
-    m_tasks.after(max_version_lookup_time, [this, request] { completeLookups({request}, {}); });
+    m_tasks.after(state.patience.limit(), [this, request] { completeLookups({request}, {}); });
     if (!state.isReading)
         startLookup(service);
 }
@@ -311,6 +398,10 @@
                      const outcome<std::optional<cloud::table_row>> &read) {
                      service_state &current = m_states[service];
                      current.isReading = false;
+                     if (read)
+                         current.patience.recordRead(m_tasks.now() - current.readStartedAt);
+                     else
+                         current.patience.recordFailure();
                      if (read && read.value())
                          applyRow(service, *read.value());
                      completeLookups(requests, read ? responseFor(read.value()) : version_lookup{});
@@ -339,6 +430,11 @@
 #endif
     const std::set<std::string> &versions = decoded.value().versions;
     version_lookup result{std::nullopt, versions.size()};
+    result.slots = decoded.value().slots;
+    if (!result.slots.isEmpty()) {
+        result.readAt = m_wallMilliseconds();
+        result.era = decoded.value().era;
+    }
     if (versions.size() == 1 && !versions.begin()->empty())
         result.onlyVersion = *versions.begin();
     return result;
--- a/libraries/relay/version_register.h
+++ b/libraries/relay/version_register.h
@@ -3,7 +3,9 @@
 #include "base/random_source.h"
 #include "base/scheduler.h"
 #include "cloud/table_service.h"
+#include "relay/lookup_patience.h"
 #include "relay/service_versions.h"
+#include "relay/slot_balance.h"
 #include "relay/version_row.h"
 
 #include <cstdint>
@@ -42,6 +44,9 @@
     /// nodes, callers come back in this time, and the row is the only proof of where their streams began.
     static constexpr duration start_listing_delay = std::chrono::seconds(3);
 
+    /// A version keeps its slots for this long after its last upstream stopped accepting calls.
+    static constexpr duration abandoned_slots_delay = std::chrono::seconds(10);
+
     /// `wallMilliseconds` returns the wall-clock time in milliseconds since 1970.
     version_register(scheduler &tasks, random_source &randomness, cloud::table_service &table,
                      const upstream_directory &upstreams, std::function<std::int64_t()> wallMilliseconds);
@@ -52,8 +57,12 @@
     /// Sets the services to which routes of resumable streams lead.
     void setServices(std::set<std::string> services);
 
+    /// Sets whether all known nodes begin streams at the selected versions. Nodes of earlier builds begin
+    /// them anywhere, so beside them no slots are given out.
+    void setSelectionFollowed(bool isFollowed);
+
     /// Adds versions that appeared to their rows. The node that holds the duties also removes versions that
-    /// are gone. `nodes` is the number of nodes of the fleet.
+    /// are gone and divides the slots. `nodes` is the number of nodes of the fleet.
     void poll(bool holdsDuties, std::size_t nodes);
 
     /// Takes over a row that another node announced, if it is newer than the known one.
@@ -63,6 +72,8 @@
 
     bool mayBeginAt(const upstream_record &upstream) const override;
     bool mayHaveSeveral(const std::string &service) const override;
+    std::optional<std::string> selectedVersion(const std::string &service,
+                                               const stream_key &stream) const override;
     void findOnlyVersion(const std::string &service, completion done) override;
 
     /// Returns the services whose row lists more than one version, or will: upstreams of another one
@@ -79,6 +90,12 @@
     };
     using lookup_requests = std::vector<std::shared_ptr<lookup_request>>;
 
+    struct version_capacity
+    {
+        double calls = 0.0; ///< that the upstreams process concurrently; 0: not known
+        time_point at{}; ///< when an upstream last accepted calls
+    };
+
     struct service_state
     {
         version_row row;
@@ -86,9 +103,11 @@
         bool isWriting = false;
         bool isReading = false; ///< a read for lookup requests is in progress
         time_point readStartedAt{};
+        lookup_patience patience{max_version_lookup_time};
         std::optional<time_point> nextUpdate; ///< when the row is to be updated; not set: no need is known
         std::map<std::string, time_point> seenAt; ///< versions with upstreams, and when they were last seen
         std::map<std::string, time_point> firstSeenAt; ///< as above, and when they were first seen
+        std::map<std::string, version_capacity> capacities; ///< by version
         lookup_requests nextLookups; ///< requests for the next read
     };
 
@@ -99,6 +118,12 @@
     std::set<std::string> versionsToAdd(const std::string &service, const service_state &state) const;
     bool needsUpdate(const std::string &service, const service_state &state, bool holdsDuties) const;
     std::set<std::string> expiredVersions(const service_state &state) const;
+    void noteCapacities(service_state &state, const std::string &service) const;
+    std::map<std::string, double> capacities(const service_state &state,
+                                             const std::set<std::string> &listed) const;
+    bool isSingleVersionProven(const service_state &state) const;
+    version_slots slotsDue(const service_state &state, const std::set<std::string> &listed, bool isFirstRow,
+                           bool holdsDuties) const;
     void updateIfDue(const std::string &service, bool holdsDuties);
     void update(const std::string &service, bool holdsDuties);
     void write(const std::string &service, const std::optional<cloud::table_row> &current, bool holdsDuties);
@@ -113,6 +138,7 @@
     const upstream_directory &m_upstreams;
     std::function<std::int64_t()> m_wallMilliseconds;
     time_point m_startedAt;
+    bool m_isSelectionFollowed = false;
     std::set<std::string> m_services;
     std::map<std::string, service_state> m_states;
     row_handler m_onRowRead;
--- a/libraries/relay/version_row.h
+++ b/libraries/relay/version_row.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/outcome.h"
+#include "relay/version_slots.h"
 
 #include <compare>
 #include <cstdint>
@@ -18,6 +19,7 @@
     std::uint64_t era = 0; ///< of the platform's table when the row was written
     std::int64_t completeFrom = 0; ///< wall-clock time in milliseconds from which no version is missing
     std::int64_t writtenAt = 0; ///< wall-clock time in milliseconds
+    version_slots slots; ///< of listed versions; empty: streams may begin at any of them
 
     auto operator<=>(const version_row &) const = default;
 
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -48,6 +48,8 @@
 #include "relay/tcp_reachability_check.h"
 #include "relay/version_register.h"
 
+#include <algorithm>
+
 namespace ivypier::edge {
 
 namespace {
@@ -237,6 +239,7 @@
         return settings.selection == upstream_selection::expected_time ? &upstreamSpeeds : nullptr;
     }
     void startVersions();
+    void pollVersions();
     void startRollouts();
     /// Returns null if the deployment has no rollouts.
     relay::call_rollouts *rolloutsOfCalls()
@@ -262,6 +265,7 @@
     self.gossipAddress = {settings.callers.host, settings.gossipPort};
     self.failureDomain = settings.failureDomain;
     self.region = settings.region;
+    self.features = membership::feature_level::version_selection;
     return self;
 }
 
@@ -392,6 +396,15 @@
     versions.start();
 }
 
+void edge_node::edge_components::pollVersions()
+{
+    const std::vector<membership::member> nodes = members.members();
+    versions.setSelectionFollowed(std::all_of(nodes.begin(), nodes.end(), [](const membership::member &each) {
+        return each.features >= membership::feature_level::version_selection;
+    }));
+    versions.poll(lease.held().has_value(), fleetSize.count());
+}
+
 void edge_node::edge_components::startRollouts()
 {
     if (!settings.hasRollouts())
@@ -547,7 +560,7 @@
         }
     }
     versions.setServices(std::move(resumableServices));
-    versions.poll(lease.held().has_value(), fleetSize.count());
+    pollVersions();
     const std::shared_ptr<const relay::route_table> applied = table;
     relayService.setTable(std::move(table));
     logConfigurationFindings(applied->content());
@@ -591,7 +604,7 @@
     quota.setRemoteReporting(fleetExchange.hasRemoteCollector(), fleetExchange.reportAge());
     quota.setSilentFraction(fleetExchange.silentFraction(fleetSize.count()), fleet::silent_node_age);
     retryBudget.setNodes(fleetSize.peak());
-    versions.poll(lease.held().has_value(), fleetSize.count());
+    pollVersions();
     originRecorder.setNodes(fleetSize.count());
     originRecorder.poll();
     origins.setStoredServices(versions.servicesWithSeveral());
