--- a/libraries/membership/membership_view.h
+++ b/libraries/membership/membership_view.h
@@ -14,7 +14,8 @@
 /// A small versioned value that is replicated to every node; the newest version of a key wins everywhere.
 /// Each version of a key has only one writer. Facts expire an hour after they were published, except
 /// `configuration`; one that must last longer has to be published again with a greater version. Keys in use:
-/// `configuration` (the newest head), `leaving/<upstream address>`, `witness/<incarnation>` (its successor),
+/// `configuration` (the newest head), `leaving/<upstream address>`, `listing/<upstream>` (whether the table
+/// listed it, by the version of the table), `witness/<incarnation>` (its successor),
 /// `epoch/<incarnation>` (the version is the epoch of its tickets), `share/<account>/<node>` (limit shares),
 /// `domain/<region>/<failure domain>` (a domain_summary), `versions/<service>` (the row of its software
 /// versions, by the version of the row), `rollout/<service>` (the newest statement on its rollout),
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -86,6 +86,9 @@
         .with("service", record.service)
         .with("started_ms", record.startedAt)
         .write();
+    // A new start ended it for good, unlike one that is only not listed for a while.
+    if (const auto found = m_upstreams.find(former); found != m_upstreams.end())
+        found->second.record.draining = true;
     remove(former);
     m_left[former] = m_time.now();
 }
@@ -283,7 +286,12 @@
 void upstream_directory::markDraining(const std::string &id)
 {
     const upstream *known = find(id);
-    if (!known || known->record.draining)
+    if (!known) {
+        m_left[id] = m_time.now(); // its row may arrive later than what another node tells
+        forgetLeft();
+        return;
+    }
+    if (known->record.draining)
         return;
     upstream_record drained = known->record;
     drained.draining = true;
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -91,7 +91,8 @@
     /// Replaces all records, and removes the upstreams that are not in `records`.
     void replaceAll(const std::vector<upstream_record> &records);
 
-    /// Marks a known upstream as draining. It stays so, whatever later records state.
+    /// Marks an upstream as draining. It stays so, whatever later records state. One that is not listed is
+    /// not added for a while.
     void markDraining(const std::string &id);
 
     /// Returns the upstream, including a draining one, or null if it is unknown or was removed.
@@ -143,7 +144,8 @@
     /// table states. Logs what changed.
     void recordStatement(const std::string &id, const upstream_statement &statement);
 
-    /// Registers an observer that is called when an upstream starts draining or is removed.
+    /// Registers an observer that is called when an upstream starts draining or is removed. The record of one
+    /// that ended is draining; another one may be listed again.
     void onUnavailable(std::function<void(const upstream_record &)> observer);
 
 private:
--- a/services/edge/platform_tables.cpp
+++ b/services/edge/platform_tables.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
-/// Gossip fact that announces the newest configuration version, and the key prefix of facts that announce a
-/// draining upstream.
+/// Gossip fact that announces the newest configuration version, and the key prefixes of facts that announce a
+/// draining upstream, and whether the table listed an upstream at the version of the fact.
 constexpr const char *configuration_fact = "configuration";
 constexpr std::string_view draining_fact_prefix = "leaving/";
+constexpr std::string_view listing_fact_prefix = "listing/";
+constexpr const char *listed_value = "listed";
+constexpr const char *absent_value = "absent";
 
 /// When another node has announced a newer configuration, it normally arrives with the next changes. If it
 /// has not after `refresh_delay`, the table is refreshed at intervals until it arrives, up to
@@ -66,8 +69,14 @@
     m_peerServer.serve(adapter::wire::upstream_table, m_upstreamTable, m_upstreamTransfer);
     m_configuration.onResponse([this] { m_members.recordPlatformResponse(); });
     m_members.onFact([this](const membership::fact &update) { handleFact(update); });
+    // The draining of an incarnation is final; its absence from the table is not.
     m_upstreams.onUnavailable([this](const relay::upstream_record &each) {
-        m_members.publish({std::string(draining_fact_prefix) + each.id, 1, ""});
+        if (each.draining)
+            m_members.publish({std::string(draining_fact_prefix) + each.id, 1, ""});
+    });
+    m_upstreamRows.onListingChanged([this](const relay::upstream_listing &each) {
+        m_members.publish({std::string(listing_fact_prefix) + each.id, each.version,
+                           each.isListed ? listed_value : absent_value});
     });
     m_configuration.start();
     m_upstreamTable.start();
@@ -86,6 +95,9 @@
                       [this, version = update.version] { refreshUntil(version, max_refresh_attempts); });
     else if (update.key.starts_with(draining_fact_prefix))
         m_upstreams.markDraining(update.key.substr(draining_fact_prefix.size()));
+    else if (update.key.starts_with(listing_fact_prefix))
+        m_upstreamRows.applyListing(
+            {update.key.substr(listing_fact_prefix.size()), update.version, update.value == listed_value});
 }
 
 void platform_tables::refreshUntil(std::uint64_t version, int attempts)
