--- a/libraries/base/status_codes.h
+++ b/libraries/base/status_codes.h
@@ -12,6 +12,7 @@
 inline constexpr int status_forbidden = 403;
 inline constexpr int status_not_found = 404;
 inline constexpr int status_method_not_allowed = 405;
+inline constexpr int status_request_timeout = 408;
 inline constexpr int status_conflict = 409;
 inline constexpr int status_gone = 410;
 inline constexpr int status_precondition_failed = 412;
@@ -23,4 +24,12 @@
 inline constexpr int status_service_unavailable = 503;
 inline constexpr int status_gateway_timeout = 504;
 
+/// Returns whether callers take an answer with this status for the promise that their request was not
+/// processed and never will be, so that they may send it again.
+constexpr bool promisesNotProcessed(int status)
+{
+    return status == status_request_timeout || status == status_misdirected
+        || status == status_too_many_requests || status == status_service_unavailable;
+}
+
 } // namespace ivypier
--- a/libraries/relay/answer_delivery.cpp
+++ b/libraries/relay/answer_delivery.cpp
@@ -1,5 +1,7 @@
 #include "relay/answer_delivery.h"
 
+#include "base/status_codes.h"
+
 #include <array>
 #include <cstdio>
 
@@ -100,6 +102,10 @@
 
 int answer_delivery::sendKept()
 {
+    if (promisesNotProcessed(m_head->status)) {
+        sendOwn(status_bad_gateway);
+        return status_bad_gateway;
+    }
     m_caller->send(m_head->status, m_environment.protocol.answerFields(*m_head), m_body);
     return m_head->status;
 }
--- a/libraries/relay/answer_delivery.h
+++ b/libraries/relay/answer_delivery.h
@@ -53,7 +53,14 @@
     /// Has the stream go on with the next event from another upstream.
     void restartStream();
 
-    /// Sends the answer that was kept, and returns its status.
+    /// Returns the status of the answer that is kept.
+    int keptStatus() const
+    {
+        return m_head->status;
+    }
+
+    /// Sends the answer that was kept, and returns the status that was sent. An answer whose status promises
+    /// that the call was not processed is replaced: the upstream didn't state that, so it may have run.
     int sendKept();
 
     void finishStream();
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -532,7 +532,20 @@
                                   m_attempt->answerEndsWithConnection);
     }
     endAttempt(false);
-    complete(m_answer.sendKept(), "answered");
+    sendKeptAnswer();
+}
+
+void relayed_call::sendKeptAnswer()
+{
+    const int received = m_answer.keptStatus();
+    const int sent = m_answer.sendKept();
+    if (sent != received)
+        log_event(log_level::warning, "call.status_withheld")
+            .with("request", m_call.id)
+            .with("upstream", upstreamId())
+            .with("status", static_cast<std::int64_t>(received))
+            .write();
+    complete(sent, sent == received ? "answered" : "status_withheld");
 }
 
 const char *relayed_call::endFault() const
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -80,6 +80,7 @@
     void handleServedHead(http::response_head head);
     void handleFailedHead(http::response_head head, bool asksToWait);
     void handleUnusableAnswer(const char *reason);
+    void sendKeptAnswer();
     void onAnswerDropped();
     void recordEvents();
     void endBrokenStream();
--- a/libraries/requests/attempt_runner.cpp
+++ b/libraries/requests/attempt_runner.cpp
@@ -328,7 +328,10 @@
     if (!isCurrent(*record, attempt))
         return;
     endAttempt(*record, routing::attempt_result::answered);
-    final_answer result{.outcome = request_outcome::answered, .status = answer.value().status};
+    // The service has run the request; with some statuses a caller would take it for not run.
+    const int received = answer.value().status;
+    final_answer result{.outcome = request_outcome::answered,
+                        .status = promisesNotProcessed(received) ? status_bad_gateway : received};
     result.contentType = answer.value().header("Content-Type");
     result.body = answer.value().body;
     result.servedBy = record->attempt.target.name;
--- a/libraries/requests/tests/attempt_runner_test.cpp
+++ b/libraries/requests/tests/attempt_runner_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace ivypier;
 using namespace ivypier::requests;
 
@@ -89,6 +91,19 @@
     }
 };
 
+/// Answers every call with one status.
+class answering_service final : public upstream::plain_service
+{
+public:
+    void call(const endpoint &, const upstream::plain_call &,
+              std::function<void(outcome<http::response>)> done) override
+    {
+        done(http::response{status, {}, "an answer"});
+    }
+
+    int status = 200;
+};
+
 class immediate_retry final : public admission::retry_policy
 {
 public:
@@ -226,3 +241,33 @@
     REQUIRE(test.engines.started.size() == 2);
     CHECK(test.engines.started[1].request.deliveredTokens == 2);
 }
+
+TEST_CASE("an answer of a service whose status promises that it was not processed gets another status")
+{
+    virtual_scheduler tasks;
+    metrics_registry metrics;
+    routing::least_dispatched_router router;
+    router.setCandidates({{"one", "orders", first_engine, "", "", 0.0}});
+    immediate_retry retries;
+    scripted_engines engines;
+    answering_service services;
+    recording_owner owner;
+    attempt_runner runner({tasks, metrics, router, retries, engines, services, owner, 1});
+    incoming_request request;
+    request.service.name = "orders";
+    request.service.kind = configuration::service_kind::plain;
+    request.timeout = std::chrono::seconds(60);
+    request.id = {1, 2, 1, "part"};
+    for (const auto &[received, sent] : std::map<int, int>{
+             {200, 200}, {404, 404}, {500, 500}, {408, 502}, {421, 502}, {429, 502}, {503, 502}}) {
+        INFO(received);
+        services.status = received;
+        const auto record
+            = std::make_shared<request_record>(request, dispatch_right(request.name(), 1, {}), tasks.now());
+        runner.dispatch(record);
+        REQUIRE_FALSE(owner.answers.empty());
+        CHECK(owner.answers.back().outcome == request_outcome::answered);
+        CHECK(owner.answers.back().status == sent);
+        CHECK(owner.answers.back().body == "an answer");
+    }
+}
