Test: a response without end from the platform or another node is dropped at its bound

They can't on the ways that were read: every client connection of a node has bounds on heads, framing and bodies (docs/design/hostile-input.md, whose table has three more ways). What was not covered by a test is the body of an answer that is fetched from the store, the cloud or another node: 16 MiB, both for short and for large responses.

--- a/libraries/http/tests/fetcher_test.cpp
+++ b/libraries/http/tests/fetcher_test.cpp
@@ -60,3 +60,27 @@
     CHECK(of.outcomes[0].error().code == error_code::timed_out);
     CHECK(of.outcomes[1].error().code == error_code::timed_out);
 }
+
+// Guards against a platform or node that sends a body without end: the node that called it would keep it all.
+TEST_CASE("a response without end is dropped at a bound, however it is fetched")
+{
+    const std::string piece(16 * 1024, 'x');
+    constexpr std::size_t bound = std::size_t{16} * 1024 * 1024;
+    const bool isLarge = GENERATE(false, true);
+    fetching of;
+    if (isLarge)
+        of.calls.sendForLargeResponse(server, {}, 600ms, of.completion());
+    else
+        of.calls.send(server, {}, 600ms, of.completion());
+    const auto exchange = of.transport.startedExchanges.front();
+    exchange->head(200, {});
+    std::size_t sent = 0;
+    while (exchange->isRunning() && sent < 4 * bound) {
+        exchange->body(piece);
+        sent += piece.size();
+        of.time.advance({});
+    }
+    CHECK(sent <= bound + 2 * piece.size());
+    REQUIRE(of.outcomes.size() == 1);
+    CHECK(of.outcomes[0].error().code == error_code::too_large);
+}
