--- a/libraries/relay/resumption_decision.h
+++ b/libraries/relay/resumption_decision.h
@@ -15,8 +15,8 @@
 struct resumption_decision
 {
     std::optional<stream_origin> origin; ///< the stream goes on at upstreams that fit it; not set: refused
-    std::string
-        knownBy; ///< `record`, `stored_record`, `only_version` or `selected_version`; empty if refused
+    /// `record`, `stored_record`, `only_version` or `selected_version`; empty if refused.
+    std::string knownBy;
     std::string reason; ///< of a refusal
     bool isFinal = false; ///< a later call would be refused, too
 
--- a/libraries/relay/version_register.cpp
+++ b/libraries/relay/version_register.cpp
@@ -91,6 +91,7 @@
     }
     state.row = decoded.value();
     state.rowVersion = row.version;
+    state.rowKnownAt = m_tasks.now();
     log_event(log_level::info, "versions.listed")
         .with("service", service)
         .with("versions", joined(state.row.versions))
@@ -262,14 +263,20 @@
         return {};
     const std::map<std::string, double> capacity = capacities(state, listed);
     const std::int64_t now = m_wallMilliseconds();
-    const std::int64_t retained = now + milliseconds(version_retention);
-    if (!state.row.slots.isEmpty())
-        return balancedSlots(state.row.slots, capacity, now, retained);
+    if (!state.row.slots.isEmpty()) {
+        // A move is confirmed by a row of its own: until this node has read the row of the move, none may
+        // know of it, for as long as the platform does not respond.
+        const bool isKnown = m_tasks.now() - state.rowKnownAt >= confirmation_delay;
+        const version_slots known = isKnown && state.row.era == m_table.era()
+            ? state.row.slots.confirmed(now + milliseconds(version_retention))
+            : state.row.slots;
+        return balancedSlots(known, capacity, now);
+    }
     if (isFirstRow)
         return version_slots::inProportion(capacity, 0);
     if (isSingleVersionProven(state))
         return version_slots::inProportion({{*state.row.versions.begin(), 1.0}}, 0);
-    return version_slots::inProportion(capacity, retained);
+    return version_slots::inProportion(capacity, version_slots::unconfirmed);
 }
 
 bool version_register::needsUpdate(const std::string &service, const service_state &state,
@@ -350,14 +357,20 @@
             row.versions.erase(each);
     }
     // After a restore of the table from an older copy, versions of streams that are in progress may be
-    // missing, as they may when a row is missing in a later era than the first.
-    if (row.era != m_table.era() || (!current && m_table.era() > 0))
+    // missing, as they may when a row is missing in a later era than the first. Nodes may follow slots of a
+    // row that was lost.
+    const bool isRestored = row.era != m_table.era() || (!current && m_table.era() > 0);
+    if (isRestored)
         row.completeFrom = now + milliseconds(version_retention);
     row.era = m_table.era();
     row.writtenAt = now;
     row.slots = slotsDue(state, row.versions, !current && m_table.era() == 0, holdsDuties);
+    if (isRestored)
+        row.slots = row.slots.withoutProof();
     if (!row.slots.isDividedAmong(row.versions))
         row.slots = {};
+    if (!row.slots.isEmpty() && row.encode().size() > max_row_bytes)
+        row.slots = version_slots::inProportion(capacities(state, row.versions), version_slots::unconfirmed);
     state.isWriting = true;
     m_table.write(keyOf(service), current ? current->version : 0, row.encode(),
                   [this, service](const outcome<cloud::table_row> &written) {
--- a/libraries/relay/version_register.h
+++ b/libraries/relay/version_register.h
@@ -47,6 +47,12 @@
     /// A version keeps its slots for this long after its last upstream stopped accepting calls.
     static constexpr duration abandoned_slots_delay = std::chrono::seconds(10);
 
+    /// Slots that moved are confirmed once this node has known of the move for this long, and has told the
+    /// others. They prove their version `version_retention` later.
+    static constexpr duration confirmation_delay = std::chrono::seconds(2);
+    /// Longest row with slots. Gossip carries up to 512 bytes, with the key of the row.
+    static constexpr std::size_t max_row_bytes = 400;
+
     /// `wallMilliseconds` returns the wall-clock time in milliseconds since 1970.
     version_register(scheduler &tasks, random_source &randomness, cloud::table_service &table,
                      const upstream_directory &upstreams, std::function<std::int64_t()> wallMilliseconds);
@@ -100,6 +106,7 @@
     {
         version_row row;
         std::uint64_t rowVersion = 0; ///< 0: no row is known
+        time_point rowKnownAt{}; ///< when this node learned of it
         bool isWriting = false;
         bool isReading = false; ///< a read for lookup requests is in progress
         time_point readStartedAt{};
--- a/libraries/relay/version_row.cpp
+++ b/libraries/relay/version_row.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Stands for `version_slots::unconfirmed` in a row.
+constexpr std::int64_t encoded_unconfirmed = -1;
+
 /// Returns the slots as arrays of the length of a run, the index of its version and, unless it is 0, the time
 /// from which it proves the version. Gossip carries the row, so it has to be short.
 Json::Value encodeSlots(const version_slots &slots, const std::set<std::string> &versions)
@@ -18,7 +21,9 @@
         Json::Value run(Json::arrayValue);
         run.append(Json::UInt64{each.length});
         run.append(Json::Int64{index});
-        if (each.provenFrom > 0)
+        if (each.provenFrom == version_slots::unconfirmed)
+            run.append(Json::Int64{encoded_unconfirmed});
+        else if (each.provenFrom > 0)
             run.append(Json::Int64{each.provenFrom});
         result.append(run);
     }
@@ -34,7 +39,9 @@
         if (!isRun || each[1U].asUInt64() >= versions.size())
             return error{error_code::invalid_argument, "a run of version slots is malformed"};
         const auto version = std::next(versions.begin(), static_cast<std::ptrdiff_t>(each[1U].asUInt64()));
-        runs.push_back({*version, each[0U].asUInt64(), each.size() > 2 ? each[2U].asInt64() : 0});
+        const std::int64_t provenFrom = each.size() > 2 ? each[2U].asInt64() : 0;
+        runs.push_back(
+            {*version, each[0U].asUInt64(), provenFrom < 0 ? version_slots::unconfirmed : provenFrom});
     }
     return runs.empty() ? outcome<version_slots>(version_slots{}) : version_slots::fromRuns(runs);
 }
--- a/libraries/relay/version_slots.cpp
+++ b/libraries/relay/version_slots.cpp
@@ -66,6 +66,28 @@
     return result;
 }
 
+version_slots version_slots::confirmed(std::int64_t provenFrom) const
+{
+    version_slots result = *this;
+    for (run &each : result.m_runs)
+        each.provenFrom = each.provenFrom == unconfirmed ? provenFrom : each.provenFrom;
+    return result.isEmpty() ? result : fromRuns(result.m_runs).value();
+}
+
+version_slots version_slots::withoutProof() const
+{
+    version_slots result = *this;
+    for (run &each : result.m_runs)
+        each.provenFrom = unconfirmed;
+    return result.isEmpty() ? result : fromRuns(result.m_runs).value();
+}
+
+bool version_slots::hasUnconfirmed() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(),
+                       [](const run &each) { return each.provenFrom == unconfirmed; });
+}
+
 bool version_slots::isDividedAmong(const std::set<std::string> &versions) const
 {
     return std::all_of(m_runs.begin(), m_runs.end(),
--- a/libraries/relay/version_slots.h
+++ b/libraries/relay/version_slots.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,6 +23,8 @@
 public:
     /// Number of slots, among which all streams are divided equally.
     static constexpr std::size_t slot_count = 64;
+    /// `provenFrom` of a slot whose move is not confirmed: the nodes may not know of it.
+    static constexpr std::int64_t unconfirmed = std::numeric_limits<std::int64_t>::max();
 
     /// Slots next to each other that have the same version.
     struct run
@@ -52,6 +55,14 @@
     {
         return m_runs.empty();
     }
+    /// Returns the slots with every unconfirmed one proving its version from this time on.
+    version_slots confirmed(std::int64_t provenFrom) const;
+
+    /// Returns the slots without any proof.
+    version_slots withoutProof() const;
+
+    bool hasUnconfirmed() const;
+
     /// Returns whether every slot has one of these versions.
     bool isDividedAmong(const std::set<std::string> &versions) const;
 
