--- a/libraries/relay/stream_origins.h
+++ b/libraries/relay/stream_origins.h
@@ -82,7 +82,7 @@
 /// Longest time that a lookup takes when a node does not reply.
 inline constexpr duration max_origin_lookup_time = std::chrono::milliseconds(200);
 
-/// How long a stored deviation may take before it counts as late.
+/// How long it may take to store a deviation before it counts as late.
 inline constexpr duration late_deviation_time = std::chrono::milliseconds(400);
 
 /// Longest time that a lookup of stored records takes when the platform does not respond. It takes up to
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -86,7 +86,7 @@
         .with("service", record.service)
         .with("started_ms", record.startedAt)
         .write();
-    // A new start ended it for good, unlike one that is only not listed for a while.
+    // The new start has ended it, so it can not be listed again.
     if (const auto found = m_upstreams.find(former); found != m_upstreams.end())
         found->second.record.draining = true;
     remove(former);
--- a/libraries/relay/upstream_rows.cpp
+++ b/libraries/relay/upstream_rows.cpp
@@ -64,7 +64,7 @@
         return m_lastRecords.erase(row.key) > 0;
     }
     const auto record = read(row);
-    // Another node that is behind may tell a row of before the absence.
+    // A node that is behind may tell a row that is older than the absence.
     if (record && m_listings.isAbsentSince(record->id, row.version))
         return false;
     cancelRemoval(row.key);
--- a/libraries/relay/version_register.h
+++ b/libraries/relay/version_register.h
@@ -48,7 +48,7 @@
     static constexpr duration abandoned_slots_delay = std::chrono::seconds(10);
 
     /// Slots that moved are confirmed once this node has known of the move for this long, and has told the
-    /// others. They prove their version `version_retention` later.
+    /// others of it. They prove their version `version_retention` later.
     static constexpr duration confirmation_delay = std::chrono::seconds(2);
     /// Longest row with slots. Gossip carries up to 512 bytes, with the key of the row.
     static constexpr std::size_t max_row_bytes = 400;
