--- a/libraries/fleet/permit_ledger.h
+++ b/libraries/fleet/permit_ledger.h
@@ -1,28 +1,40 @@
 #pragma once
 
-#include "base/clock.h"
 #include "base/random_source.h"
+#include "base/scheduler.h"
+#include "fleet/permit_bucket.h"
 #include "relay/call_permits.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 
 namespace ivypier::fleet {
 
+/// What a node was told of an upstream's limit.
+struct limit_statement
+{
+    double callsPerSecond = 0.0;
+    duration ago{}; ///< since the node was told
+
+    auto operator<=>(const limit_statement &) const = default;
+};
+
 /// Grants the permits of upstreams that stated a limit, on the one node that keeps the ledger of each.
 ///
-/// A token bucket refills at the stated rate. It starts empty, and at a reduced rate, when nobody asked for a
-/// while: another node may have kept the ledger until now, and may go on for nodes that do not know yet.
+/// A new call that gets no permit is refused at once. A continuation of a stream may queue: those that wait
+/// get their permits in the order in which they came, and one whose permit would come too late is refused at
+/// once.
 class permit_ledger
 {
 public:
-    /// Seconds of the rate that may be saved while nobody asks, beside one call.
-    static constexpr double saved_seconds = 0.25;
-    /// Time without requests after which another node may have kept the ledger meanwhile.
-    static constexpr duration handover_time = std::chrono::seconds(4);
-    /// Fraction of the rate that is granted for `handover_time`.
-    static constexpr double handover_share = 0.4;
+    using completion = relay::call_permits::completion;
+
+    /// Fraction of the rate that is granted while another node may keep the ledger for a part of the fleet.
+    static constexpr double divided_share = 0.4;
+    /// Longest time that a continuation waits for its permit.
+    static constexpr duration max_queue_time = std::chrono::seconds(3);
     /// The limit ends when this many answers in a row do not state it, and no node was told it for
     /// `statement_lifetime`: an upstream may state it in some of its answers only.
     static constexpr int answers_to_end = 4;
@@ -33,10 +45,30 @@
     /// Ledgers that nobody asked for this long are dropped.
     static constexpr duration idle_retention = std::chrono::seconds(60);
 
-    permit_ledger(const clock &time, random_source &randomness);
+    permit_ledger(scheduler &tasks, random_source &randomness);
+    ~permit_ledger();
+    permit_ledger(const permit_ledger &) = delete;
+    permit_ledger &operator=(const permit_ledger &) = delete;
+
+    bool contains(const std::string &upstream) const
+    {
+        return m_ledgers.contains(upstream);
+    }
 
-    /// Decides on a request by a node that was last told the limit `statedAgo`.
-    relay::permit_decision request(const std::string &upstream, double callsPerSecond, duration statedAgo);
+    /// Opens the ledger of an upstream to which the nodes sent these calls lately, or brings an older one up
+    /// to date: another node may have kept it meanwhile.
+    void open(const std::string &upstream, const limit_statement &statement, const sent_counts &sent);
+
+    /// Grants a part of the rate only, or again the whole.
+    void setDivided(const std::string &upstream, bool isDivided);
+
+    /// Decides on a request of a node that was told this limit; the ledger must be open. Calls `done` once,
+    /// before it returns or when the permit is granted or refused later.
+    relay::permit_request_id request(const std::string &upstream, const limit_statement &statement,
+                                     const relay::permit_request &details, completion done);
+
+    /// Removes a request from the queue.
+    void withdraw(const std::string &upstream, relay::permit_request_id id);
 
     /// Records that an answer stated the limit, or none.
     void recordAnswer(const std::string &upstream, std::optional<double> callsPerSecond);
@@ -45,27 +77,46 @@
     std::optional<double> limit(const std::string &upstream) const;
 
 private:
-    struct bucket
+    struct queued_request
     {
-        double callsPerSecond = 0.0; ///< 0: the limit has ended
+        relay::permit_request_id id = 0;
+        time_point refusedAt{}; ///< unless it gets a permit before
+        completion done;
+    };
+    struct ledger
+    {
+        explicit ledger(const permit_bucket &opened)
+            : bucket(opened)
+        {
+        }
+
+        permit_bucket bucket;
+        bool isEnded = false; ///< the upstream states no limit any more
+        bool isDivided = false;
         time_point statedAt{}; ///< or, for an ended limit, when it ended
-        time_point keptSince{};
         time_point expectedAt{}; ///< last request, or the next one if the last was refused
-        time_point refilledAt{};
-        double permits = 0.0;
+        time_point decayedAt{};
         double recentRefusals = 0.0; ///< per second, smoothed
         int answersWithout = 0;
+        std::deque<queued_request> queue;
+        std::optional<timer_id> timer; ///< grants the next permit of the queue
     };
 
-    double rateOf(const bucket &of) const;
-    void refill(bucket &of) const;
-    relay::permit_decision refuse(bucket &of) const;
-    void startHandover(bucket &of) const;
+    static double shareOf(const ledger &of);
+    void refill(ledger &of) const;
+    void follow(ledger &of, const limit_statement &statement);
+    void setRate(ledger &of, double callsPerSecond);
+    bool isInTime(const ledger &of, const relay::permit_request &details) const;
+    /// Returns how long a continuation waits behind others.
+    duration queueTime(const ledger &of, std::size_t waiting) const;
+    relay::permit_decision refusal(ledger &of, duration next) const;
+    void serveQueue(const std::string &upstream);
     void forgetIdle();
 
-    const clock &m_time;
+    scheduler &m_tasks;
     random_source &m_random;
-    std::map<std::string, bucket> m_buckets;
+    std::map<std::string, ledger> m_ledgers;
+    relay::permit_request_id m_lastId = 0;
 };
 
 } // namespace ivypier::fleet
--- a/libraries/fleet/permit_message.cpp
+++ b/libraries/fleet/permit_message.cpp
@@ -3,7 +3,9 @@
 #include "membership/authenticated_datagram.h"
 #include "membership/packed_message.h"
 
+#include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace ivypier::fleet {
 
@@ -24,10 +26,31 @@
     bool isGranted = false;
     std::int64_t nextPermit = 0;
     std::int64_t returnAfter = 0;
+    bool isContinuation = false; ///< this and what follows is absent from messages of earlier builds
+    bool mayQueue = false;
+    std::int64_t patience = 0;
+    std::vector<std::uint32_t> sent;
+    std::string keeper;
     MSGPACK_DEFINE(version, kind, number, upstream, callsPerSecond, statedAgo, isGranted, nextPermit,
-                   returnAfter)
+                   returnAfter, isContinuation, mayQueue, patience, sent, keeper)
 };
 
+std::vector<std::uint32_t> countsOf(const permit_message &message)
+{
+    if (message.kind != permit_message_kind::report)
+        return {};
+    return {message.sent.begin(), message.sent.end()};
+}
+
+bool isValid(const wire_message &read)
+{
+    const bool isReport = read.kind == static_cast<std::uint8_t>(permit_message_kind::report);
+    return read.kind <= static_cast<std::uint8_t>(permit_message_kind::moved)
+        && std::isfinite(read.callsPerSecond) && read.callsPerSecond >= 0.0 && read.statedAgo >= 0
+        && read.nextPermit >= 0 && read.returnAfter >= 0 && read.patience >= 0
+        && read.sent.size() == (isReport ? sent_intervals : 0);
+}
+
 } // namespace
 
 std::string encodePermitMessage(const secret_key &fleetKey, const permit_message &message)
@@ -40,7 +63,12 @@
                             milliseconds(message.statedAgo),
                             message.isGranted,
                             milliseconds(message.nextPermit),
-                            milliseconds(message.returnAfter)};
+                            milliseconds(message.returnAfter),
+                            message.details.isContinuation,
+                            message.details.mayQueue,
+                            milliseconds(message.details.patience),
+                            countsOf(message),
+                            message.keeper};
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, wire);
     return membership::authenticateDatagram(fleetKey, authenticated_context, {buffer.data(), buffer.size()});
@@ -53,19 +81,21 @@
     if (!wire)
         return wire.error();
     wire_message &read = wire.value();
-    const bool isValid = read.kind <= static_cast<std::uint8_t>(permit_message_kind::answer)
-        && std::isfinite(read.callsPerSecond) && read.callsPerSecond >= 0.0 && read.statedAgo >= 0
-        && read.nextPermit >= 0 && read.returnAfter >= 0;
-    if (!isValid)
+    if (!isValid(read))
         return error{error_code::invalid_argument, "a field of a permit message is out of range"};
-    return permit_message{static_cast<permit_message_kind>(read.kind),
-                          read.number,
-                          std::move(read.upstream),
-                          read.callsPerSecond,
-                          std::chrono::milliseconds(read.statedAgo),
-                          read.isGranted,
-                          std::chrono::milliseconds(read.nextPermit),
-                          std::chrono::milliseconds(read.returnAfter)};
+    permit_message result{.kind = static_cast<permit_message_kind>(read.kind),
+                          .number = read.number,
+                          .upstream = std::move(read.upstream),
+                          .callsPerSecond = read.callsPerSecond,
+                          .statedAgo = std::chrono::milliseconds(read.statedAgo),
+                          .isGranted = read.isGranted,
+                          .nextPermit = std::chrono::milliseconds(read.nextPermit),
+                          .returnAfter = std::chrono::milliseconds(read.returnAfter),
+                          .details
+                          = {read.isContinuation, read.mayQueue, std::chrono::milliseconds(read.patience)},
+                          .keeper = std::move(read.keeper)};
+    std::copy(read.sent.begin(), read.sent.end(), result.sent.begin());
+    return result;
 }
 
 } // namespace ivypier::fleet
--- a/libraries/fleet/tests/shared_view.h
+++ b/libraries/fleet/tests/shared_view.h
@@ -60,6 +60,18 @@
     void lose(membership::incarnation id)
     {
         unseen.insert(id);
+        notify();
+    }
+
+    /// Takes these members for dead and no others, and tells those that follow the membership.
+    void setUnseen(std::set<membership::incarnation> ids)
+    {
+        unseen = std::move(ids);
+        notify();
+    }
+
+    void notify()
+    {
         for (const auto &each : m_handlers)
             each();
     }
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -6,6 +6,7 @@
 #include "relay/return_time.h"
 #include "relay/shared_prefix.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ivypier::relay {
@@ -16,6 +17,11 @@
 constexpr std::uint32_t max_attempts_per_call = 4;
 /// Minimum time left to start a retry; with less, it is unlikely to complete before the deadline.
 constexpr duration min_time_for_retry = std::chrono::milliseconds(40);
+/// Longest time that a continuation waits for a permit of a limited upstream: it has nowhere else to go.
+constexpr duration max_continuation_wait = std::chrono::seconds(3);
+/// Longest time that a new call waits for the decision on its permit, while the node that decides is
+/// replaced.
+constexpr duration max_new_call_wait = std::chrono::milliseconds(500);
 } // namespace
 
 relayed_call::relayed_call(call_environment &environment, std::shared_ptr<const route_table> table,
@@ -112,19 +118,41 @@
     }
     const upstream *chosen = m_choice->choose(m_serviceName, m_resumption->origin(), selectedVersion());
     if (!chosen) {
-        endWithoutUpstream();
+        if (!waitForPermit())
+            endWithoutUpstream();
         return;
     }
-    const std::string id = chosen->record.id;
+    constexpr bool mayQueue = false; // another upstream may have a permit at once
+    requestPermit(*chosen, mayQueue);
+}
+
+void relayed_call::requestPermit(const upstream &chosen, bool mayQueue)
+{
+    const std::string id = chosen.record.id;
     if (!m_environment.permits.isNeeded(id)) {
-        startAttemptOn(chosen->record);
+        startAttemptOn(chosen.record);
         return;
     }
-    m_environment.permits.request(id, [weak = weak_from_this(), id](const permit_decision &decision) {
-        const auto self = weak.lock();
-        if (self && !self->m_completed)
+    const bool isContinuation = m_resumption->origin().has_value();
+    const permit_request details{isContinuation, mayQueue, permitPatience()};
+    const auto isDecided = std::make_shared<bool>(false);
+    const permit_request_id request = m_environment.permits.request(
+        id, details, [weak = weak_from_this(), id, isDecided](const permit_decision &decision) {
+            *isDecided = true;
+            const auto self = weak.lock();
+            if (!self || self->m_completed)
+                return;
+            self->m_permitRequest.reset();
             self->onPermit(id, decision);
-    });
+        });
+    if (!*isDecided)
+        m_permitRequest = request;
+}
+
+duration relayed_call::permitPatience() const
+{
+    const duration longest = m_resumption->origin() ? max_continuation_wait : max_new_call_wait;
+    return std::clamp<duration>(timeLeft() - min_time_for_retry, duration::zero(), longest);
 }
 
 void relayed_call::onPermit(const std::string &id, const permit_decision &decision)
@@ -139,10 +167,27 @@
         startAttemptOn(chosen->record);
         return;
     }
-    m_choice->exclude(id, decision.isGranted ? std::nullopt : std::optional(decision.returnAfter));
+    if (decision.isGranted)
+        m_choice->exclude(id);
+    else if (m_resumption->origin())
+        m_choice->excludeUntilPermit(id, decision);
+    else
+        m_choice->exclude(id, decision.returnAfter);
     startAttempt();
 }
 
+bool relayed_call::waitForPermit()
+{
+    if (!m_resumption->origin())
+        return false;
+    const upstream *soonest = m_choice->takeSoonest(permitPatience());
+    if (!soonest)
+        return false;
+    constexpr bool mayQueue = true;
+    requestPermit(*soonest, mayQueue);
+    return true;
+}
+
 attempt relayed_call::attemptDetails(const upstream_record &to) const
 {
     attempt result{to.stableName(), accountName(), timeLeft(), std::nullopt, m_call.lastEvent};
@@ -672,6 +717,8 @@
     const auto alive = shared_from_this();
     if (m_timer)
         m_environment.tasks.cancel(*m_timer);
+    if (m_permitRequest)
+        m_environment.permits.withdraw(*m_permitRequest);
     const duration elapsed = m_environment.tasks.now() - m_call.receivedAt;
     const std::string routeName = m_admission.matched ? m_admission.matched->name : std::string("none");
     m_environment.metrics.add("ivypier_calls_total", {{"route", routeName}, {"outcome", reason}});
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -47,7 +47,13 @@
     void resumeStream();
     void setService(const std::string &service);
     void startAttempt();
+    /// Starts an attempt once there is a permit, if the upstream needs one.
+    void requestPermit(const upstream &chosen, bool mayQueue);
+    /// Returns how long the call can wait for the decision on a permit.
+    duration permitPatience() const;
     void onPermit(const std::string &id, const permit_decision &decision);
+    /// Has a continuation that got no permit wait for the next one. Returns false if none comes in time.
+    bool waitForPermit();
     void startAttemptOn(const upstream_record &chosen);
     /// Returns the version at which the stream has to begin, or nothing if any will do.
     std::optional<std::string> selectedVersion() const;
@@ -110,6 +116,7 @@
     std::unique_ptr<upstream_attempt> m_attempt; ///< the current or last one
     std::unique_ptr<attempt_evidence> m_evidence; ///< of the current or last attempt
     std::optional<timer_id> m_timer;
+    std::optional<permit_request_id> m_permitRequest; ///< that is not decided yet
     std::uint32_t m_possibleRuns = 0; ///< attempts whose upstream may have run the call
     std::uint32_t m_attemptCount = 0;
     bool m_mayHaveRun = false;
--- a/libraries/relay/tests/relay_fixture.h
+++ b/libraries/relay/tests/relay_fixture.h
@@ -66,12 +66,19 @@
     {
         return std::nullopt;
     }
-    void request(const std::string &upstream, completion done) override
+    permit_request_id request(const std::string &upstream, const permit_request &details,
+                              completion done) override
     {
+        requests.emplace_back(upstream, details);
         if (const auto waiting = pending.find(upstream); waiting != pending.end())
             waiting->second = std::move(done);
         else
             done(refused.at(upstream));
+        return requests.size();
+    }
+    void withdraw(permit_request_id id) override
+    {
+        withdrawn.push_back(requests.at(id - 1).first);
     }
     void recordAnswer(const std::string &upstream, std::optional<double> callsPerSecond) override
     {
@@ -81,6 +88,8 @@
     std::map<std::string, permit_decision> refused;
     std::map<std::string, completion> pending; ///< upstreams whose requests the test completes
     std::vector<std::pair<std::string, std::optional<double>>> answers;
+    std::vector<std::pair<std::string, permit_request>> requests;
+    std::vector<std::string> withdrawn; ///< upstreams of withdrawn requests
 };
 
 /// Holds the records that the test or the relay made.
--- a/libraries/relay/tests/resumption_under_load_test.cpp
+++ b/libraries/relay/tests/resumption_under_load_test.cpp
@@ -51,14 +51,18 @@
             return std::nullopt;
         return permit_decision{false, found->second - m_time.now()};
     }
-    void request(const std::string &upstream, completion done) override
+    permit_request_id request(const std::string &upstream, const permit_request &, completion done) override
     {
         if (const auto refusal = knownRefusal(upstream)) {
             done(*refusal);
-            return;
+            return 0;
         }
         m_nextAt[upstream] = m_time.now() + fromSeconds(1.0 / callsPerSecond);
         done({true, duration::zero()});
+        return 0;
+    }
+    void withdraw(permit_request_id) override
+    {
     }
     void recordAnswer(const std::string &, std::optional<double>) override
     {
--- a/libraries/relay/upstream_choice.cpp
+++ b/libraries/relay/upstream_choice.cpp
@@ -44,7 +44,8 @@
             continue;
         }
         const duration wait = each->waitLeft(m_environment.tasks.now());
-        const auto refusal = m_environment.permits.knownRefusal(each->record.id);
+        // Other calls' refusals say nothing about a continuation, for which permits are kept.
+        const auto refusal = origin ? std::nullopt : m_environment.permits.knownRefusal(each->record.id);
         if (wait == duration::zero() && !refusal)
             continue;
         exclude(each->record.id,
@@ -53,6 +54,31 @@
     }
 }
 
+void upstream_choice::excludeUntilPermit(const std::string &id, const permit_decision &refusal)
+{
+    exclude(id, refusal.returnAfter);
+    if (!m_waitedFor.contains(id))
+        m_permitsAt[id] = m_environment.tasks.now() + refusal.nextPermit;
+}
+
+const upstream *upstream_choice::takeSoonest(duration patience)
+{
+    const time_point latest = m_environment.tasks.now() + patience;
+    const upstream *soonest = nullptr;
+    for (const auto &[id, permitAt] : m_permitsAt) {
+        const upstream *each = m_environment.upstreams.find(id);
+        if (!each || each->record.draining || permitAt > latest)
+            continue;
+        if (!soonest || permitAt < m_permitsAt.at(soonest->record.id))
+            soonest = each;
+    }
+    if (soonest) {
+        m_permitsAt.erase(soonest->record.id);
+        m_waitedFor.insert(soonest->record.id);
+    }
+    return soonest;
+}
+
 void upstream_choice::recordSent(const std::string &id)
 {
     m_isSent = true;
--- a/libraries/relay/upstream_choice.h
+++ b/libraries/relay/upstream_choice.h
@@ -4,6 +4,7 @@
 #include "relay/stream_origin.h"
 #include "relay/version_reserve.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -42,6 +43,13 @@
     /// Records that an upstream was tried or does not take the call. `returnAfter`: when it may take calls.
     void exclude(const std::string &id, std::optional<duration> returnAfter = std::nullopt);
 
+    /// Records that the call got no permit for an upstream that it might wait for.
+    void excludeUntilPermit(const std::string &id, const permit_decision &refusal);
+
+    /// Returns the upstream that grants a permit soonest, of those excluded until then, or null if none does
+    /// within `patience`. Each is returned once.
+    const upstream *takeSoonest(duration patience);
+
     /// Returns when an upstream that takes no calls now may take them again, if one is known to.
     std::optional<duration> returnAfter() const
     {
@@ -70,6 +78,8 @@
     const call &m_call;
     const route &m_route;
     std::set<std::string> m_excluded;
+    std::map<std::string, time_point> m_permitsAt; ///< of the upstreams that may grant a permit later
+    std::set<std::string> m_waitedFor; ///< upstreams that takeSoonest() has returned
     std::optional<duration> m_returnAfter;
     std::optional<delivery::version_filter> m_admitted; ///< by the gate, for the first attempt
     std::string m_admittedService;
