--- a/libraries/http/byte_stream.h
+++ b/libraries/http/byte_stream.h
@@ -34,6 +34,11 @@
     /// Reads up to `maxBytes` available bytes without blocking. Fails with `would_block` if there are none.
     virtual std::size_t readSome(char *to, std::size_t maxBytes, failure_code &failure) = 0;
 
+    /// Returns whether the peer is known to have ended its side of the connection in order, once readSome()
+    /// has failed with `eof`. If not, the connection is closed, and was reset unless the end came before the
+    /// reset: a pending write fails with `broken_pipe` in that case, else with the error of the connection.
+    virtual bool isEndInOrder() = 0;
+
     /// Writes all of `bytes`, which must stay valid until `done` is called.
     virtual void write(std::string_view bytes, write_handler done) = 0;
 
--- a/libraries/http/plain_stream.cpp
+++ b/libraries/http/plain_stream.cpp
@@ -45,6 +45,11 @@
         return m_socket.read_some(boost::asio::buffer(to, maxBytes), failure);
     }
 
+    bool isEndInOrder() override
+    {
+        return !isConnectionClosed(m_socket);
+    }
+
     void write(std::string_view bytes, write_handler done) override
     {
         boost::asio::async_write(m_socket, boost::asio::buffer(bytes), std::move(done));
--- a/libraries/http/pooled_connection.cpp
+++ b/libraries/http/pooled_connection.cpp
@@ -59,6 +59,8 @@
     m_unmatchedResponses = m_interimResponses = 0;
     m_skippedBodyBytes = 0;
     m_skippingResponse = m_headDelivered = m_paused = m_hasTrailingBytes = false;
+    m_writeFailure.clear();
+    m_finishesAfterWrite = false;
     m_unparsed.clear();
     m_parser.emplace(response_parser::limits{max_header_bytes, max_body_bytes});
     if (m_options.isHeadRequest)
@@ -100,10 +102,16 @@
         [self = shared_from_this()](const boost::system::error_code &failure, std::size_t written) {
             self->m_writing = false;
             self->m_unsentRequest.clear();
+            self->m_writeFailure = failure;
             if (!self->m_open)
                 return;
+            if (std::exchange(self->m_finishesAfterWrite, false) && self->m_observer && !self->m_paused) {
+                self->finishAtEnd();
+                return;
+            }
             // The server may have responded to what was sent before the write failed. The pending read
-            // reports the response or the failure.
+            // reports the response; a reset it reports as the end of the stream, since the socket tells an
+            // error only once.
             if (!failure || written > 0 || self->m_stage != exchange_stage::sent)
                 return;
             self->m_stage = exchange_stage::not_sent;
@@ -139,9 +147,9 @@
         close();
         return;
     }
-    if (problem == boost::asio::error::eof && m_headDelivered && !m_skippingResponse && m_parser->endsAtEof()
-        && m_parser->end()) {
-        finish();
+    if (problem == boost::asio::error::eof && m_headDelivered && !m_skippingResponse
+        && m_parser->endsAtEof()) {
+        finishAtEnd();
         return;
     }
     if (problem) {
@@ -238,6 +246,22 @@
     return m_open && m_observer != nullptr;
 }
 
+void pooled_connection::finishAtEnd()
+{
+    const bool isKnown = m_writeFailure || m_stream->isEndInOrder();
+    if (!isKnown && m_writing) {
+        m_finishesAfterWrite = true; // the connection is closed, so the write ends at once
+        return;
+    }
+    const bool isReset = m_writeFailure && m_writeFailure != boost::asio::error::broken_pipe;
+    if (isReset)
+        fail("the response broke off: " + m_writeFailure.message());
+    else if (m_parser->end())
+        finish();
+    else
+        fail("the response ended too early");
+}
+
 void pooled_connection::finish()
 {
     const auto alive = shared_from_this();
--- a/libraries/http/pooled_connection.h
+++ b/libraries/http/pooled_connection.h
@@ -54,6 +54,8 @@
     void parseInput(std::string_view bytes);
     bool isSkippedTooMuch(std::size_t bodyBytes);
     bool handleHead();
+    /// Ends an exchange whose response ends with the connection.
+    void finishAtEnd();
     void finish();
     void fail(const std::string &reason);
 
@@ -78,6 +80,8 @@
     bool m_headDelivered = false;
     bool m_connected = false;
     bool m_writing = false;
+    boost::system::error_code m_writeFailure; ///< of the request
+    bool m_finishesAfterWrite = false; ///< the end was read; how the write fails tells whether it was a reset
     bool m_waitingForInput = false;
     bool m_paused = false;
     bool m_hasTrailingBytes = false; ///< received bytes beyond the end of the response
--- a/libraries/http/socket_options.cpp
+++ b/libraries/http/socket_options.cpp
@@ -33,4 +33,13 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
 }
 
+bool isConnectionClosed(boost::asio::ip::tcp::socket &socket)
+{
+    tcp_info state{};
+    socklen_t size = sizeof(state);
+    if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &state, &size) != 0)
+        return true;
+    return state.tcpi_state == TCP_CLOSE;
+}
+
 } // namespace ivypier::http
--- a/libraries/http/socket_options.h
+++ b/libraries/http/socket_options.h
@@ -9,4 +9,8 @@
 /// is idle.
 void configureSocket(boost::asio::ip::tcp::socket &socket);
 
+/// Returns whether the connection is closed in both directions, by a reset at the latest. After the end of
+/// the peer's side alone it is still open.
+bool isConnectionClosed(boost::asio::ip::tcp::socket &socket);
+
 } // namespace ivypier::http
--- a/libraries/http/tls_stream.cpp
+++ b/libraries/http/tls_stream.cpp
@@ -76,6 +76,11 @@
         return size;
     }
 
+    bool isEndInOrder() override
+    {
+        return true; // an end without close_notify is reported as `stream_truncated`
+    }
+
     void write(std::string_view bytes, write_handler done) override
     {
         boost::asio::async_write(m_state->stream, boost::asio::buffer(bytes),
--- a/tests/support/raw_peer.h
+++ b/tests/support/raw_peer.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <string>
@@ -97,6 +98,18 @@
         return text;
     }
 
+    /// Reads and discards this many bytes.
+    void receive(std::size_t bytes)
+    {
+        std::string buffer(std::size_t{64} * 1024, '\0');
+        while (bytes > 0) {
+            const ssize_t received = recv(m_socket, buffer.data(), std::min(bytes, buffer.size()), 0);
+            if (received <= 0)
+                return;
+            bytes -= static_cast<std::size_t>(received);
+        }
+    }
+
     std::string readAll()
     {
         std::string text;
@@ -106,6 +119,20 @@
         return text;
     }
 
+    /// Ends the sending direction. The peer reads the end of the stream, and may go on sending.
+    void endSending()
+    {
+        shutdown(m_socket, SHUT_WR);
+    }
+
+    /// Closes the connection with a reset.
+    void reset()
+    {
+        const linger immediately{1, 0};
+        setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+        close();
+    }
+
     void close()
     {
         if (m_socket >= 0)
