A streamed response to a caller of HTTP/1.0 ends with the connection

Change: such a body ends with the connection, and a response that is dropped before its end, or whose process ends, resets it: its end must not look like the end of the body. Over TLS a whole one ends with close_notify, a dropped one without.

--- a/libraries/http/byte_stream.h
+++ b/libraries/http/byte_stream.h
@@ -42,6 +42,13 @@
     /// Writes all of `bytes`, which must stay valid until `done` is called.
     virtual void write(std::string_view bytes, write_handler done) = 0;
 
+    /// Has the end of the connection show that what was written is incomplete, however it comes about, until
+    /// closeInOrder() is called.
+    virtual void markIncomplete() = 0;
+
+    /// Closes the connection so that the peer can tell that it has received all.
+    virtual void closeInOrder() = 0;
+
     virtual void close() = 0;
 };
 
--- a/libraries/http/listener_connection.cpp
+++ b/libraries/http/listener_connection.cpp
@@ -20,10 +20,12 @@
 class connection_reply final : public reply
 {
 public:
-    connection_reply(std::shared_ptr<listener_connection> connection, bool keep, bool isHeadRequest)
+    connection_reply(std::shared_ptr<listener_connection> connection, bool keep, bool isHeadRequest,
+                     bool isHttp10)
         : m_connection(std::move(connection))
         , m_keep(keep)
         , m_isHeadRequest(isHeadRequest)
+        , m_isHttp10(isHttp10)
     {
         m_connection->m_hasReply = true;
     }
@@ -49,6 +51,10 @@
 
     void begin(int status, const field_list &fields) override
     {
+        if (m_isHttp10) {
+            beginUntilEnd(status, fields);
+            return;
+        }
         std::string text = head(status, fields);
         appendField(text, "Transfer-Encoding", "chunked");
         m_connection->write(text.append("\r\n"));
@@ -58,6 +64,10 @@
     {
         if (data.empty() || m_isHeadRequest)
             return;
+        if (m_isHttp10) {
+            m_connection->write(std::string(data));
+            return;
+        }
         std::array<char, 20> size{};
         const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
         std::string text(size.data(), static_cast<std::size_t>(length));
@@ -67,7 +77,7 @@
 
     void finish() override
     {
-        if (!m_isHeadRequest)
+        if (!m_isHeadRequest && !m_isHttp10)
             m_connection->write("0\r\n\r\n");
         m_ended = true;
     }
@@ -88,6 +98,15 @@
     }
 
 private:
+    /// Starts a response whose body ends with the connection.
+    void beginUntilEnd(int status, const field_list &fields)
+    {
+        m_keep = false;
+        m_connection->m_bodyEndsWithConnection = true;
+        m_connection->m_stream->markIncomplete();
+        m_connection->write(head(status, fields).append("\r\n"));
+    }
+
     std::string head(int status, const field_list &fields)
     {
         std::string text
@@ -104,6 +123,7 @@
     std::shared_ptr<listener_connection> m_connection;
     bool m_keep;
     bool m_isHeadRequest;
+    bool m_isHttp10;
     bool m_ended = false;
 };
 
@@ -195,10 +215,12 @@
     m_phase = phase::responding;
     incoming_request incoming{m_parser->takeHead(), m_parser->takeBody(), bootClockNow()};
     const bool keep = m_parser->keepsAlive();
+    const bool isHttp10 = m_parser->isHttp10();
     m_parser.reset();
     const bool isHeadRequest = incoming.head.method == "HEAD";
-    m_context->requests(std::move(incoming),
-                        std::make_shared<connection_reply>(shared_from_this(), keep, isHeadRequest));
+    m_context->requests(
+        std::move(incoming),
+        std::make_shared<connection_reply>(shared_from_this(), keep, isHeadRequest, isHttp10));
 }
 
 void listener_connection::rejectRequest(const error &failure)
@@ -231,7 +253,9 @@
     if (!m_open || m_flushPending)
         return;
     if (m_output.empty()) {
-        if (m_closeWhenSent)
+        if (m_closeWhenSent && m_bodyEndsWithConnection && m_isComplete)
+            endInOrder();
+        else if (m_closeWhenSent)
             close();
         return;
     }
@@ -262,7 +286,8 @@
         return;
     if (!complete || !keep) {
         // Sends the remaining output, then closes the connection; no further request is parsed. A dropped
-        // response lacks its last chunk, so the caller can tell that it is incomplete.
+        // response lacks its last chunk, or ends with a reset, so the caller can tell that it is incomplete.
+        m_isComplete = complete;
         m_phase = phase::responding;
         m_phaseSince = bootClockNow();
         m_closeWhenSent = true;
@@ -293,6 +318,19 @@
     if (!std::exchange(m_open, false))
         return;
     m_stream->close();
+    onClosed();
+}
+
+void listener_connection::endInOrder()
+{
+    if (!std::exchange(m_open, false))
+        return;
+    m_stream->closeInOrder();
+    onClosed();
+}
+
+void listener_connection::onClosed()
+{
     m_onSent = nullptr;
     if (const auto observer = std::exchange(m_onClosed, nullptr))
         observer();
--- a/libraries/http/listener_connection.h
+++ b/libraries/http/listener_connection.h
@@ -73,6 +73,8 @@
     void flush();
     void onWritten(const boost::system::error_code &failure);
     void onResponseEnded(bool complete, bool keep);
+    void endInOrder();
+    void onClosed();
 
     boost::asio::any_io_executor m_executor;
     std::unique_ptr<byte_stream> m_stream;
@@ -86,6 +88,8 @@
     bool m_open = true;
     bool m_waitingForInput = false;
     bool m_closeWhenSent = false;
+    bool m_bodyEndsWithConnection = false; ///< of the current response
+    bool m_isComplete = false; ///< the last response on this connection was written whole
     bool m_hasReply = false; ///< the handler holds the reply object of a request
     bool m_flushPending = false;
     std::function<void()> m_onSent;
--- a/libraries/http/message_parser.cpp
+++ b/libraries/http/message_parser.cpp
@@ -61,6 +61,7 @@
     if constexpr (IsRequest) {
         m_head.method.assign(method.data(), method.size());
         m_head.target.assign(target.data(), target.size());
+        m_version = version;
         if (version != 11 && version != 10)
             failure = beast::error::bad_version;
     }
--- a/libraries/http/message_parser.h
+++ b/libraries/http/message_parser.h
@@ -74,6 +74,13 @@
         return base::chunked();
     }
 
+    /// Returns whether the peer speaks HTTP/1.0, which has no chunked transfer coding.
+    bool isHttp10() const
+    {
+        constexpr int http10 = 10;
+        return m_version == http10;
+    }
+
     /// Tells the parser that the message has no body, as in a response to HEAD.
     void expectNoBody()
     {
@@ -121,6 +128,7 @@
     std::size_t m_bodyBytes = 0; ///< total number of bytes of the body
     std::size_t m_framingBytes = 0; ///< total number of bytes of chunk headers and trailers
     bool m_bodyTooLarge = false;
+    int m_version = 0; ///< ten times the version of HTTP
 };
 
 extern template class message_parser<true>;
--- a/libraries/http/plain_stream.cpp
+++ b/libraries/http/plain_stream.cpp
@@ -55,10 +55,22 @@
         boost::asio::async_write(m_socket, boost::asio::buffer(bytes), std::move(done));
     }
 
+    void markIncomplete() override
+    {
+        setResetsOnClose(true);
+    }
+
+    void closeInOrder() override
+    {
+        setResetsOnClose(false);
+        close();
+    }
+
     void close() override
     {
         failure_code ignored;
-        m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+        if (!m_resetsOnClose)
+            m_socket.shutdown(tcp::socket::shutdown_both, ignored);
         m_socket.close(ignored);
     }
 
@@ -70,7 +82,17 @@
         m_socket.non_blocking(true, ignored);
     }
 
+    /// The operating system resets the connection as well when it closes the sockets of a process that ends.
+    void setResetsOnClose(bool resets)
+    {
+        constexpr int immediately = 0;
+        failure_code ignored;
+        m_socket.set_option(boost::asio::socket_base::linger(resets, immediately), ignored);
+        m_resetsOnClose = resets;
+    }
+
     tcp::socket m_socket;
+    bool m_resetsOnClose = false;
 };
 
 } // namespace
--- a/libraries/http/tests/listener_test.cpp
+++ b/libraries/http/tests/listener_test.cpp
@@ -175,3 +175,61 @@
     CHECK(rest.find(last) != std::string::npos);
     CHECK(rest.ends_with("0\r\n\r\n"));
 }
+
+namespace {
+
+/// Sends a part of a body, and the end of the response if `isWhole`.
+http::listener::handler streamingHandler(bool isWhole)
+{
+    return [isWhole](const auto &, const std::shared_ptr<http::reply> &replyWriter) {
+        replyWriter->begin(200, {{"Content-Type", "text/plain"}});
+        replyWriter->write("part");
+        if (isWhole)
+            replyWriter->finish();
+    };
+}
+
+constexpr std::string_view http10_request = "GET /x HTTP/1.0\r\nHost: a\r\n\r\n";
+
+} // namespace
+
+// Guards against chunk headers that a caller without the chunked coding takes for the body.
+TEST_CASE("a streamed response to a caller of HTTP/1.0 ends with the connection")
+{
+    listener_fixture server(streamingHandler(true));
+    raw_peer caller = raw_peer::connectTo(server.address);
+    caller.send(http10_request);
+    const std::string response = caller.readAll();
+    CHECK(response.find("Transfer-Encoding") == std::string::npos);
+    CHECK(response.find("Connection: close\r\n") != std::string::npos);
+    CHECK(response.ends_with("\r\n\r\npart"));
+    CHECK_FALSE(caller.wasReset());
+}
+
+// Guards against a part of a response that a caller of HTTP/1.0 takes for the whole.
+TEST_CASE("a response to a caller of HTTP/1.0 that is dropped before its end is reset")
+{
+    listener_fixture server(streamingHandler(false));
+    raw_peer caller = raw_peer::connectTo(server.address);
+    caller.send(http10_request);
+    caller.readAll();
+    CHECK(caller.wasReset());
+}
+
+TEST_CASE("a response to a caller of HTTP/1.0 is reset when its listener is closed before the end")
+{
+    std::shared_ptr<http::reply> kept;
+    auto server = std::make_unique<listener_fixture>(
+        [&](const auto &, const std::shared_ptr<http::reply> &replyWriter) {
+            replyWriter->begin(200, {});
+            replyWriter->write("part");
+            kept = replyWriter;
+        });
+    raw_peer caller = raw_peer::connectTo(server->address);
+    caller.send(http10_request);
+    caller.readUntil("part");
+    server->thread.run([&] { kept.reset(); });
+    caller.readAll();
+    CHECK(caller.wasReset());
+    server.reset();
+}
--- a/libraries/http/tls_stream.cpp
+++ b/libraries/http/tls_stream.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -15,6 +16,8 @@
 using tcp = boost::asio::ip::tcp;
 using tls_context = boost::asio::ssl::context;
 
+/// How long the peer may take to reply to close_notify.
+constexpr std::chrono::seconds shutdown_time(1);
 constexpr std::size_t read_buffer_size = std::size_t{16} * 1024;
 
 class tls_stream final : public byte_stream
@@ -88,12 +91,22 @@
                                      const failure_code &failed, std::size_t size) { done(failed, size); });
     }
 
+    void markIncomplete() override
+    {
+        // An end without close_notify shows it.
+    }
+
+    void closeInOrder() override
+    {
+        m_state->shutdownTimer.expires_after(shutdown_time);
+        m_state->shutdownTimer.async_wait([state = m_state](const failure_code &) { state->close(); });
+        m_state->stream.async_shutdown([state = m_state](const failure_code &) { state->close(); });
+    }
+
     void close() override
     {
         // No TLS shutdown handshake: the HTTP framing shows whether a response is complete.
-        failure_code ignored;
-        m_state->stream.next_layer().shutdown(tcp::socket::shutdown_both, ignored);
-        m_state->stream.next_layer().close(ignored);
+        m_state->close();
     }
 
 private:
@@ -102,10 +115,20 @@
     {
         state(boost::asio::io_context &context, tls_context &tlsContext)
             : stream(context, tlsContext)
+            , shutdownTimer(context)
+        {
+        }
+
+        void close()
         {
+            failure_code ignored;
+            shutdownTimer.cancel();
+            stream.next_layer().shutdown(tcp::socket::shutdown_both, ignored);
+            stream.next_layer().close(ignored);
         }
 
         boost::asio::ssl::stream<tcp::socket> stream;
+        boost::asio::steady_timer shutdownTimer;
         std::array<char, read_buffer_size> buffer{};
         std::size_t readOffset = 0; ///< start of the unread bytes in the buffer
         std::size_t readEnd = 0;
--- a/tests/support/raw_peer.h
+++ b/tests/support/raw_peer.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <string>
 #include <string_view>
@@ -114,11 +115,19 @@
     {
         std::string text;
         char byte = 0;
-        while (recv(m_socket, &byte, 1, 0) == 1)
+        ssize_t received = 0;
+        while ((received = recv(m_socket, &byte, 1, 0)) == 1)
             text += byte;
+        m_wasReset = received < 0 && errno == ECONNRESET;
         return text;
     }
 
+    /// Returns whether readAll() ended with a reset of the connection.
+    bool wasReset() const
+    {
+        return m_wasReset;
+    }
+
     /// Ends the sending direction. The peer reads the end of the stream, and may go on sending.
     void endSending()
     {
@@ -157,6 +166,7 @@
     }
 
     int m_socket = -1;
+    bool m_wasReset = false;
 };
 
 } // namespace ivypier
