A status outside the classes of HTTP is no answer (MIXED)

What callers saw: an upstream in trouble sends the status 000. It was skipped like an interim response, and an answer behind it on the connection was taken for the call's; 600 and 999 were passed on, 101 was skipped.

Cause: the head was judged by `status < 200` alone; between nodes `Forwarded-Status` took any number, also a negative one.

Change: 100 to 599 are statuses; 101 ends the exchange as well, since no request asks for another protocol. Anything else fails the exchange at the stage `sent`: the call may have run, its caller gets 502 without a promise.

--- a/libraries/http/message_parser.cpp
+++ b/libraries/http/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "http/message_parser.h"
 
+#include "base/status_codes.h"
+
 #include <algorithm>
 #include <boost/beast/http/error.hpp>
 
@@ -68,10 +70,14 @@
 }
 
 template <bool IsRequest>
-void message_parser<IsRequest>::on_response_impl([[maybe_unused]] int status, text, int, failure_code &)
+void message_parser<IsRequest>::on_response_impl([[maybe_unused]] int status, text, int,
+                                                 [[maybe_unused]] failure_code &failure)
 {
-    if constexpr (!IsRequest)
+    if constexpr (!IsRequest) {
         m_head.status = status;
+        if (!isResponseStatus(status))
+            failure = beast::error::bad_status;
+    }
 }
 
 template <bool IsRequest>
--- a/libraries/http/message_parser.h
+++ b/libraries/http/message_parser.h
@@ -21,7 +21,8 @@
 inline constexpr std::size_t framing_bytes_per_body_byte = 16;
 
 /// Incremental parser of one HTTP message. Rejects ambiguous framing: a Content-Length together with a
-/// Transfer-Encoding, two Content-Length fields, and any transfer coding other than `chunked`.
+/// Transfer-Encoding, two different lengths, and any transfer coding other than `chunked`; and responses with
+/// a status outside the classes of HTTP.
 template <bool IsRequest>
 class message_parser final : private boost::beast::http::basic_parser<IsRequest>
 {
--- a/libraries/http/pooled_connection.cpp
+++ b/libraries/http/pooled_connection.cpp
@@ -1,6 +1,8 @@
 #include "http/pooled_connection.h"
 
 #include "base/boot_clock.h"
+#include "base/status_codes.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -218,9 +220,12 @@
 
 bool pooled_connection::handleHead()
 {
-    constexpr int firstFinalStatus = 200;
     const response_head &head = m_parser->head();
-    if (head.status < firstFinalStatus) { // skip interim responses (1xx)
+    if (head.status == status_switching_protocols) {
+        fail("another protocol, which no request asks for");
+        return false;
+    }
+    if (isInterimStatus(head.status)) {
         if (++m_interimResponses > max_interim_responses) {
             fail("too many interim responses");
             return false;
--- a/libraries/relay/forwarded_call.cpp
+++ b/libraries/relay/forwarded_call.cpp
@@ -90,7 +90,8 @@
     const std::string_view status = response.fields.find(status_field);
     http::response_head result;
     const auto [end, failure] = std::from_chars(status.data(), status.data() + status.size(), result.status);
-    if (failure != std::errc() || end != status.data() + status.size())
+    const bool isNumber = failure == std::errc() && end == status.data() + status.size();
+    if (!isNumber || !isResponseStatus(result.status) || isInterimStatus(result.status))
         return std::nullopt;
     result.fields = response.fields;
     result.endsWithConnection = response.fields.find(end_field) == ends_with_connection;
--- a/libraries/relay/tests/forwarding_transport_test.cpp
+++ b/libraries/relay/tests/forwarding_transport_test.cpp
@@ -234,6 +234,21 @@
     CHECK(*decoded == http::response_head{200, {}});
 }
 
+// Guards against numbers that are no status, taken for the status of an upstream's answer.
+TEST_CASE(
+    "a node that forwards an answer with a number that is no final status has failed, and may have sent")
+{
+    for (const char *status :
+         {"0", "-200", "99", "100", "101", "199", "600", "2000", "99999999999", "200x", ""}) {
+        INFO(status);
+        const http::response_head response{200, {{"Forwarded-Status", status}}};
+        CHECK_FALSE(decodeForwardedHead(response));
+        CHECK(decodeForwardingFailure(response).failure.stage == http::exchange_stage::sent);
+    }
+    for (const int status : {200, 404, 599})
+        CHECK(decodeForwardedHead({200, encodeForwardedHead({status, {}})})->status == status);
+}
+
 TEST_CASE("a call is decoded as it was forwarded")
 {
     const forwarded_call sent{upstreamAddress(1), "id1", true, "HEAD / HTTP/1.1\r\n\r\n"};
