--- a/tests/support/raw_peer.h
+++ b/tests/support/raw_peer.h
@@ -128,6 +128,12 @@
         return m_wasReset;
     }
 
+    /// Sets the size of the receive buffers of connections that are accepted from now on.
+    void setReceiveBuffer(int bytes)
+    {
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
+
     /// Ends the sending direction. The peer reads the end of the stream, and may go on sending.
     void endSending()
     {
