--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -86,6 +86,7 @@
     boost::asio::io_context &context;
     std::map<endpoint, peer_connections> peers;
     pool_counts counts;
+    std::function<void(const endpoint &)> idleClosedObserver;
 };
 
 std::shared_ptr<pooled_connection> connection_pool::state::takeIdle(peer_connections &peer)
@@ -127,6 +128,8 @@
     std::erase(peer.idle, connection);
     --peer.open;
     --counts.open;
+    if (connection->wasClosedIdle() && idleClosedObserver)
+        tasks.post([observer = idleClosedObserver, address = connection->peer()] { observer(address); });
 }
 
 void connection_pool::state::sweep()
@@ -184,6 +187,11 @@
     return std::make_unique<pooled_exchange>(connection, exchangeId);
 }
 
+void connection_pool::onIdleClosed(std::function<void(const endpoint &)> observer)
+{
+    m_state->idleClosedObserver = std::move(observer);
+}
+
 pool_counts connection_pool::counts() const
 {
     return m_state->counts;
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -4,6 +4,8 @@
 #include "http/byte_stream.h"
 #include "http/exchange_transport.h"
 
+#include <functional>
+
 namespace ivypier::http {
 
 /// Connection counts of a pool. The totals cover the time since its creation.
@@ -30,6 +32,10 @@
 
     pool_counts counts() const;
 
+    /// Registers an observer that is called when a peer closes an idle connection that it was expected to
+    /// keep.
+    void onIdleClosed(std::function<void(const endpoint &)> observer);
+
 private:
     struct state;
     std::shared_ptr<state> m_state;
--- a/libraries/http/pooled_connection.cpp
+++ b/libraries/http/pooled_connection.cpp
@@ -146,6 +146,7 @@
         return;
     }
     if (!m_observer) { // idle: any input, even the end of the stream, makes the connection unusable
+        m_wasClosedIdle = static_cast<bool>(problem);
         close();
         return;
     }
--- a/libraries/http/pooled_connection.h
+++ b/libraries/http/pooled_connection.h
@@ -40,6 +40,12 @@
         return m_peer;
     }
 
+    /// Returns whether the peer closed the connection while it was idle, though it may have been reused.
+    bool wasClosedIdle() const
+    {
+        return m_wasClosedIdle;
+    }
+
     /// Returns the time from which an idle connection must not be reused.
     time_point usableUntil() const
     {
@@ -85,6 +91,7 @@
     bool m_waitingForInput = false;
     bool m_paused = false;
     bool m_hasTrailingBytes = false; ///< received bytes beyond the end of the response
+    bool m_wasClosedIdle = false;
     bool m_open = true;
 };
 
--- a/libraries/http/tests/connection_pool_test.cpp
+++ b/libraries/http/tests/connection_pool_test.cpp
@@ -161,6 +161,26 @@
     CHECK(connection.readAll().empty());
 }
 
+TEST_CASE("a peer that closes an idle connection is told to the observer, an exchange that ends is not")
+{
+    pool_fixture fixture(9018);
+    std::promise<endpoint> closed;
+    fixture.thread.run(
+        [&] { fixture.pool->onIdleClosed([&](const endpoint &peer) { closed.set_value(peer); }); });
+    collecting_observer answered;
+    auto exchange = fixture.start(answered);
+    raw_peer connection = fixture.upstream.accept();
+    connection.readUntil(head_end);
+    connection.send(makeResponse("one"));
+    CHECK_FALSE(answered.result());
+    std::future<endpoint> told = closed.get_future();
+    CHECK(told.wait_for(50ms) == std::future_status::timeout);
+    connection.close();
+    REQUIRE(told.wait_for(10s) == std::future_status::ready);
+    CHECK(told.get() == fixture.address);
+    fixture.end(exchange);
+}
+
 TEST_CASE("a response to another request is skipped")
 {
     pool_fixture fixture(9005);
--- a/libraries/membership/membership_view.h
+++ b/libraries/membership/membership_view.h
@@ -15,12 +15,12 @@
 /// Each version of a key has only one writer. Facts expire an hour after they were published, except
 /// `configuration`; one that must last longer has to be published again with a greater version. Keys in use:
 /// `configuration` (the newest head), `leaving/<upstream address>`, `listing/<upstream>` (whether the table
-/// listed it, by the version of the table), `witness/<incarnation>` (its successor),
-/// `epoch/<incarnation>` (the version is the epoch of its tickets), `share/<account>/<node>` (limit shares),
-/// `domain/<region>/<failure domain>` (a domain_summary), `versions/<service>` (the row of its software
-/// versions, by the version of the row), `rollout/<service>` (the newest statement on its rollout),
-/// `rollout-stop/<service>` (an operator's wish to stop it; the version is that of the order), `path/<node>`
-/// (whether the node reaches the upstreams itself).
+/// listed it, by the version of the table), `ended/<upstream>` (its process ended), `witness/<incarnation>`
+/// (its successor), `epoch/<incarnation>` (the version is the epoch of its tickets), `share/<account>/<node>`
+/// (limit shares), `domain/<region>/<failure domain>` (a domain_summary), `versions/<service>` (the row of
+/// its software versions, by the version of the row), `rollout/<service>` (the newest statement on its
+/// rollout), `rollout-stop/<service>` (an operator's wish to stop it; the version is that of the order),
+/// `path/<node>` (whether the node reaches the upstreams itself).
 struct fact
 {
     std::string key;
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -203,6 +203,8 @@
 void relayed_call::startAttemptOn(const upstream_record &chosen)
 {
     m_choice->recordSent(chosen.id);
+    const upstream *listed = m_environment.upstreams.find(chosen.id);
+    m_isAtUnconfirmed = listed && listed->isUnconfirmed();
     if (++m_attemptCount == 1)
         m_environment.retries.recordFirstAttempt(m_serviceName);
     if (m_call.size)
@@ -542,10 +544,17 @@
         m_suspicion->recordSurvival(beganAt);
     const event_scanner &events = *m_answer.events();
     if (!m_resumption->origin() && events.lastEvent() && !events.hasGap() && !events.isBroken())
-        m_resumption->record({m_serviceName, m_attempt->to().softwareVersion, upstreamId()},
+        m_resumption->record({m_serviceName, knownSoftwareVersion(), upstreamId()},
                              m_admission.matched->kind == call_kind::resumable_stream);
 }
 
+std::string relayed_call::knownSoftwareVersion() const
+{
+    const upstream *at = m_environment.upstreams.find(upstreamId());
+    const bool isUnconfirmed = m_isAtUnconfirmed || (at && at->isUnconfirmed());
+    return isUnconfirmed ? std::string() : m_attempt->to().softwareVersion;
+}
+
 void relayed_call::endBrokenStream()
 {
     const bool hasGap = m_answer.events()->hasGap();
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -89,6 +89,9 @@
     void sendKeptAnswer();
     void onAnswerDropped();
     void recordEvents();
+    /// Returns the software version of the upstream that runs the call, or an empty string if it is not
+    /// known.
+    std::string knownSoftwareVersion() const;
     void endBrokenStream();
     /// Returns why the end of an answer is not the end of the stream, or null if it is.
     const char *endFault() const;
@@ -121,6 +124,7 @@
     std::uint32_t m_attemptCount = 0;
     bool m_mayHaveRun = false;
     bool m_runCounted = false;
+    bool m_isAtUnconfirmed = false; ///< the current attempt was sent to an unconfirmed upstream
     bool m_isDeviating = false; ///< the current attempt is at a version that the call's key does not select
     bool m_isDeviationRequested = false;
     bool m_isTrial = false; ///< sent once although it is quarantined
--- a/libraries/relay/upstream_choice.cpp
+++ b/libraries/relay/upstream_choice.cpp
@@ -28,6 +28,20 @@
     return m_route.kind != call_kind::resumable_stream || m_environment.versions.mayBeginAt(candidate);
 }
 
+bool upstream_choice::isVersionNeeded(const std::vector<const upstream *> &ready,
+                                      const std::optional<stream_origin> &origin) const
+{
+    if (m_route.kind != call_kind::resumable_stream)
+        return false;
+#ifdef IVYPIER_MUTANT_UNCONFIRMED_VERSION
+    return false;
+#endif
+    // A new stream may begin at an unknown version if there is no other; it goes on only where it began.
+    return origin || std::any_of(ready.begin(), ready.end(), [](const upstream *each) {
+               return !each->isUnconfirmed();
+           });
+}
+
 void upstream_choice::exclude(const std::string &id, std::optional<duration> returnAfter)
 {
     m_excluded.insert(id);
@@ -38,8 +52,10 @@
 void upstream_choice::excludeUnavailable(const std::string &service,
                                          const std::optional<stream_origin> &origin)
 {
-    for (const upstream *each : m_environment.upstreams.ready(service)) {
-        if (!canServe(each->record, origin)) {
+    const std::vector<const upstream *> ready = m_environment.upstreams.ready(service);
+    const bool needsVersion = isVersionNeeded(ready, origin);
+    for (const upstream *each : ready) {
+        if (!canServe(each->record, origin) || (needsVersion && each->isUnconfirmed())) {
             exclude(each->record.id);
             continue;
         }
--- a/libraries/relay/upstream_choice.h
+++ b/libraries/relay/upstream_choice.h
@@ -58,6 +58,9 @@
 
 private:
     bool canServe(const upstream_record &candidate, const std::optional<stream_origin> &origin) const;
+    /// Returns whether the call has to run at an upstream whose software version is known.
+    bool isVersionNeeded(const std::vector<const upstream *> &ready,
+                         const std::optional<stream_origin> &origin) const;
     void excludeUnavailable(const std::string &service, const std::optional<stream_origin> &origin);
     version_reserve reserved(const std::string &service, const std::optional<stream_origin> &origin) const;
     /// Returns whether a rollout is in progress, as far as this node knows, and every listed upstream of the
--- a/libraries/relay/upstream_directory.cpp
+++ b/libraries/relay/upstream_directory.cpp
@@ -246,6 +246,50 @@
         .write();
 }
 
+void upstream_directory::recordEnd(const std::string &id)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    setUnconfirmed(found->second);
+    for (const auto &observer : m_endObservers)
+        observer(id);
+}
+
+void upstream_directory::recordToldEnd(const std::string &id)
+{
+    const auto found = m_upstreams.find(id);
+    if (found != m_upstreams.end() && found->second.running == 0 && !found->second.isUnconfirmed())
+        setUnconfirmed(found->second);
+}
+
+void upstream_directory::setUnconfirmed(upstream &each) const
+{
+    each.endedAt = m_time.now();
+    each.renewals = 0;
+    log_event(log_level::info, "upstream.unconfirmed").with("id", each.record.id).write();
+}
+
+void upstream_directory::confirm(const std::string &id)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || !found->second.endedAt)
+        return;
+    const duration sinceEnd = m_time.now() - *found->second.endedAt;
+    if (sinceEnd < max_row_delay || ++found->second.renewals < confirming_rows)
+        return;
+    found->second.endedAt.reset();
+    log_event(log_level::info, "upstream.confirmed")
+        .with("id", id)
+        .with("after_ms", milliseconds(sinceEnd))
+        .write();
+}
+
+void upstream_directory::onEnded(std::function<void(const std::string &)> observer)
+{
+    m_endObservers.push_back(std::move(observer));
+}
+
 void upstream_directory::recordStatement(const std::string &id, const upstream_statement &statement)
 {
     const auto found = m_upstreams.find(id);
--- a/libraries/relay/upstream_directory.h
+++ b/libraries/relay/upstream_directory.h
@@ -54,6 +54,8 @@
     time_point waitUntil{}; ///< it wants no calls from this node before
     std::uint32_t resumeLimit = 0; ///< calls that may await their answers after a wait; 0: any number
     std::uint32_t awaitingAnswer = 0; ///< calls sent after the last wait and not yet answered
+    std::optional<time_point> endedAt; ///< when its process ended, until its row is renewed
+    std::uint32_t renewals = 0; ///< of its row since its end
 
     /// Returns the load that this node's calls put on the upstream, in calls.
     double load() const
@@ -66,6 +68,13 @@
         return now < ejectedUntil;
     }
 
+    /// Returns whether the process at the address may be a later start, of which no row was read yet: its
+    /// software version is unknown.
+    bool isUnconfirmed() const
+    {
+        return endedAt.has_value();
+    }
+
     /// Returns for how long the upstream takes no further call because of a wait that it asked for; zero if
     /// it takes one now.
     duration waitLeft(time_point now) const;
@@ -140,6 +149,21 @@
     /// with each further failure.
     void recordFailure(const std::string &id);
 
+    /// Records that the process of an upstream ended. What answers at its address from then on may be a later
+    /// start, until a row tells.
+    void recordEnd(const std::string &id);
+
+    /// Records that another node saw the end of an upstream. It doesn't count while this node has calls in
+    /// progress there, which would have broken off.
+    void recordToldEnd(const std::string &id);
+
+    /// Records that a row of this incarnation was read. A first one, or one that is read soon after the end,
+    /// may have been written before it.
+    void confirm(const std::string &id);
+
+    /// Registers an observer that is called with the id of an upstream whose end this node saw.
+    void onEnded(std::function<void(const std::string &)> observer);
+
     /// Records what an upstream stated in an answer. One that leaves is draining from then on, whatever a
     /// table states. Logs what changed.
     void recordStatement(const std::string &id, const upstream_statement &statement);
@@ -158,6 +182,7 @@
     std::string softwareVersionOf(const upstream_record &record);
     bool hasLeft(const std::string &id) const;
     void removeFormerIncarnation(const upstream_record &record);
+    void setUnconfirmed(upstream &each) const;
     static void startWait(upstream &of, time_point until);
     void forgetLeft();
 
@@ -169,6 +194,7 @@
     std::map<std::string, time_point> m_waits; ///< ends of the waits of upstreams that are not listed now
     std::map<std::string, known_version> m_softwareVersions; ///< first stated version, by upstream
     std::vector<std::function<void(const upstream_record &)>> m_unavailableObservers;
+    std::vector<std::function<void(const std::string &)>> m_endObservers;
 };
 
 /// Number of calls that may await their answers when a wait has ended. Each success doubles it; from the
@@ -179,6 +205,12 @@
 /// How soon an upstream that resumes after a wait may take another call.
 inline constexpr duration resume_retry_interval = std::chrono::milliseconds(200);
 
+/// How long after the end of an upstream a row may arrive that was written before it.
+inline constexpr duration max_row_delay = std::chrono::seconds(1);
+
+/// Rows that confirm an upstream after its end.
+inline constexpr std::uint32_t confirming_rows = 2;
+
 /// Consecutive failures after which an upstream is ejected.
 inline constexpr std::uint32_t ejection_failure_threshold = 3;
 
--- a/libraries/relay/upstream_end_detector.cpp
+++ b/libraries/relay/upstream_end_detector.cpp
@@ -4,7 +4,7 @@
 
 namespace ivypier::relay {
 
-upstream_end_detector::upstream_end_detector(scheduler &tasks, const upstream_directory &upstreams,
+upstream_end_detector::upstream_end_detector(scheduler &tasks, upstream_directory &upstreams,
                                              reachability_check &check, call_quarantine &quarantine)
     : m_tasks(tasks)
     , m_upstreams(upstreams)
@@ -35,7 +35,10 @@
                                              const std::optional<crash_suspect> &call)
 {
     possible_end *each = findOrAdd(upstream);
-    if (!each || !call || call->keys.empty())
+    if (!each)
+        return;
+    each->hasBrokenCall = true;
+    if (!call || call->keys.empty())
         return;
     each->end.calls.push_back(*call);
     if (each->isConfirmed)
@@ -54,6 +57,11 @@
         each->closedAnswers.push_back({call, beganAt});
 }
 
+void upstream_end_detector::recordClosedConnection(const std::string &upstream)
+{
+    findOrAdd(upstream);
+}
+
 void upstream_end_detector::startCheck(const std::string &upstream, const endpoint &address)
 {
     ++m_checks;
@@ -91,7 +99,9 @@
         .with("service", each.end.service)
         .with("calls", static_cast<std::int64_t>(each.end.calls.size()))
         .write();
-    m_quarantine.recordEnd(each.end);
+    m_upstreams.recordEnd(upstream);
+    if (each.hasBrokenCall || !each.end.calls.empty())
+        m_quarantine.recordEnd(each.end);
 }
 
 void upstream_end_detector::forgetOld()
--- a/libraries/relay/upstream_end_detector.h
+++ b/libraries/relay/upstream_end_detector.h
@@ -25,7 +25,7 @@
     /// Upstreams that are checked at a time; when more end at once, their calls are not the cause.
     static constexpr std::size_t max_checks = 32;
 
-    upstream_end_detector(scheduler &tasks, const upstream_directory &upstreams, reachability_check &check,
+    upstream_end_detector(scheduler &tasks, upstream_directory &upstreams, reachability_check &check,
                           call_quarantine &quarantine);
 
     /// Records that a call broke off before its answer was whole. One that is no suspect only tells of the
@@ -36,6 +36,10 @@
     /// goes on.
     void recordClosedAnswer(const std::string &upstream, const crash_suspect &call, time_point beganAt);
 
+    /// Records that the upstream closed a connection that no call used. That no call broke off says nothing
+    /// about calls that end upstreams.
+    void recordClosedConnection(const std::string &upstream);
+
 private:
     struct closed_answer
     {
@@ -47,6 +51,7 @@
         upstream_end end;
         std::vector<closed_answer> closedAnswers;
         bool isConfirmed = false;
+        bool hasBrokenCall = false;
     };
 
     possible_end *findOrAdd(const std::string &upstream);
@@ -55,7 +60,7 @@
     void forgetOld();
 
     scheduler &m_tasks;
-    const upstream_directory &m_upstreams;
+    upstream_directory &m_upstreams;
     reachability_check &m_check;
     call_quarantine &m_quarantine;
     std::map<std::string, possible_end> m_ends;
--- a/libraries/relay/upstream_rows.cpp
+++ b/libraries/relay/upstream_rows.cpp
@@ -71,6 +71,7 @@
     if (!record)
         return false;
     recordListed(record->id, row.version);
+    m_upstreams.confirm(record->id);
     const auto [known, isNew] = m_lastRecords.try_emplace(row.key, *record);
     // A heartbeat writes the row without changing the record.
     if (!isNew && known->second == *record && m_upstreams.find(record->id))
--- a/services/edge/edge_node.cpp
+++ b/services/edge/edge_node.cpp
@@ -355,6 +355,10 @@
     tables.start();
     members.start();
     fleetExchange.start();
+    upstreamConnections.onIdleClosed([this](const endpoint &address) {
+        if (const relay::upstream *at = upstreams.findByAddress(address))
+            upstreamEnds.recordClosedConnection(at->record.id);
+    });
     permits.start();
     origins.start();
     quarantine.start();
--- a/services/edge/platform_tables.cpp
+++ b/services/edge/platform_tables.cpp
@@ -10,10 +10,12 @@
 namespace {
 
 /// Gossip fact that announces the newest configuration version, and the key prefixes of facts that announce a
-/// draining upstream, and whether the table listed an upstream at the version of the fact.
+/// draining upstream, whether the table listed an upstream at the version of the fact, and the end of an
+/// upstream's process.
 constexpr const char *configuration_fact = "configuration";
 constexpr std::string_view draining_fact_prefix = "leaving/";
 constexpr std::string_view listing_fact_prefix = "listing/";
+constexpr std::string_view end_fact_prefix = "ended/";
 constexpr const char *listed_value = "listed";
 constexpr const char *absent_value = "absent";
 
@@ -78,6 +80,9 @@
         m_members.publish({std::string(listing_fact_prefix) + each.id, each.version,
                            each.isListed ? listed_value : absent_value});
     });
+    m_upstreams.onEnded([this](const std::string &id) {
+        m_members.publish({std::string(end_fact_prefix) + id, 1, ""});
+    });
     m_configuration.start();
     m_upstreamTable.start();
 }
@@ -95,6 +100,8 @@
                       [this, version = update.version] { refreshUntil(version, max_refresh_attempts); });
     else if (update.key.starts_with(draining_fact_prefix))
         m_upstreams.markDraining(update.key.substr(draining_fact_prefix.size()));
+    else if (update.key.starts_with(end_fact_prefix))
+        m_upstreams.recordToldEnd(update.key.substr(end_fact_prefix.size()));
     else if (update.key.starts_with(listing_fact_prefix))
         m_upstreamRows.applyListing(
             {update.key.substr(listing_fact_prefix.size()), update.version, update.value == listed_value});
