--- a/libraries/relay/answer_delivery.cpp
+++ b/libraries/relay/answer_delivery.cpp
@@ -34,16 +34,14 @@
     m_caller->onClosed(std::move(handler));
 }
 
-void answer_delivery::expectStream(std::optional<std::uint64_t> lastEvent)
+void answer_delivery::expectStream(std::optional<std::uint64_t> lastEvent, std::optional<numbering> known)
 {
     if (!m_scanner)
-        m_scanner.emplace(lastEvent);
+        m_scanner.emplace(lastEvent, known);
 }
 
-void answer_delivery::beginStream(const http::response_head &head, std::optional<std::uint64_t> lastEvent,
-                                  std::function<void()> onSent)
+void answer_delivery::beginStream(const http::response_head &head, std::function<void()> onSent)
 {
-    expectStream(lastEvent);
     if (std::exchange(m_hasBegun, true))
         return;
     m_caller->begin(head.status, m_environment.protocol.answerFields(head));
--- a/libraries/relay/answer_delivery.h
+++ b/libraries/relay/answer_delivery.h
@@ -33,13 +33,13 @@
     /// Calls `handler` when the caller closes its connection; null: no longer.
     void onCallerClosed(std::function<void()> handler);
 
-    /// Expects a stream after the event `lastEvent`, which is not forwarded yet.
-    void expectStream(std::optional<std::uint64_t> lastEvent);
+    /// Expects a stream after the event `lastEvent`, which is not forwarded yet. `known`: how the upstream
+    /// numbers events. Does nothing if a stream is expected already.
+    void expectStream(std::optional<std::uint64_t> lastEvent, std::optional<numbering> known);
 
-    /// Begins or continues a stream after the event `lastEvent`. `onSent` is called when the caller has read
-    /// what was delivered.
-    void beginStream(const http::response_head &head, std::optional<std::uint64_t> lastEvent,
-                     std::function<void()> onSent);
+    /// Begins or continues the stream that is expected. `onSent` is called when the caller has read what was
+    /// delivered.
+    void beginStream(const http::response_head &head, std::function<void()> onSent);
 
     /// Keeps an answer until it is whole.
     void keepAnswer(http::response_head head);
--- a/libraries/relay/call_environment.h
+++ b/libraries/relay/call_environment.h
@@ -9,6 +9,7 @@
 #include "relay/call_quarantine.h"
 #include "relay/call_rollouts.h"
 #include "relay/crash_key.h"
+#include "relay/event_numbering.h"
 #include "relay/retry_budget.h"
 #include "relay/run_counter.h"
 #include "relay/service_versions.h"
@@ -22,6 +23,7 @@
 #include "relay/work_meter.h"
 
 #include <functional>
+#include <memory>
 
 namespace ivypier::relay {
 
@@ -52,6 +54,7 @@
     /// Returns the maximum number of connections that this node may open to one upstream of the service.
     std::function<std::size_t(const service &)> connectionsFor;
     call_rollouts *rollouts = nullptr; ///< null: the deployment has no rollouts
+    std::shared_ptr<relay::event_numbering> eventNumbering = std::make_shared<relay::event_numbering>();
 };
 
 } // namespace ivypier::relay
--- a/libraries/relay/event_scanner.cpp
+++ b/libraries/relay/event_scanner.cpp
@@ -43,11 +43,24 @@
 
 } // namespace
 
-event_scanner::event_scanner(std::optional<std::uint64_t> last)
+event_scanner::event_scanner(std::optional<std::uint64_t> last, std::optional<numbering> known)
     : m_last(last)
+    , m_numbering(last ? known.value_or(numbering::consecutive) : known)
+    , m_isNew(!last)
 {
 }
 
+void event_scanner::recordNumber(std::uint64_t number)
+{
+    if (!m_numbering)
+        m_numbering = number > 1 ? numbering::spaced : numbering::consecutive;
+    const bool skips = m_last && number != *m_last + 1;
+    if (m_isNew && m_last && !m_observed)
+        m_observed = skips ? numbering::spaced : numbering::consecutive;
+    m_gap = m_gap || (skips && m_numbering == numbering::consecutive);
+    m_last = number;
+}
+
 std::size_t event_scanner::nextEventEnd()
 {
     while (true) {
@@ -82,10 +95,8 @@
         m_hasEventSinceRestart = m_hasEventSinceRestart || number.has_value();
         if (number && m_last && *number <= *m_last)
             continue;
-        if (number && m_last && *number != *m_last + 1)
-            m_gap = true;
         if (number)
-            m_last = number;
+            recordNumber(*number);
         whole.append(event);
     }
     m_partial.erase(0, eventStart);
--- a/libraries/relay/event_scanner.h
+++ b/libraries/relay/event_scanner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "relay/event_numbering.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,8 +17,16 @@
     /// Maximum size of an incomplete event in bytes; a longer one marks the stream as broken.
     static constexpr std::size_t max_partial_event_bytes = std::size_t{1} << 20;
 
-    /// Drops the events up to and including number `last`.
-    explicit event_scanner(std::optional<std::uint64_t> last = std::nullopt);
+    /// Drops the events up to and including number `last`. If it is not known how the upstream numbers
+    /// events, a stream that begins with a number above one is spaced, and all others are consecutive.
+    explicit event_scanner(std::optional<std::uint64_t> last = std::nullopt,
+                           std::optional<numbering> known = std::nullopt);
+
+    /// Returns the numbering that the first two events of a new stream show; nothing before these.
+    std::optional<numbering> observedNumbering() const
+    {
+        return m_observed;
+    }
 
     /// Appends bytes to the stream. Returns the bytes of the events that are now complete and were not
     /// returned before.
@@ -37,7 +47,7 @@
         return !m_partial.empty();
     }
 
-    /// Returns true if the event numbers received so far skip a number.
+    /// Returns true if the numbers of consecutive events received so far skip a number.
     bool hasGap() const
     {
         return m_gap;
@@ -68,12 +78,16 @@
 
 private:
     std::size_t nextEventEnd();
+    void recordNumber(std::uint64_t number);
     void discardPartialEvent();
 
     std::string m_partial;
     std::size_t m_lineStart = 0; ///< start of the last line in m_partial, which is incomplete
     std::size_t m_searchedTo = 0; ///< there is no end of a line between m_lineStart and here
     std::optional<std::uint64_t> m_last;
+    std::optional<numbering> m_numbering; ///< nothing before the first event of a new stream
+    std::optional<numbering> m_observed;
+    bool m_isNew; ///< received from its beginning
     bool m_gap = false;
     bool m_isResumed = false;
     bool m_hasEventSinceRestart = false;
--- a/libraries/relay/relayed_call.cpp
+++ b/libraries/relay/relayed_call.cpp
@@ -461,8 +461,9 @@
         m_answer.keepAnswer(std::move(head));
         return;
     }
+    m_answer.expectStream(m_call.lastEvent,
+                          m_environment.eventNumbering->find(m_serviceName, m_attempt->to().softwareVersion));
     if (awaitsDeviation()) {
-        m_answer.expectStream(m_call.lastEvent);
         m_hold.hold(std::move(head));
         m_attempt->exchange()->pause();
         return;
@@ -472,7 +473,7 @@
 
 void relayed_call::beginStream(const http::response_head &head)
 {
-    m_answer.beginStream(head, m_call.lastEvent, [weak = weak_from_this()] {
+    m_answer.beginStream(head, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && self->m_attempt && self->m_attempt->isRunning())
             self->m_attempt->exchange()->resume();
@@ -543,6 +544,9 @@
     if (hasSurvived && !std::exchange(m_attempt->isSurvivalRecorded, true))
         m_suspicion->recordSurvival(beganAt);
     const event_scanner &events = *m_answer.events();
+    if (events.observedNumbering() && !std::exchange(m_isNumberingRecorded, true))
+        m_environment.eventNumbering->record(m_serviceName, m_attempt->to().softwareVersion,
+                                             *events.observedNumbering());
     if (!m_resumption->origin() && events.lastEvent() && !events.hasGap() && !events.isBroken())
         m_resumption->record({m_serviceName, knownSoftwareVersion(), upstreamId()},
                              m_admission.matched->kind == call_kind::resumable_stream);
--- a/libraries/relay/relayed_call.h
+++ b/libraries/relay/relayed_call.h
@@ -124,6 +124,7 @@
     std::uint32_t m_attemptCount = 0;
     bool m_mayHaveRun = false;
     bool m_runCounted = false;
+    bool m_isNumberingRecorded = false;
     bool m_isAtUnconfirmed = false; ///< the current attempt was sent to an unconfirmed upstream
     bool m_isDeviating = false; ///< the current attempt is at a version that the call's key does not select
     bool m_isDeviationRequested = false;
--- a/libraries/relay/tests/relay_parts_test.cpp
+++ b/libraries/relay/tests/relay_parts_test.cpp
@@ -60,6 +60,37 @@
     CHECK(scanner.hasGap());
 }
 
+TEST_CASE("numbers that increase by more than one are no gap where events are not numbered one by one")
+{
+    event_scanner tokens;
+    CHECK(tokens.feed("id: 3\n\nid: 6\n\nid: 11\n\n") == "id: 3\n\nid: 6\n\nid: 11\n\n");
+    CHECK_FALSE(tokens.hasGap());
+    CHECK(tokens.observedNumbering() == numbering::spaced);
+    event_scanner resumed(6, numbering::spaced);
+    resumed.feed("id: 9\n\n");
+    CHECK_FALSE(resumed.hasGap());
+    CHECK_FALSE(resumed.observedNumbering());
+    event_scanner counted;
+    counted.feed("id: 1\n\nid: 2\n\nid: 4\n\n");
+    CHECK(counted.hasGap());
+    CHECK(counted.observedNumbering() == numbering::consecutive);
+    event_scanner lacksFirst(std::nullopt, numbering::consecutive);
+    lacksFirst.feed("id: 2\n\nid: 4\n\n");
+    CHECK(lacksFirst.hasGap());
+}
+
+TEST_CASE("the numbering of a version is the one that most of its streams show")
+{
+    event_numbering known;
+    CHECK_FALSE(known.find("s", "v1"));
+    known.record("s", "v1", numbering::spaced);
+    CHECK(known.find("s", "v1") == numbering::spaced);
+    known.record("s", "v2", numbering::consecutive);
+    known.record("s", "v2", numbering::consecutive);
+    known.record("s", "v2", numbering::spaced); // of a stream that lacked an event
+    CHECK(known.find("s", "v2") == numbering::consecutive);
+}
+
 TEST_CASE("retries are limited by the first attempts in the window")
 {
     virtual_scheduler time;
--- a/libraries/relay/tests/stream_versions_test.cpp
+++ b/libraries/relay/tests/stream_versions_test.cpp
@@ -277,3 +277,23 @@
     time.advance(9min);
     CHECK(listed("") == "v1");
 }
+
+// Guards against streams that are cut because their numbers count tokens.
+TEST_CASE("a stream whose numbers increase by three is delivered whole, and goes on after a resumption")
+{
+    relay_fixture fixture(call_kind::resumable_stream, 3);
+    const auto first = fixture.startCall();
+    fixture.last().head(200, {});
+    for (const int number : {3, 6, 9})
+        fixture.last().body(event(number));
+    fixture.last().end();
+    CHECK(first->status == 200);
+    CHECK(first->body == event(3) + event(6) + event(9));
+    fixture.origins.records[stream_key::of("one", "first")] = {"s", "v1", "gone"};
+    const auto resumed = fixture.resume("first", 6);
+    fixture.last().head(200, {});
+    fixture.last().body(event(9));
+    fixture.last().end();
+    CHECK(resumed->status == 200);
+    CHECK(resumed->body == event(9));
+}
