--- a/libraries/fleet/permit_bucket.cpp
+++ b/libraries/fleet/permit_bucket.cpp
@@ -1,7 +1,6 @@
 #include "fleet/permit_bucket.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace ivypier::fleet {
@@ -26,9 +25,9 @@
 {
     permit_bucket result(callsPerSecond, now);
     const double span = seconds(sent_interval);
-    for (const std::uint32_t calls : sent | std::views::reverse) {
+    for (auto calls = sent.rbegin(); calls != sent.rend(); ++calls) { // the oldest first
         result.add(span * callsPerSecond);
-        result.m_reserve -= calls;
+        result.m_reserve -= *calls;
         result.payDebt();
         result.m_reserve = std::max(result.m_reserve, -callsPerSecond * span * sent_intervals);
     }
