--- a/libraries/fleet/permit_ledger.cpp
+++ b/libraries/fleet/permit_ledger.cpp
@@ -106,10 +106,10 @@
 relay::permit_request_id permit_ledger::request(const std::string &upstream, const limit_statement &statement,
                                                 const relay::permit_request &details, completion done)
 {
-    forgetIdle();
     ledger &of = m_ledgers.at(upstream);
     const time_point now = m_tasks.now();
     of.expectedAt = now;
+    forgetIdle();
     follow(of, statement);
     if (of.isEnded) {
         done(granted);
--- a/libraries/fleet/tests/permit_ledger_test.cpp
+++ b/libraries/fleet/tests/permit_ledger_test.cpp
@@ -116,3 +116,11 @@
     CHECK(fixture.decided == std::vector<std::string>{"queued granted"});
     CHECK(fixture.ask({}));
 }
+
+// Guards against a ledger that is dropped as idle by the request that uses it.
+TEST_CASE("a ledger is used again after a long pause")
+{
+    ledger_fixture fixture;
+    fixture.time.advance(2 * permit_ledger::idle_retention);
+    CHECK(fixture.ask({}));
+}
