The ledgers that a node keeps have a class of their own

permit_exchange asked for permits and kept ledgers; the latter moved to permit_keeper, which knows nothing of messages. No change of behaviour.

--- a/libraries/fleet/permit_exchange.cpp
+++ b/libraries/fleet/permit_exchange.cpp
@@ -4,7 +4,6 @@
 #include "base/log_event.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace ivypier::fleet {
@@ -32,14 +31,20 @@
     , m_fleetKey(fleetKey)
     , m_members(members)
     , m_port(port)
-    , m_ledger(tasks, randomness)
+    , m_keeper(tasks, randomness, members,
+               {.inquire =
+                    [this](const std::string &host, std::uint64_t number, const std::string &upstream) {
+                        send(host,
+                             {.kind = permit_message_kind::inquiry, .number = number, .upstream = upstream});
+                    },
+                .ownCalls = [this](const std::string &upstream) { return sentLately(upstream); }})
 {
 }
 
 void permit_exchange::start()
 {
     m_channel.onReceive([this](const endpoint &from, std::string_view datagram) { receive(from, datagram); });
-    m_members.onMembersChanged([this] { onMembersChanged(); });
+    m_members.onMembersChanged([this] { m_keeper.onMembersChanged(); });
 }
 
 bool permit_exchange::isNeeded(const std::string &upstream) const
@@ -87,7 +92,7 @@
     if (!keeper)
         return;
     if (keeper->id == m_members.self().id) {
-        m_ledger.recordAnswer(upstream, callsPerSecond);
+        m_keeper.recordAnswer(upstream, callsPerSecond);
         return;
     }
     permit_message message{.kind = permit_message_kind::answer, .upstream = upstream};
@@ -171,7 +176,7 @@
     }
     if (keeper->id != m_members.self().id)
         sendTo(number, keeper->id, keeper->address.host);
-    else if (const auto redirected = redirectionOf(pending.upstream))
+    else if (const auto redirected = m_keeper.redirectionOf(pending.upstream))
         sendTo(number, unnamed_keeper, *redirected);
     else
         decideHere(number);
@@ -184,12 +189,15 @@
     if (pending.timer)
         m_tasks.cancel(*pending.timer);
     pending.timer.reset();
-    decide({{}, number}, pending.upstream, statementOf(pending.upstream), remaining(pending),
-           [this, number, upstream = pending.upstream](const relay::permit_decision &decision) {
-               if (!m_ledger.limit(upstream))
-                   m_upstreams.erase(upstream);
-               complete(number, decision);
-           });
+    m_keeper.decide(
+        {{}, number}, pending.upstream, statementOf(pending.upstream), remaining(pending),
+        {.decided =
+             [this, number, upstream = pending.upstream](const relay::permit_decision &decision) {
+                 if (!m_keeper.limit(upstream))
+                     m_upstreams.erase(upstream);
+                 complete(number, decision);
+             },
+         .moved = [this, number](const std::string &host) { sendTo(number, unnamed_keeper, host); }});
 }
 
 void permit_exchange::sendTo(std::uint64_t number, membership::incarnation keeper,
@@ -280,204 +288,12 @@
     if (pending.timer)
         m_tasks.cancel(*pending.timer);
     if (isSelf(pending))
-        withdrawServed({{}, id});
+        m_keeper.withdraw({{}, id});
     else
         send(pending.keeperHost,
              {.kind = permit_message_kind::withdrawal, .number = id, .upstream = pending.upstream});
 }
 
-void permit_exchange::withdrawServed(const request_key &key)
-{
-    const auto found = m_served.extract(key);
-    if (!found.empty())
-        m_ledger.withdraw(found.mapped().upstream, found.mapped().ledgerId);
-}
-
-void permit_exchange::decide(const request_key &key, const std::string &upstream,
-                             const limit_statement &statement, const relay::permit_request &details,
-                             completion done)
-{
-    if (statement.callsPerSecond <= 0.0) {
-        done({true, {}, {}});
-        return;
-    }
-    m_served[key] = {upstream, 0};
-    const auto ask = [this, key, upstream, statement, details, done = std::move(done)] {
-        if (!m_served.contains(key))
-            return;
-        const relay::permit_request_id id = m_ledger.request(
-            upstream, statement, details, [this, key, done](const relay::permit_decision &decision) {
-                m_served.erase(key);
-                done(decision);
-            });
-        if (const auto served = m_served.find(key); served != m_served.end())
-            served->second.ledgerId = id;
-    };
-    if (isOpen(upstream)) {
-        ask();
-        return;
-    }
-    permit_takeover &takeover = takeoverOf(upstream, statement);
-    takeover.defer(ask);
-    if (takeover.unheard().empty())
-        openLedger(upstream);
-}
-
-bool permit_exchange::isOpen(const std::string &upstream) const
-{
-    const auto opened = m_openedAt.find(upstream);
-    return m_ledger.contains(upstream) && opened != m_openedAt.end() && opened->second == m_membersVersion;
-}
-
-permit_takeover &permit_exchange::takeoverOf(const std::string &upstream, const limit_statement &statement)
-{
-    if (const auto found = m_takeovers.find(upstream); found != m_takeovers.end())
-        return found->second;
-    std::vector<membership::member> others = m_members.members();
-    std::erase_if(others, [&](const membership::member &each) { return each.id == m_members.self().id; });
-    const auto added
-        = m_takeovers.try_emplace(upstream, ++m_lastNumber, statement, others, sentLately(upstream)).first;
-    m_openedAt[upstream] = m_membersVersion;
-    inquire(upstream);
-    return added->second;
-}
-
-void permit_exchange::inquire(const std::string &upstream)
-{
-    permit_takeover &takeover = m_takeovers.at(upstream);
-    if (takeover.unheard().empty())
-        return;
-    const permit_message message{
-        .kind = permit_message_kind::inquiry, .number = takeover.number(), .upstream = upstream};
-    for (const auto &[host, each] : takeover.unheard())
-        send(host, message);
-    takeover.timer = m_tasks.after(report_timeout, [this, upstream] { onReportsLate(upstream); });
-}
-
-void permit_exchange::onReportsLate(const std::string &upstream)
-{
-    permit_takeover &takeover = m_takeovers.at(upstream);
-    if (std::exchange(takeover.isRepeated, true))
-        openLedger(upstream);
-    else
-        inquire(upstream);
-}
-
-void permit_exchange::openLedger(const std::string &upstream)
-{
-    const auto found = m_takeovers.extract(upstream);
-    permit_takeover &takeover = found.mapped();
-    m_tasks.cancel(takeover.timer);
-    const bool isNew = !m_ledger.contains(upstream);
-    m_ledger.open(upstream, takeover.statement(), takeover.sent());
-    m_redirections.erase(upstream);
-    if (isNew)
-        divide(upstream, takeover);
-    log_event(log_level::info, "permit.ledger_opened")
-        .with("upstream", upstream)
-        .with("calls_per_second", takeover.statement().callsPerSecond)
-        .with("stated_ms_ago", milliseconds(takeover.statement().ago))
-        .with("sent_lately",
-              static_cast<std::int64_t>(
-                  std::accumulate(takeover.sent().begin(), takeover.sent().end(), std::uint64_t{0})))
-        .with("unheard_nodes", static_cast<std::int64_t>(takeover.unheard().size()))
-        .with("new", isNew ? "yes" : "no")
-        .write();
-    for (const auto &each : takeover.takeDeferred())
-        each();
-}
-
-void permit_exchange::divide(const std::string &upstream, const permit_takeover &takeover)
-{
-    division divided;
-    for (const auto &[host, each] : takeover.unheard())
-        divided.unheard.insert(each.id);
-    if (divided.unheard.empty())
-        return;
-    divided.timer = m_tasks.after(division_time, [this, upstream] { endDivision(upstream); });
-    endDivision(upstream);
-    m_divisions.emplace(upstream, std::move(divided));
-    m_ledger.setDivided(upstream, true);
-    reviewDivisions();
-}
-
-void permit_exchange::endDivision(const std::string &upstream)
-{
-    const auto found = m_divisions.extract(upstream);
-    if (found.empty())
-        return;
-    m_tasks.cancel(found.mapped().timer);
-    m_ledger.setDivided(upstream, false);
-}
-
-/// Grants the whole rate again once all nodes that were not heard have left the membership.
-void permit_exchange::reviewDivisions()
-{
-    std::set<membership::incarnation> present;
-    for (const membership::member &each : m_members.members())
-        present.insert(each.id);
-    std::vector<std::string> ended;
-    for (const auto &[upstream, each] : m_divisions) {
-        const bool isOver = std::none_of(each.unheard.begin(), each.unheard.end(),
-                                         [&](membership::incarnation id) { return present.contains(id); });
-        if (isOver)
-            ended.push_back(upstream);
-    }
-    for (const std::string &upstream : ended)
-        endDivision(upstream);
-}
-
-void permit_exchange::onMembersChanged()
-{
-    ++m_membersVersion;
-    reviewDivisions();
-}
-
-std::optional<std::string> permit_exchange::redirectionOf(const std::string &upstream) const
-{
-    const auto found = m_redirections.find(upstream);
-    if (found == m_redirections.end() || found->second.until <= m_tasks.now())
-        return std::nullopt;
-    return found->second.keeperHost;
-}
-
-bool permit_exchange::ranksBefore(const std::string &host, const std::string &upstream) const
-{
-    const std::uint64_t ownWeight = rendezvousWeight(upstream, m_members.self().name);
-    const std::vector<membership::member> members = m_members.members();
-    return std::any_of(members.begin(), members.end(), [&](const membership::member &each) {
-        return each.address.host == host && rendezvousWeight(upstream, each.name) > ownWeight;
-    });
-}
-
-/// Leaves the ledger of an upstream to another node, with the requests that wait here.
-void permit_exchange::handOver(const std::string &upstream, const std::string &host)
-{
-    const auto takeover = m_takeovers.find(upstream);
-    if (takeover != m_takeovers.end()) {
-        // Of two nodes that take over at the same time one goes on.
-        if (!ranksBefore(host, upstream))
-            return;
-        m_tasks.cancel(takeover->second.timer);
-        m_takeovers.erase(takeover);
-    }
-    if (m_openedAt.erase(upstream) == 0)
-        return;
-    m_redirections[upstream] = {host, m_tasks.now() + redirection_time};
-    std::vector<request_key> moved;
-    for (const auto &[key, each] : m_served) {
-        if (each.upstream == upstream)
-            moved.push_back(key);
-    }
-    for (const request_key &each : moved) {
-        withdrawServed(each);
-        if (each.from == endpoint())
-            sendTo(each.number, unnamed_keeper, host);
-        else
-            sendMoved(each.from, {.number = each.number, .upstream = upstream}, host);
-    }
-}
-
 void permit_exchange::sendMoved(const endpoint &to, const permit_message &request, const std::string &host)
 {
     permit_message message{
@@ -511,20 +327,20 @@
         break;
     case permit_message_kind::answer: {
         const double limit = message.callsPerSecond;
-        m_ledger.recordAnswer(message.upstream, limit > 0.0 ? std::optional(limit) : std::nullopt);
+        m_keeper.recordAnswer(message.upstream, limit > 0.0 ? std::optional(limit) : std::nullopt);
         break;
     }
     case permit_message_kind::queued:
         applyQueued(message);
         break;
     case permit_message_kind::withdrawal:
-        withdrawServed({from, message.number});
+        m_keeper.withdraw({from, message.number});
         break;
     case permit_message_kind::inquiry:
         answerInquiry(from, message);
         break;
     case permit_message_kind::report:
-        applyReport(from, message);
+        m_keeper.recordReport(message.upstream, message.number, from, message.sent);
         break;
     case permit_message_kind::moved:
         applyMoved(message);
@@ -534,38 +350,42 @@
 
 void permit_exchange::answerRequest(const endpoint &from, const permit_message &message)
 {
-    const request_key key{from, message.number};
-    if (const auto redirected = redirectionOf(message.upstream)) {
+    const permit_request_key key{from, message.number};
+    if (const auto redirected = m_keeper.redirectionOf(message.upstream)) {
         sendMoved(from, message, *redirected);
         return;
     }
-    if (!m_served.contains(key)) {
-        decide(key, message.upstream, {message.callsPerSecond, message.statedAgo}, message.details,
-               [this, from, number = message.number,
-                upstream = message.upstream](const relay::permit_decision &decision) {
-                   permit_message reply{
-                       .kind = permit_message_kind::reply, .number = number, .upstream = upstream};
-                   reply.callsPerSecond = m_ledger.limit(upstream).value_or(0.0);
-                   reply.isGranted = decision.isGranted;
-                   reply.nextPermit = decision.nextPermit;
-                   reply.returnAfter = decision.returnAfter;
-                   m_channel.send(from, encodePermitMessage(m_fleetKey, reply));
-               });
-    }
-    if (!m_served.contains(key))
+    if (!m_keeper.isDeciding(key))
+        m_keeper.decide(
+            key, message.upstream, {message.callsPerSecond, message.statedAgo}, message.details,
+            {.decided = [this, from, message](const auto &decision) { sendReply(from, message, decision); },
+             .moved = [this, from, message](const auto &host) { sendMoved(from, message, host); }});
+    if (!m_keeper.isDeciding(key))
         return;
     const permit_message queued{
         .kind = permit_message_kind::queued, .number = message.number, .upstream = message.upstream};
     m_channel.send(from, encodePermitMessage(m_fleetKey, queued));
 }
 
+void permit_exchange::sendReply(const endpoint &to, const permit_message &request,
+                                const relay::permit_decision &decision)
+{
+    permit_message reply{
+        .kind = permit_message_kind::reply, .number = request.number, .upstream = request.upstream};
+    reply.callsPerSecond = m_keeper.limit(request.upstream).value_or(0.0);
+    reply.isGranted = decision.isGranted;
+    reply.nextPermit = decision.nextPermit;
+    reply.returnAfter = decision.returnAfter;
+    m_channel.send(to, encodePermitMessage(m_fleetKey, reply));
+}
+
 void permit_exchange::answerInquiry(const endpoint &from, const permit_message &message)
 {
     permit_message report{
         .kind = permit_message_kind::report, .number = message.number, .upstream = message.upstream};
     report.sent = sentLately(message.upstream);
     m_channel.send(from, encodePermitMessage(m_fleetKey, report));
-    handOver(message.upstream, from.host);
+    m_keeper.handOver(message.upstream, from.host);
 }
 
 void permit_exchange::applyReply(const permit_message &reply)
@@ -609,15 +429,6 @@
     sendTo(moved.number, unnamed_keeper, moved.keeper);
 }
 
-void permit_exchange::applyReport(const endpoint &from, const permit_message &report)
-{
-    const auto found = m_takeovers.find(report.upstream);
-    if (found == m_takeovers.end() || found->second.number() != report.number)
-        return;
-    if (found->second.recordReport(from, report.sent) && found->second.unheard().empty())
-        openLedger(report.upstream);
-}
-
 std::map<std::string, std::pair<double, duration>> permit_exchange::limits() const
 {
     std::map<std::string, std::pair<double, duration>> result;
--- a/libraries/fleet/permit_exchange.h
+++ b/libraries/fleet/permit_exchange.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "base/scheduler.h"
-#include "fleet/permit_ledger.h"
+#include "fleet/permit_keeper.h"
 #include "fleet/permit_message.h"
-#include "fleet/permit_takeover.h"
 #include "membership/datagram_channel.h"
 #include "membership/membership_view.h"
 #include "relay/call_permits.h"
@@ -11,7 +10,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace ivypier::fleet {
@@ -32,12 +30,7 @@
     static constexpr duration queue_check_interval = std::chrono::milliseconds(300);
     /// How long a keeper that did not reply is passed over.
     static constexpr duration keeper_cooldown = std::chrono::milliseconds(1500);
-    /// Time for the reports that a new keeper asks for; the inquiry is sent twice.
-    static constexpr duration report_timeout = std::chrono::milliseconds(50);
-    /// How long a new keeper that did not hear from all members grants a part of the rate only.
-    static constexpr duration division_time = std::chrono::seconds(4);
-    /// How long a former keeper passes requests on to the one that follows it.
-    static constexpr duration redirection_time = std::chrono::milliseconds(500);
+    /// How often a request may be passed on by former keepers.
     static constexpr int max_redirections = 3;
     /// Shortest time between two answers of an upstream that are told to its keeper.
     static constexpr duration answer_interval = std::chrono::milliseconds(100);
@@ -89,32 +82,6 @@
         int tries = 0;
         int redirections = 0;
     };
-    /// Names a request that this node decides as keeper.
-    struct request_key
-    {
-        endpoint from; ///< the default one for requests of this node
-        std::uint64_t number = 0;
-
-        auto operator<=>(const request_key &) const = default;
-    };
-    struct served_request
-    {
-        std::string upstream;
-        relay::permit_request_id ledgerId = 0; ///< 0 while the ledger is not open
-    };
-    /// A ledger that another node asked for.
-    struct redirection
-    {
-        std::string keeperHost;
-        time_point until{};
-    };
-    /// A ledger of which another part of the fleet may have another keeper.
-    struct division
-    {
-        std::set<membership::incarnation> unheard;
-        timer_id timer{};
-    };
-
     bool isSelf(const pending_request &pending) const;
     std::optional<membership::member> keeperOf(const std::string &upstream) const;
     limit_statement statementOf(const std::string &upstream) const;
@@ -130,24 +97,8 @@
     void applyDecision(limited_upstream &known, const pending_request &of,
                        const relay::permit_decision &decision);
 
-    /// Decides as the keeper, at once or later. `done` isn't called if the request is withdrawn.
-    void decide(const request_key &key, const std::string &upstream, const limit_statement &statement,
-                const relay::permit_request &details, completion done);
-    bool isOpen(const std::string &upstream) const;
-    permit_takeover &takeoverOf(const std::string &upstream, const limit_statement &statement);
-    void inquire(const std::string &upstream);
-    void onReportsLate(const std::string &upstream);
-    void openLedger(const std::string &upstream);
-    void divide(const std::string &upstream, const permit_takeover &takeover);
-    void endDivision(const std::string &upstream);
-    void reviewDivisions();
-    void onMembersChanged();
-    std::optional<std::string> redirectionOf(const std::string &upstream) const;
-    bool ranksBefore(const std::string &host, const std::string &upstream) const;
-    void handOver(const std::string &upstream, const std::string &host);
-    void withdrawServed(const request_key &key);
-
     void send(const std::string &host, const permit_message &message);
+    void sendReply(const endpoint &to, const permit_message &request, const relay::permit_decision &decision);
     void sendMoved(const endpoint &to, const permit_message &request, const std::string &host);
     void receive(const endpoint &from, std::string_view datagram);
     void answerRequest(const endpoint &from, const permit_message &message);
@@ -155,7 +106,6 @@
     void applyReply(const permit_message &reply);
     void applyQueued(const permit_message &queued);
     void applyMoved(const permit_message &moved);
-    void applyReport(const endpoint &from, const permit_message &report);
 
     scheduler &m_tasks;
     random_source &m_random;
@@ -163,16 +113,10 @@
     secret_key m_fleetKey;
     membership::membership_view &m_members;
     std::uint16_t m_port;
-    permit_ledger m_ledger;
+    permit_keeper m_keeper;
     std::map<std::string, limited_upstream> m_upstreams;
     std::map<std::uint64_t, pending_request> m_pending;
     std::map<membership::incarnation, time_point> m_unresponsive;
-    std::map<request_key, served_request> m_served;
-    std::map<std::string, permit_takeover> m_takeovers;
-    std::map<std::string, std::uint64_t> m_openedAt; ///< the members' version at which a ledger was opened
-    std::map<std::string, redirection> m_redirections;
-    std::map<std::string, division> m_divisions;
-    std::uint64_t m_membersVersion = 0;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_refusals = 0;
 };
